--- /dev/null
+++ b/cmd/core/main.go
@@ -0,0 +1,10 @@
+// Core is the control plane of yarrowridge: five of them agree on the layout and keep it safe.
+package main
+
+import (
+	"os"
+
+	"yarrowridge/internal/control"
+)
+
+func main() { os.Exit(control.Main(os.Args[1:], os.Stderr)) }
--- /dev/null
+++ b/internal/allow/allow.go
@@ -0,0 +1,122 @@
+// Package allow is the free output allowance: how much output a tenant without funds may ask for,
+// sized by the estimated wait on the runners that could serve the prompt. The rule and where it
+// departs from its source are told in docs/allowance.md.
+package allow
+
+import (
+	"time"
+
+	"yarrowridge/internal/layout"
+)
+
+// Feed is what is known of one eligible runner at the moment of judging.
+type Feed struct {
+	Queued float64 // output tokens ahead on it
+	Rate   float64 // measured tokens a second; 0 where no stream has completed
+}
+
+// Wait is the queued output ahead divided by the summed rate. waiting is what stands in queues
+// for these runners and is not yet on any of them.
+//
+//	w := allow.Wait(rule, []allow.Feed{{Queued: 600, Rate: 20}}, 0) // 30s
+func Wait(rule layout.Allowance, feeds []Feed, waiting float64) time.Duration {
+	queued, rate := waiting, 0.0
+	for _, f := range feeds {
+		queued += f.Queued
+		if f.Rate > 0 {
+			rate += f.Rate
+		} else {
+			rate += rule.Rate
+		}
+	}
+	if rate <= 0 || queued <= 0 {
+		return 0
+	}
+	sec := queued / rate
+	if sec > 1e6 {
+		sec = 1e6
+	}
+	return time.Duration(sec * float64(time.Second))
+}
+
+// Size is the allowance in tokens for a wait: the ceiling, then a straight line, then the floor.
+//
+//	n := allow.Size(rule, 180*time.Second) // 2304 with the defaults
+func Size(rule layout.Allowance, wait time.Duration) int {
+	switch {
+	case wait <= rule.Full:
+		return rule.Ceiling
+	case wait >= rule.Low:
+		return rule.Floor
+	}
+	part := float64(wait-rule.Full) / float64(rule.Low-rule.Full)
+	return rule.Ceiling - int(part*float64(rule.Ceiling-rule.Floor))
+}
+
+// Outcome is what became of a prompt at the allowance.
+type Outcome string
+
+// The outcomes.
+const (
+	Free     Outcome = "free"      // within the allowance
+	Funded   Outcome = "funded"    // a tenant with funds
+	Lowered  Outcome = "lowered"   // cut to the allowance, with the origin's leave
+	NoFunds  Outcome = "no-funds"  // over the allowance
+	NoRunner Outcome = "no-runner" // over the floor, and nobody could serve it anyway
+)
+
+// Ask is a prompt at the door.
+type Ask struct {
+	Funded bool
+	Tokens int  // output asked for
+	Lower  bool // the origin allows lowering
+}
+
+// Verdict is the decision, taken once when the prompt arrives.
+type Verdict struct {
+	Outcome Outcome
+	Tokens  int // output it may have
+	Size    int // the allowance it was held against
+	Wait    time.Duration
+}
+
+// Decide judges a prompt. feeds are the runners eligible at the asked length.
+//
+//	v := allow.Decide(rule, allow.Ask{Tokens: 2000}, feeds, 0)
+func Decide(rule layout.Allowance, ask Ask, feeds []Feed, waiting float64) Verdict {
+	v := Verdict{Tokens: ask.Tokens, Size: rule.Floor}
+	if len(feeds) > 0 {
+		v.Wait = Wait(rule, feeds, waiting)
+		v.Size = Size(rule, v.Wait)
+	}
+	switch {
+	case ask.Funded:
+		v.Outcome = Funded
+	case ask.Tokens <= v.Size:
+		v.Outcome = Free
+	case len(feeds) == 0:
+		v.Outcome = NoRunner
+	case ask.Lower && v.Size > 0:
+		v.Outcome, v.Tokens = Lowered, v.Size
+	default:
+		v.Outcome = NoFunds
+	}
+	return v
+}
+
+// Bucket names the size class of a token count.
+//
+//	allow.Bucket(600) // "513-1024"
+func Bucket(n int) string {
+	switch {
+	case n <= 512:
+		return "<=512"
+	case n <= 1024:
+		return "513-1024"
+	case n <= 2048:
+		return "1025-2048"
+	case n <= 4096:
+		return "2049-4096"
+	}
+	return ">4096"
+}
--- /dev/null
+++ b/internal/control/main.go
@@ -0,0 +1,102 @@
+// Package control puts the parts of the core program together.
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/operator"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/web"
+	"yarrowridge/internal/wire"
+)
+
+// Items are the settings of a core.
+var Items = []env.Item{
+	{Name: "name", Kind: env.Text, Must: true, Help: "name of this process"},
+	{Name: "hall", Kind: env.Text, Must: true, Help: "hall it stands in"},
+	{Name: "addr", Kind: env.Addr, Must: true, Help: "ip:port where other processes reach it"},
+	{Name: "operator", Kind: env.Addr, Help: "ip:port of the operators' listener"},
+	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
+	{Name: "seeds", Kind: env.List, Help: "addresses of three other processes of the fleet"},
+	{Name: "founders", Kind: env.List, Help: "addresses of all cores that found the fleet, this one among them; an odd number"},
+	{Name: "data", Kind: env.Dir, Must: true, Help: "data folder"},
+	{Name: "lost", Kind: env.Span, Def: "10s", Help: "silence after which a lost member is replaced by a waiting core"},
+	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
+}
+
+// Main runs a core and returns its exit code.
+//
+//	os.Exit(control.Main(os.Args[1:], os.Stderr))
+func Main(args []string, out io.Writer) int {
+	p, code := env.Start("core", Items, args, out)
+	if code >= 0 {
+		return code
+	}
+	defer p.End()
+	if err := run(p); err != nil {
+		fmt.Fprintf(out, "core: %s\n", err)
+		return env.ExitTrouble
+	}
+	return env.ExitOk
+}
+
+func run(p *env.Proc) error {
+	disk, err := store.OpenFolder(p.Set["data"])
+	if err != nil {
+		return err
+	}
+	lock, err := store.Lock(p.Set["data"])
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	seeds := p.Set.Addrs("seeds")
+	srv, err := core.Open(p.Ctx.Part("core"), core.Set{Addr: p.Set["addr"], Founders: p.Set.Addrs("founders"), Seeds: seeds, Lost: p.Set.Span("lost")}, disk)
+	if err != nil {
+		return err
+	}
+	l, err := p.Ctx.Net.Listen(p.Set["addr"])
+	if err != nil {
+		return err
+	}
+	go wire.Serve(p.Ctx, l, srv.Hand)
+	cal := wire.NewCaller(p.Ctx.Net)
+	defer cal.Close()
+	if at := p.Set["operator"]; at != "" {
+		face := &operator.Face{Ctx: p.Ctx.Part("operator"), KeyHash: func() string { return p.Now("operator-key-hash") },
+			Core:  core.NewClient(p.Ctx, cal, append([]string{p.Set["addr"]}, seeds...)),
+			Ready: srv.Why,
+			Views: map[string]func() any{"/v1/standing": func() any { return srv.Peek() }}}
+		h, err := face.Handler()
+		if err != nil {
+			return err
+		}
+		s, err := web.Listen(at, h)
+		if err != nil {
+			return err
+		}
+		go s.Run()
+		defer func() {
+			ctx, end := context.WithTimeout(context.Background(), time.Second)
+			defer end()
+			s.Drain(ctx)
+		}()
+	}
+	done := make(chan struct{})
+	go func() {
+		srv.Run()
+		close(done)
+	}()
+	p.Ctx.Log.Info("Core is up.", "addr", p.Set["addr"], "hall", p.Ctx.Hall)
+	<-p.Stop
+	p.Ctx.Log.Info("Core stops.")
+	srv.Yield()
+	p.End()
+	<-done
+	return nil
+}
--- /dev/null
+++ b/internal/core/client.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// Client finds the primary and calls it, through hand-overs and replaced machines.
+type Client struct {
+	ctx   env.Ctx
+	cal   *wire.Caller
+	seeds []string
+	mu    sync.Mutex
+	view  view.View
+	peers []string
+}
+
+// NewClient makes a client that starts from the seeds: addresses of any processes of the fleet.
+//
+//	c := core.NewClient(ctx, cal, set.Addrs("seeds"))
+func NewClient(ctx env.Ctx, cal *wire.Caller, seeds []string) *Client {
+	return &Client{ctx: ctx, cal: cal, seeds: seeds}
+}
+
+// View is the newest view heard of.
+//
+//	v := c.View()
+func (c *Client) View() view.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// Learn takes a view if it is newer.
+//
+//	c.Learn(told.View)
+func (c *Client) Learn(v view.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v.Epoch > c.view.Epoch {
+		c.view = v
+	}
+}
+
+// Peers adds addresses to ask besides the seeds: the other nodes.
+//
+//	c.Peers(addrs)
+func (c *Client) Peers(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers = addrs
+}
+
+// find asks members, seeds and peers which view they know.
+func (c *Client) find(ctx context.Context) {
+	c.mu.Lock()
+	to := append([]string{}, c.seeds...)
+	for _, m := range c.view.Members {
+		to = append(to, m.Addr)
+	}
+	for i, p := range c.peers {
+		if i < 6 {
+			to = append(to, p)
+		}
+	}
+	c.mu.Unlock()
+	ctx, end := context.WithTimeout(ctx, 400*time.Millisecond)
+	defer end()
+	seen := map[string]bool{}
+	var all sync.WaitGroup
+	for _, a := range to {
+		if seen[a] {
+			continue
+		}
+		seen[a] = true
+		all.Go(func() {
+			var t view.Told
+			if c.cal.Call(ctx, a, "view.ask", &view.Ask{}, &t) == nil {
+				c.Learn(t.View)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Call asks the primary, looking for it anew as long as ctx runs. again says the call may be
+// repeated after an answer in doubt: it names its own turn, id or sequence.
+// ErrUnsent or a NotReady fault mean surely not taken; ErrDoubt or an InDoubt fault: perhaps.
+//
+//	err := c.Call(ctx, "core.take", &take, &took, true)
+func (c *Client) Call(ctx context.Context, kind string, in msgp.Marshaler, out msgp.Unmarshaler, again bool) error {
+	var last error
+	for {
+		v := c.View()
+		if to := v.Addr(v.Prime); to != "" {
+			// A frozen primary must not eat the whole time: a second and a half, then look anew.
+			one, end := context.WithTimeout(ctx, 1500*time.Millisecond)
+			if !again {
+				one, end = context.WithCancel(ctx)
+			}
+			err := c.cal.Call(one, to, kind, in, out)
+			end()
+			switch {
+			case err == nil:
+				return nil
+			case wire.Is(err, NotPrimary), wire.Is(err, NotReady), errors.Is(err, wire.ErrUnsent):
+			case (wire.Is(err, InDoubt) || errors.Is(err, wire.ErrDoubt)) && again:
+			default:
+				return err
+			}
+			// The worst that any try may have come to is what the caller is told.
+			if last == nil || !Doubt(last) {
+				last = err
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		c.find(ctx)
+		if !env.Wait(ctx, 50*time.Millisecond) {
+			break
+		}
+	}
+	if last == nil {
+		last = eris.Wrapf(wire.ErrUnsent, "%s: no primary found", kind)
+	}
+	return last
+}
+
+// Doubt tells whether a call that ended in err may yet take effect.
+//
+//	if core.Doubt(err) { ... }
+func Doubt(err error) bool {
+	return wire.Is(err, InDoubt) || errors.Is(err, wire.ErrDoubt)
+}
--- /dev/null
+++ b/internal/core/msgs.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/view"
+)
+
+//go:generate go tool msgp -tests=false
+
+// Hold asks the backup to keep a batch.
+type Hold struct {
+	View  view.View   `msg:"v"`
+	From  string      `msg:"f"`
+	Batch store.Batch `msg:"b"`
+}
+
+// Copy carries a part of the whole state to a backup that is to be.
+type Copy struct {
+	View view.View   `msg:"v"`
+	From string      `msg:"f"`
+	Turn uint64      `msg:"t"`
+	Part int         `msg:"p"`
+	Last bool        `msg:"l"`
+	Seq  uint64      `msg:"s"`
+	Puts []store.Put `msg:"b"`
+}
+
+// Held answers Hold and Copy with the voter's identity.
+type Held struct {
+	Id string `msg:"i"`
+}
+
+// Join is a process without a seat asking for one.
+type Join struct {
+	Who view.Member `msg:"w"`
+}
+
+// Node is a router as the core and its peers know it.
+type Node struct {
+	Name  string `msg:"n" json:"name"`
+	Hall  string `msg:"h" json:"hall"`
+	Addr  string `msg:"a" json:"addr"`
+	Face  string `msg:"f" json:"origin"` // where origins reach it
+	Born  uint64 `msg:"b" json:"born"`
+	Seq   uint64 `msg:"s" json:"sequence"`
+	Ready bool   `msg:"r" json:"ready"`
+}
+
+// Beat renews a node's lease.
+type Beat struct {
+	Node  Node   `msg:"n"`
+	Roll  uint64 `msg:"r"` // the roll of nodes it has
+	Leave bool   `msg:"l"` // it stops now: no lease, and its unspent units are free after a window
+}
+
+// Told answers a Beat.
+type Told struct {
+	View  view.View `msg:"v"`
+	Seq   uint64    `msg:"s"` // newest layout
+	Roll  uint64    `msg:"r"`
+	Nodes []Node    `msg:"n"` // all live nodes, where the roll changed
+	Whole bool      `msg:"w"` // Nodes is set
+	Short []string  `msg:"h"` // tenants whose units are wanted back where idle
+}
+
+// Want asks for the layout: the newest, or an older one by sequence.
+type Want struct {
+	Seq uint64 `msg:"s"`
+}
+
+// Sheet is a layout as stored.
+type Sheet struct {
+	Seq uint64 `msg:"s"`
+	Raw []byte `msg:"r"`
+}
+
+// Write is an operator's change.
+type Write struct {
+	Id    string `msg:"i"` // the operator's write id, may be empty
+	Match uint64 `msg:"m"` // the sequence it was made against; Any for none
+	Any   bool   `msg:"a"`
+	Patch bool   `msg:"p"`
+	Raw   []byte `msg:"r"`
+}
+
+// Flaw is one trouble in a layout.
+type Flaw struct {
+	Path string `msg:"p" json:"path"`
+	Text string `msg:"t" json:"text"`
+}
+
+// Wrote answers a Write: Code is the HTTP status.
+type Wrote struct {
+	Code  int    `msg:"c"`
+	Seq   uint64 `msg:"s"`
+	Flaws []Flaw `msg:"f"`
+	Again bool   `msg:"a"` // the write id was known: applied before
+}
+
+// Mark remembers a write id.
+type Mark struct {
+	Seq uint64 `msg:"s"`
+	Sum string `msg:"h"`
+}
+
+// Claim is the durable record of a once-only key.
+type Claim struct {
+	Sum    string `msg:"h"` // hash of what was asked
+	Id     string `msg:"i"` // who claimed it, and which try
+	Node   string `msg:"n"`
+	Born   uint64 `msg:"b"`
+	State  int    `msg:"s"`
+	Status int    `msg:"c"`
+	Kind   string `msg:"k"` // content type
+	Answer []byte `msg:"a"`
+	Kept   bool   `msg:"w"` // Answer is the whole answer
+}
+
+// Take asks for a claim.
+type Take struct {
+	Key   string `msg:"k"`
+	Claim Claim  `msg:"c"`
+}
+
+// Took answers Take.
+type Took struct {
+	Got   bool  `msg:"g"`
+	Clash bool  `msg:"x"` // same key, another body
+	Live  bool  `msg:"l"` // still running at a live node
+	Claim Claim `msg:"c"` // what stands
+}
+
+// Settle ends a claim.
+type Settle struct {
+	Key   string `msg:"k"`
+	Free  bool   `msg:"f"` // surely not run: the key may be claimed anew
+	Claim Claim  `msg:"c"`
+}
+
+// Done answers where there is nothing to say.
+type Done struct{}
+
+// Move draws or gives units of a tenant's quota.
+type Move struct {
+	Tenant string `msg:"t"`
+	Holder string `msg:"n"`
+	Turn   uint64 `msg:"k"`
+	Units  int    `msg:"u"`
+	Give   bool   `msg:"g"`
+}
+
+// Moved says what the holder has now.
+type Moved struct {
+	Have  int `msg:"h"`
+	Under int `msg:"u"` // what all have, or the quota if larger
+}
+
+// Peek asks for the fleet's state.
+type Peek struct{}
+
+// Share is one holder's part of a tenant's quota.
+type Share struct {
+	Tenant string `msg:"t" json:"tenant"`
+	Holder string `msg:"h" json:"holder"`
+	Units  int    `msg:"u" json:"units"`
+	Cool   bool   `msg:"c" json:"cooling"`
+}
+
+// State is what the primary tells of itself.
+type State struct {
+	View   view.View     `msg:"v" json:"view"`
+	Me     string        `msg:"m" json:"id"`
+	Ready  bool          `msg:"r" json:"ready"`
+	Seq    uint64        `msg:"s" json:"sequence"`
+	Stored uint64        `msg:"t" json:"stored"`
+	Nodes  []Node        `msg:"n" json:"nodes"`
+	Shares []Share       `msg:"h" json:"shares"`
+	Spares []view.Member `msg:"p" json:"spares"`
+	Sick   bool          `msg:"k" json:"disk_trouble"`
+	Claims int           `msg:"c" json:"claims"`
+}
--- /dev/null
+++ b/internal/core/server.go
@@ -0,0 +1,892 @@
+// Package core is the peer that knows the fleet: its server side is the control plane, its client
+// side is how routers and other cores speak to it.
+package core
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/lease"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// Set is what a core is told about its place.
+type Set struct {
+	Addr     string
+	Founders []string
+	Seeds    []string
+	Term     time.Duration // lease of the primacy
+	Lost     time.Duration // silence after which a member is replaced by a waiting spare
+}
+
+// Fill puts defaults where nothing is set.
+//
+//	set = set.Fill()
+func (s Set) Fill() Set {
+	if s.Term == 0 {
+		s.Term = 1500 * time.Millisecond
+	}
+	if s.Lost == 0 {
+		s.Lost = 10 * time.Second
+	}
+	return s
+}
+
+// How long the parts of a hand-over may take.
+const (
+	tick     = 50 * time.Millisecond
+	step     = 500 * time.Millisecond  // one step of a decision
+	silent   = 1500 * time.Millisecond // a backup silent so long is let go
+	diskWait = 1500 * time.Millisecond // a disk slower than this is in trouble
+	mendWait = 3 * time.Second         // a write waits so long for a new backup
+	nodeTerm = 2 * time.Second         // a node's lease
+	chunk    = 1 << 20                 // bytes of state in one Copy
+	most     = 256                     // writes synced together
+)
+
+// The codes of "no" that callers tell apart.
+const (
+	NotPrimary = "not-primary" // surely not taken: ask the primary
+	NotReady   = "not-ready"   // surely not taken: ask again
+	InDoubt    = "in-doubt"    // may yet take effect
+	OldEpoch   = "old-epoch"
+	DiskBad    = "disk-trouble"
+)
+
+// Server is one core process.
+type Server struct {
+	ctx  env.Ctx
+	set  Set
+	disk store.Disk
+	st   atomic.Pointer[store.Store]
+	vot  *view.Voter
+	cal  *wire.Caller
+	own  wire.Hands
+	box  chan *job
+	keep sync.Mutex // held while a batch or a copy is taken as backup
+
+	// Only the run loop touches these.
+	top    uint64               // highest ballot number seen
+	synced string               // the backup that holds all we hold, in this run
+	turn   uint64               // copies made
+	next   time.Time            // earliest next try at taking over
+	bad    map[string]time.Time // members that lately failed as backup
+	cold   map[string]time.Time // retired holders: since when their units cool
+	aged   map[string]time.Time // claims: since when this run knows them
+	swept  time.Time
+	lay    *layout.Layout
+
+	mu     sync.Mutex
+	epoch  uint64
+	began  time.Time // of leading this epoch
+	ls     *lease.Lease
+	ready  bool
+	vowed  bool // a voter refused to renew since it vowed for the next epoch
+	sick   bool
+	sheet  Sheet // newest layout committed
+	nodes  map[string]*seat
+	roll   uint64
+	since  time.Time // of being ready
+	short  map[string]time.Time
+	spare  map[string]spare
+	copied *copying
+}
+
+type seat struct {
+	node Node
+	at   time.Time
+}
+
+type spare struct {
+	who view.Member
+	at  time.Time
+}
+
+type copying struct {
+	epoch, turn uint64
+	part        int
+	puts        []store.Put
+}
+
+// job is one operation of the run loop; its state says who may still end it.
+type job struct {
+	do    func(*Tx) error
+	ctl   func()       // in place of do: a step of the run loop's own
+	state atomic.Int32 // 0 waiting, 1 taken, 2 given up
+	done  chan error
+	err   error
+}
+
+// Tx is what a job sees: the committed state with the batch's own puts over it.
+type Tx struct {
+	st   *store.Store
+	over map[string]*store.Put
+	puts []store.Put
+}
+
+// Get reads a key.
+//
+//	raw, ok := tx.Get("layout")
+func (t *Tx) Get(key string) ([]byte, bool) {
+	if p, ok := t.over[key]; ok {
+		return p.Val, !p.Gone
+	}
+	return t.st.Get(key)
+}
+
+// Put sets a key.
+//
+//	err := tx.Put("layout", &sheet)
+func (t *Tx) Put(key string, val msgp.Marshaler) error {
+	raw, err := val.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	t.add(store.Put{Key: key, Val: raw})
+	return nil
+}
+
+// Drop removes a key.
+//
+//	tx.Drop("claim/t/k")
+func (t *Tx) Drop(key string) { t.add(store.Put{Key: key, Gone: true}) }
+
+func (t *Tx) add(p store.Put) {
+	t.puts = append(t.puts, p)
+	t.over[p.Key] = &p
+}
+
+// Open reads the disk and makes a core. A disk whose state is damaged counts as blank: its
+// identity is given up, so that it neither votes nor leads on what it no longer has.
+//
+//	srv, err := core.Open(ctx, set, disk)
+func Open(ctx env.Ctx, set Set, disk store.Disk) (*Server, error) {
+	set = set.Fill()
+	if err := store.Tidy(disk, ctx.Log); err != nil {
+		return nil, err
+	}
+	vot, err := view.Open(disk, set.Term, ctx.Part("view").Log)
+	if err != nil {
+		return nil, err
+	}
+	st, err := store.Open(disk, ctx.Part("store").Log)
+	if errors.Is(err, store.ErrBroken) {
+		ctx.Log.Error("State is damaged; set aside. This disk counts as blank.", "trouble", err.Error())
+		if err := aside(disk); err != nil {
+			return nil, err
+		}
+		if err := vot.Blank(); err != nil {
+			return nil, err
+		}
+		st, err = store.Open(disk, ctx.Log)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
+		box: make(chan *job, 4*most), bad: map[string]time.Time{}, cold: map[string]time.Time{},
+		aged: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
+		short: map[string]time.Time{}, spare: map[string]spare{}}
+	s.st.Store(st)
+	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
+	return s, nil
+}
+
+func aside(d store.Disk) error {
+	all, err := d.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		if len(n) > 2 && n[:2] == "v-" {
+			if err := d.Rename(n, "bad-"+n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Hand answers calls from other processes.
+//
+//	go wire.Serve(ctx, l, srv.Hand)
+func (s *Server) Hand(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+	return s.own.Do(ctx, kind, body)
+}
+
+// Run leads, watches or waits, as the view says, until the context ends.
+//
+//	srv.Run()
+func (s *Server) Run() {
+	go env.Loop(s.ctx, nil, s.set.Term/6, func(struct{}) {}, s.renew)
+	env.Loop(s.ctx, s.box, tick, s.work, s.beat)
+	s.cal.Close()
+}
+
+// call reaches a voter; ourselves without the wire.
+func (s *Server) call(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	if addr != s.set.Addr {
+		return s.cal.Call(ctx, addr, kind, in, out)
+	}
+	body, err := in.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	ans, err := s.own.Do(ctx, kind, body)
+	if err != nil || out == nil {
+		return err
+	}
+	raw, err := ans.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = out.UnmarshalMsg(raw)
+	return err
+}
+
+func (s *Server) isSick() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sick
+}
+
+// renew asks all voters to lease us the primacy. It runs beside the run loop, so that a lease
+// goes on while a copy or a decision takes its time.
+func (s *Server) renew() {
+	v := s.vot.View()
+	s.mu.Lock()
+	lead := v.Prime == s.vot.Id() && s.epoch == v.Epoch && !s.sick && v.Epoch > 0
+	ls := s.ls
+	s.mu.Unlock()
+	if !lead {
+		return
+	}
+	for _, m := range v.Members {
+		go func() {
+			ctx, end := context.WithTimeout(s.ctx, s.set.Term/2)
+			defer end()
+			var g view.Grant
+			asked := time.Now()
+			if s.call(ctx, m.Addr, "view.renew", &view.Renew{View: v}, &g) != nil || g.Id != m.Id {
+				return
+			}
+			ls.Saw(m.Id)
+			switch {
+			case g.Ok:
+				ls.Grant(m.Id, asked)
+			case g.View.Epoch > v.Epoch:
+				s.learn(g.View)
+			case g.Vow:
+				s.mu.Lock()
+				s.vowed = true
+				s.mu.Unlock()
+			}
+		}()
+	}
+}
+
+func (s *Server) learn(v view.View) {
+	if err := s.vot.Learn(v); err != nil {
+		s.trouble(err)
+	}
+}
+
+// trouble notes that our own disk can't be relied on: we stop leading, and hold nothing as backup,
+// until the disk has been proved again.
+func (s *Server) trouble(err error) {
+	s.mu.Lock()
+	was := s.sick
+	s.sick, s.ready = true, false
+	s.mu.Unlock()
+	if !was {
+		s.ctx.Log.Error("Disk is in trouble. Leading stops.", "trouble", err.Error())
+		go s.heal()
+	}
+}
+
+// heal waits until the disk takes a synced file again, then reads all anew from it.
+func (s *Server) heal() {
+	for env.Wait(s.ctx, 2*time.Second) {
+		if s.disk.Write("probe", []byte("probe")) != nil {
+			continue
+		}
+		s.keep.Lock()
+		// A write that got stuck must end before the disk is read anew.
+		s.st.Load().Close()
+		st, err := store.Open(s.disk, s.ctx.Log)
+		if err == nil {
+			s.st.Store(st)
+			s.mu.Lock()
+			s.sick = false
+			s.epoch = 0 // leading starts over, with a fresh copy to the backup
+			s.mu.Unlock()
+			s.ctx.Log.Info("Disk is sound again.")
+		}
+		s.keep.Unlock()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// beat is the run loop's tick: it does what our place in the view asks for.
+func (s *Server) beat() {
+	if s.isSick() {
+		return
+	}
+	v, me := s.vot.View(), s.vot.Id()
+	switch {
+	case v.Epoch == 0:
+		s.seek()
+	case v.Prime == me:
+		s.lead(v, me)
+	case v.Back == me:
+		s.watch(v, me)
+	case !v.Has(me):
+		s.join(v)
+	}
+}
+
+func (s *Server) pause(d time.Duration) bool {
+	if time.Now().Before(s.next) {
+		return false
+	}
+	s.next = time.Now().Add(d/2 + rand.N(d))
+	return true
+}
+
+// seek looks for the fleet that we may be part of, or founds one where the settings say so.
+func (s *Server) seek() {
+	if !s.pause(400 * time.Millisecond) {
+		return
+	}
+	told := s.ask(append(append([]string{}, s.set.Founders...), s.set.Seeds...))
+	for _, t := range told {
+		if t.View.Epoch > 0 {
+			s.learn(t.View)
+		}
+	}
+	if s.vot.View().Epoch > 0 {
+		return
+	}
+	low := append([]string{}, s.set.Founders...)
+	sort.Strings(low)
+	if len(low) == 0 || low[0] != s.set.Addr {
+		return
+	}
+	cur := view.View{}
+	for _, a := range low {
+		t, ok := told[a]
+		if !ok || t.View.Epoch > 0 || t.Id == "" {
+			return
+		}
+		cur.Members = append(cur.Members, view.Member{Id: t.Id, Addr: a})
+	}
+	next := cur
+	next.Prime, next.Back = cur.Members[0].Id, cur.Members[min(1, len(cur.Members)-1)].Id
+	s.decide(cur, next, true)
+}
+
+// ask asks every address what it knows of the core.
+func (s *Server) ask(to []string) map[string]view.Told {
+	ctx, end := context.WithTimeout(s.ctx, step)
+	defer end()
+	out := map[string]view.Told{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	done := map[string]bool{}
+	for _, a := range to {
+		if done[a] {
+			continue
+		}
+		done[a] = true
+		all.Go(func() {
+			var t view.Told
+			if s.call(ctx, a, "view.ask", &view.Ask{}, &t) == nil {
+				mu.Lock()
+				out[a] = t
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return out
+}
+
+// decide tries to bring about the next view, and learns what came of it.
+func (s *Server) decide(cur, next view.View, all bool) bool {
+	t := &view.Try{Me: s.vot.Id(), Call: s.call, Cur: cur, Next: next, All: all, Wait: step, Top: s.top}
+	got, err := t.Run(s.ctx)
+	s.top = t.Top
+	if err != nil {
+		s.ctx.Log.Warn("View not decided.", "after", cur.Epoch, "trouble", err.Error())
+		return false
+	}
+	s.learn(got)
+	if got.Epoch == cur.Epoch+1 {
+		to := append(append([]view.Member{}, cur.Members...), got.Members...)
+		for _, m := range to {
+			if m.Id != s.vot.Id() {
+				go func() {
+					ctx, end := context.WithTimeout(s.ctx, step)
+					defer end()
+					s.call(ctx, m.Addr, "view.learn", &view.Learn{View: got}, nil)
+				}()
+			}
+		}
+	}
+	s.ctx.Log.Info("View decided.", "epoch", got.Epoch, "primary", got.Addr(got.Prime), "backup", got.Addr(got.Back), "members", len(got.Members))
+	return true
+}
+
+// watch takes over from a primary whose lease has run out.
+func (s *Server) watch(v view.View, me string) {
+	if s.vot.Leased() {
+		s.next = time.Now().Add(rand.N(100 * time.Millisecond))
+		return
+	}
+	if !s.pause(300 * time.Millisecond) {
+		return
+	}
+	next := v
+	next.Prime, next.Back = me, ""
+	s.decide(v, next, false)
+}
+
+// join asks the primary for a seat.
+func (s *Server) join(v view.View) {
+	if !s.pause(500 * time.Millisecond) {
+		return
+	}
+	var to []string
+	for _, m := range v.Members {
+		to = append(to, m.Addr)
+	}
+	for _, t := range s.ask(append(to, s.set.Seeds...)) {
+		s.learn(t.View)
+	}
+	v = s.vot.View()
+	ctx, end := context.WithTimeout(s.ctx, step)
+	defer end()
+	if err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr}}, nil); err != nil {
+		s.ctx.Log.Debug("No answer to our wish to join.", "trouble", err.Error())
+	}
+}
+
+// stands tells whether we are primary of the epoch now, by a majority's lease.
+func (s *Server) stands(v view.View) bool {
+	s.mu.Lock()
+	ls, ok := s.ls, s.epoch == v.Epoch && !s.sick
+	s.mu.Unlock()
+	return ok && ls.Stands(v.Most) && s.vot.View().Epoch == v.Epoch
+}
+
+// lead takes one step towards being a primary that may answer, or one step of its duties.
+func (s *Server) lead(v view.View, me string) {
+	s.mu.Lock()
+	if s.epoch != v.Epoch {
+		s.epoch, s.began, s.ready, s.vowed = v.Epoch, time.Now(), false, false
+		s.ls = lease.New(s.set.Term)
+		s.mu.Unlock()
+		// What came in as backup is wholly in or wholly out before we lead on.
+		s.keep.Lock()
+		s.keep.Unlock()
+		s.renew()
+		s.mu.Lock()
+	}
+	ls, ready, vowed, began := s.ls, s.ready, s.vowed, s.began
+	s.mu.Unlock()
+	if !ls.Stands(v.Most) {
+		s.setReady(false)
+		if vowed && s.pause(300*time.Millisecond) {
+			s.decide(v, v, false)
+		}
+		return
+	}
+	if v.Back == "" {
+		s.enlist(v, me, ls)
+		return
+	}
+	gone := ls.Gone(v.Back, began) > silent
+	if !ready && !gone {
+		if s.synced != v.Back {
+			if !s.copyTo(v, v.Addr(v.Back), v.Back) {
+				s.bad[v.Back] = time.Now()
+				gone = true
+			}
+		}
+		if !gone {
+			s.start(v)
+		}
+	}
+	if gone {
+		s.ctx.Log.Warn("Backup is let go.", "peer", v.Addr(v.Back))
+		s.setReady(false)
+		next := v
+		next.Back = ""
+		s.decide(v, next, false)
+		return
+	}
+	s.seats(v, me, ls, began)
+	s.sweep()
+}
+
+func (s *Server) setReady(to bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = to
+}
+
+// start opens for writes: the backup holds all we hold, and the lease stands.
+func (s *Server) start(v view.View) {
+	var sheet Sheet
+	if raw, ok := s.st.Load().Get("layout"); ok {
+		if _, err := sheet.UnmarshalMsg(raw); err != nil {
+			s.ctx.Log.Error("Stored layout unread.", "trouble", err.Error())
+			return
+		}
+	}
+	s.mu.Lock()
+	s.ready, s.sheet, s.since = true, sheet, time.Now()
+	s.mu.Unlock()
+	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backup", v.Addr(v.Back), "sequence", sheet.Seq)
+}
+
+// enlist finds a lone primary its next backup, copies everything to it, and only then puts it
+// into the view. Nothing is acknowledged in between, so the copy is whole.
+func (s *Server) enlist(v view.View, me string, ls *lease.Lease) {
+	var best *view.Member
+	for i, m := range v.Members {
+		if m.Id == me || ls.Gone(m.Id, time.Time{}) > time.Second || time.Since(s.bad[m.Id]) < 5*time.Second {
+			continue
+		}
+		if best == nil || m.Id < best.Id {
+			best = &v.Members[i]
+		}
+	}
+	if best == nil {
+		return
+	}
+	if !s.copyTo(v, best.Addr, best.Id) {
+		s.bad[best.Id] = time.Now()
+		return
+	}
+	next := v
+	next.Back = best.Id
+	s.decide(v, next, false)
+}
+
+// copyTo brings a backup to exactly our state.
+func (s *Server) copyTo(v view.View, addr, id string) bool {
+	s.synced = ""
+	whole := s.st.Load().Whole()
+	s.turn++
+	in := Copy{View: v, From: s.vot.Id(), Turn: s.turn, Seq: whole.Seq}
+	size := 0
+	send := func() bool {
+		ctx, end := context.WithTimeout(s.ctx, 2*time.Second)
+		defer end()
+		var out Held
+		err := s.call(ctx, addr, "core.copy", &in, &out)
+		if err == nil && out.Id != id {
+			err = eris.Errorf("identity %s, %s expected", out.Id, id)
+		}
+		if err != nil {
+			s.ctx.Log.Warn("Copy to backup failed.", "peer", addr, "trouble", err.Error())
+		}
+		in.Part++
+		in.Puts, size = nil, 0
+		return err == nil
+	}
+	for _, p := range whole.Puts {
+		in.Puts = append(in.Puts, p)
+		if size += len(p.Key) + len(p.Val); size > chunk && !send() {
+			return false
+		}
+	}
+	in.Last = true
+	if !send() {
+		return false
+	}
+	s.synced = id
+	return true
+}
+
+// seats replaces a member lost for long by a spare that waits, one change a step.
+func (s *Server) seats(v view.View, me string, ls *lease.Lease, began time.Time) {
+	lost := ""
+	for _, m := range v.Members {
+		if m.Id != me && m.Id != v.Back && ls.Gone(m.Id, began) > s.set.Lost {
+			lost = m.Id
+		}
+	}
+	s.mu.Lock()
+	var come *view.Member
+	for id, sp := range s.spare {
+		switch {
+		case time.Since(sp.at) > 2*time.Second || v.Has(id):
+			delete(s.spare, id)
+		case come == nil || id < come.Id:
+			who := sp.who
+			come = &who
+		}
+	}
+	s.mu.Unlock()
+	even := len(v.Members)%2 == 0
+	if lost == "" || (come == nil && !even) || !s.pause(time.Second) {
+		return
+	}
+	next := v
+	next.Members = nil
+	for _, m := range v.Members {
+		if !(even && m.Id == lost) {
+			next.Members = append(next.Members, m)
+		}
+	}
+	if !even {
+		next.Members = append(next.Members, *come)
+	}
+	s.ctx.Log.Info("Members change.", "from", len(v.Members), "to", len(next.Members))
+	s.decide(v, next, false)
+}
+
+// Yield hands the primacy to the backup, which holds all we hold, before a planned stop.
+//
+//	srv.Yield()
+func (s *Server) Yield() {
+	j := &job{done: make(chan error, 1), ctl: func() {
+		v, me := s.vot.View(), s.vot.Id()
+		s.mu.Lock()
+		ready := s.ready
+		s.mu.Unlock()
+		if v.Prime != me || !ready {
+			return
+		}
+		s.setReady(false)
+		next := v
+		next.Prime, next.Back = v.Back, ""
+		s.decide(v, next, false)
+	}}
+	t := time.NewTimer(2 * time.Second)
+	defer t.Stop()
+	select {
+	case s.box <- j:
+	case <-t.C:
+		return
+	}
+	select {
+	case <-j.done:
+	case <-t.C:
+	}
+}
+
+// Why tells why this core is of no use to its fleet now, or "".
+//
+//	if why := srv.Why(); why != "" { ... }
+func (s *Server) Why() string {
+	v := s.vot.View()
+	switch {
+	case s.isSick():
+		return "the disk is in trouble"
+	case v.Epoch == 0:
+		return "no fleet yet"
+	case !v.Has(s.vot.Id()):
+		return "waiting for a seat"
+	}
+	return ""
+}
+
+// Submit passes an operation to the run loop and waits for its outcome. The error is NotReady
+// where the operation surely was not and will not be taken, InDoubt where it may be.
+//
+//	err := srv.Submit(ctx, func(tx *core.Tx) error { ... })
+func (s *Server) Submit(ctx context.Context, do func(*Tx) error) error {
+	s.mu.Lock()
+	ready := s.ready
+	s.mu.Unlock()
+	if !ready {
+		if v := s.vot.View(); v.Prime != s.vot.Id() {
+			return wire.Fault{Code: NotPrimary}
+		}
+		return wire.Fault{Code: NotReady}
+	}
+	j := &job{do: do, done: make(chan error, 1)}
+	select {
+	case s.box <- j:
+	default:
+		return wire.Fault{Code: NotReady}
+	}
+	select {
+	case err := <-j.done:
+		return err
+	case <-ctx.Done():
+		if j.state.CompareAndSwap(0, 2) {
+			return wire.Fault{Code: NotReady}
+		}
+		return wire.Fault{Code: InDoubt}
+	}
+}
+
+// work takes a job and all that wait behind it, and syncs them as one batch.
+func (s *Server) work(first *job) {
+	if first.ctl != nil {
+		first.ctl()
+		close(first.done)
+		return
+	}
+	batch := []*job{first}
+	for len(batch) < most {
+		select {
+		case j := <-s.box:
+			if j.ctl != nil {
+				defer s.work(j)
+				break
+			}
+			batch = append(batch, j)
+			continue
+		default:
+		}
+		break
+	}
+	s.mu.Lock()
+	ready, epoch := s.ready, s.epoch
+	s.mu.Unlock()
+	v := s.vot.View()
+	tx := &Tx{st: s.st.Load(), over: map[string]*store.Put{}}
+	ok := ready && v.Epoch == epoch && s.stands(v)
+	var live []*job
+	for _, j := range batch {
+		switch {
+		case !j.state.CompareAndSwap(0, 1):
+		case !ok:
+			j.done <- wire.Fault{Code: NotReady}
+		default:
+			mark := len(tx.puts)
+			if j.err = j.do(tx); j.err != nil {
+				tx.undo(mark)
+			}
+			live = append(live, j)
+		}
+	}
+	err := s.commit(v, tx)
+	for _, j := range live {
+		if err != nil {
+			j.done <- err
+		} else {
+			j.done <- j.err
+		}
+	}
+}
+
+// undo strikes the puts a failed job made.
+func (t *Tx) undo(mark int) {
+	t.puts = t.puts[:mark]
+	clear(t.over)
+	for i := range t.puts {
+		t.over[t.puts[i].Key] = &t.puts[i]
+	}
+}
+
+// commit holds the batch on both disks and looks at the lease once more. Only then is it done.
+func (s *Server) commit(v view.View, tx *Tx) error {
+	doubt := wire.Fault{Code: InDoubt}
+	if len(tx.puts) == 0 {
+		if !s.stands(v) {
+			return wire.Fault{Code: NotReady}
+		}
+		return nil
+	}
+	st := tx.st
+	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.puts}
+	mine, far := make(chan error, 1), make(chan error, 1)
+	go func() { mine <- st.Add(b) }()
+	go func() {
+		ctx, end := context.WithTimeout(s.ctx, diskWait)
+		defer end()
+		var out Held
+		err := s.call(ctx, v.Addr(v.Back), "core.hold", &Hold{View: v, From: v.Prime, Batch: b}, &out)
+		if err == nil && out.Id != v.Back {
+			err = eris.Errorf("identity %s, %s expected", out.Id, v.Back)
+		}
+		far <- err
+	}()
+	slow := time.NewTimer(diskWait)
+	defer slow.Stop()
+	select {
+	case err := <-mine:
+		if err != nil {
+			s.trouble(err)
+			return doubt
+		}
+	case <-slow.C:
+		s.trouble(eris.New("sync takes too long"))
+		return doubt
+	}
+	if err := <-far; err != nil {
+		s.ctx.Log.Warn("Backup did not hold a write.", "peer", v.Addr(v.Back), "trouble", err.Error())
+		s.synced = ""
+		s.bad[v.Back] = time.Now()
+		if !s.mend(v) {
+			return doubt
+		}
+	} else if !s.stands(v) {
+		return doubt
+	}
+	s.published(tx)
+	if st.Due() {
+		if err := st.Rebase(); err != nil {
+			s.trouble(err)
+		}
+	}
+	return nil
+}
+
+// mend leads on until another backup holds all, the unanswered batch included.
+func (s *Server) mend(v view.View) bool {
+	s.setReady(false)
+	me := s.vot.Id()
+	next := v
+	next.Back = ""
+	s.decide(v, next, false)
+	for end := time.Now().Add(mendWait); time.Now().Before(end); {
+		cur := s.vot.View()
+		if cur.Prime != me || s.isSick() {
+			return false
+		}
+		s.lead(cur, me)
+		s.mu.Lock()
+		ready := s.ready
+		s.mu.Unlock()
+		if ready && s.stands(s.vot.View()) {
+			return true
+		}
+		if !env.Wait(s.ctx, tick) {
+			return false
+		}
+	}
+	return false
+}
+
+// published makes a committed layout the one that is told to nodes.
+func (s *Server) published(tx *Tx) {
+	if p, ok := tx.over["layout"]; ok {
+		var sheet Sheet
+		if _, err := sheet.UnmarshalMsg(p.Val); err == nil {
+			s.mu.Lock()
+			s.sheet = sheet
+			s.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,100 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"yarrowridge/internal/layout"
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	dir, err := os.MkdirTemp("", "yarrowridge-test-")
+	if err != nil {
+		panic(err)
+	}
+	bin = dir
+	out, err := exec.Command("go", "build", "-o", dir, "yarrowridge/cmd/router", "yarrowridge/cmd/core").CombinedOutput()
+	if err != nil {
+		fmt.Println(string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// up starts a whole fleet of real processes.
+func up(t *testing.T, mix Mix) *Fleet {
+	t.Helper()
+	f, err := NewFleet(mix, bin, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Stop)
+	ctx, end := context.WithTimeout(t.Context(), 90*time.Second)
+	defer end()
+	if err := f.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// play asks n queries of each kind, one after the other at every router in turn.
+func play(l *Load, n int) {
+	for _, k := range l.Fleet.Mix.Kinds {
+		for i := range n {
+			no := l.next.Add(1)
+			r := l.Fleet.Routers[i%len(l.Fleet.Routers)]
+			o := l.Ask(k, no, k.body(l.Fleet.Mix.Model, no, newRand(no)), payers(l.Fleet.Mix)[0], r)
+			l.mu.Lock()
+			l.all = append(l.all, o)
+			l.mu.Unlock()
+		}
+	}
+}
+
+// The whole path in separate processes: found, join, beat, lay out, serve, whole and streamed.
+func TestWholePath(t *testing.T) {
+	for _, mix := range []Mix{Trentvale(), Tokachi()} {
+		t.Run(mix.Name, func(t *testing.T) {
+			f := up(t, mix)
+			l := NewLoad(f, 1, 1)
+			play(l, len(f.Routers))
+			outs := l.All()
+			if s := Total(outs); s.Done != s.Queries || s.Queries != len(mix.Kinds)*len(f.Routers) {
+				t.Errorf("%d of %d queries done: %v", s.Done, s.Queries, s.Codes)
+			}
+			for _, b := range Check(mix, outs, f.Diary.All()) {
+				t.Errorf("%s: %s", b.Promise, b.What)
+			}
+		})
+	}
+}
+
+// The shipped examples are the mixes' layouts, and hold.
+func TestExamples(t *testing.T) {
+	for _, mix := range []Mix{Trentvale(), Tokachi()} {
+		raw, err := os.ReadFile(filepath.Join("..", "..", "examples", mix.Name+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a, b any
+		if json.Unmarshal(raw, &a) != nil || json.Unmarshal(mix.Raw(), &b) != nil || fmt.Sprint(a) != fmt.Sprint(b) {
+			t.Errorf("examples/%s.json differs from the mix: write it anew with drill layout", mix.Name)
+		}
+		if _, bad := layout.Parse(raw); len(bad) > 0 {
+			t.Errorf("examples/%s.json: %v", mix.Name, bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/drill/fleet.go
@@ -0,0 +1,351 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tidwall/gjson"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"yarrowridge/internal/layout"
+)
+
+// OperatorKey is the operators' key of a rehearsal fleet.
+const OperatorKey = "demo-operator"
+
+// Proc is one daemon of the fleet.
+type Proc struct {
+	Name, Hall string
+	Addr       string // between processes
+	Origin     string // routers only
+	Runner     string // routers only
+	Operator   string
+	prog       string
+	args       []string
+	log        string
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	gone       chan struct{}
+}
+
+// Fleet is a whole rehearsal fleet.
+type Fleet struct {
+	Mix     Mix
+	Dir     string
+	Cores   []*Proc
+	Routers []*Proc
+	Models  []*Standin
+	Apps    []*Standin
+	Diary   *Diary
+	ports   []net.Listener
+}
+
+// port reserves a free port of the loopback range until the fleet starts.
+func (f *Fleet) port() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	f.ports = append(f.ports, l)
+	return l.Addr().String(), nil
+}
+
+// NewFleet lays a fleet out: five cores and the mix's routers over its halls, with the binaries
+// router and core from bin and all files under dir.
+//
+//	f, err := drill.NewFleet(drill.Trentvale(), "bin", dir)
+func NewFleet(mix Mix, bin, dir string) (*Fleet, error) {
+	f := &Fleet{Mix: mix, Dir: dir, Diary: &Diary{}}
+	hash := layout.HashKey(OperatorKey)
+	var err error
+	at := func() string {
+		a, e := f.port()
+		if e != nil {
+			err = e
+		}
+		return a
+	}
+	var founders []string
+	for i := range 5 {
+		p := &Proc{Name: fmt.Sprintf("core%d", i+1), Hall: mix.Halls[i%len(mix.Halls)], Addr: at(), Operator: at(), prog: filepath.Join(bin, "core")}
+		f.Cores = append(f.Cores, p)
+		founders = append(founders, p.Addr)
+	}
+	for i := range mix.Routers {
+		hall := mix.Halls[i%len(mix.Halls)]
+		f.Routers = append(f.Routers, &Proc{Name: fmt.Sprintf("%s%d", hall, i/len(mix.Halls)+1), Hall: hall,
+			Addr: at(), Origin: at(), Runner: at(), Operator: at(), prog: filepath.Join(bin, "router")})
+	}
+	for _, p := range f.Cores {
+		p.args = []string{"-name", p.Name, "-hall", p.Hall, "-addr", p.Addr, "-operator", p.Operator, "-operator-key-hash", hash,
+			"-founders", strings.Join(founders, ","), "-data", filepath.Join(dir, p.Name), "-log", "debug"}
+	}
+	seeds := strings.Join(founders[:2], ",") + "," + f.Routers[0].Addr
+	for _, p := range f.Routers {
+		p.args = []string{"-name", p.Name, "-hall", p.Hall, "-addr", p.Addr, "-origin", p.Origin, "-runner", p.Runner,
+			"-operator", p.Operator, "-operator-key-hash", hash, "-seeds", seeds, "-log", "debug"}
+	}
+	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
+		p.log = filepath.Join(dir, p.Name+".log")
+	}
+	stand := func(i int, name string, labels map[string]string) *Standin {
+		hall := mix.Halls[i%len(mix.Halls)]
+		labels["hall"] = hall
+		s := &Standin{Name: fmt.Sprintf("%s%d", name, i+1), Addr: at(), Labels: labels, Diary: f.Diary}
+		for _, r := range f.Routers {
+			if r.Hall == hall {
+				s.Beats = append([]string{r.Runner}, s.Beats...)
+			} else {
+				s.Beats = append(s.Beats, r.Runner)
+			}
+		}
+		return s
+	}
+	for i := range mix.Models {
+		s := stand(i, "model", map[string]string{"app": "model", "model": mix.Model})
+		s.Room, s.Most, s.Step, s.Slow, s.Cold = 16, 8192, 4*time.Millisecond, 0.1, 4*time.Millisecond
+		f.Models = append(f.Models, s)
+	}
+	app := map[string]string{"trentvale": "orders", "tokachi": "status"}[mix.Name]
+	for i := range mix.Apps {
+		s := stand(i, app, map[string]string{"app": app})
+		s.Room, s.Plain, s.Step = 64, true, 3*time.Millisecond
+		f.Apps = append(f.Apps, s)
+	}
+	return f, err
+}
+
+// Start begins a process.
+//
+//	err := f.Cores[0].Start()
+func (p *Proc) Start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(p.prog, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return eris.Wrapf(err, "drill: start %s", p.Name)
+	}
+	gone := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.gone = cmd, gone
+	p.mu.Unlock()
+	go func() {
+		cmd.Wait()
+		close(gone)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+//
+//	p.Signal(syscall.SIGSTOP)
+func (p *Proc) Signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		p.cmd.Process.Signal(sig)
+	}
+}
+
+// Kill ends the process at once and waits until it is gone.
+//
+//	p.Kill()
+func (p *Proc) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait(10 * time.Second)
+}
+
+// Wait waits for the process to end.
+//
+//	if !p.Wait(time.Minute) { ... }
+func (p *Proc) Wait(d time.Duration) bool {
+	p.mu.Lock()
+	gone := p.gone
+	p.mu.Unlock()
+	if gone == nil {
+		return true
+	}
+	select {
+	case <-gone:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// Start begins all daemons and stand-ins, puts the mix's layout and waits until every router is
+// ready and knows the runners.
+//
+//	err := f.Start(ctx)
+func (f *Fleet) Start(ctx context.Context) error {
+	for _, l := range f.ports {
+		l.Close()
+	}
+	f.ports = nil
+	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	for _, s := range append(append([]*Standin{}, f.Models...), f.Apps...) {
+		if err := s.Start(); err != nil {
+			return err
+		}
+	}
+	err := f.Until(ctx, "the layout is taken", func() bool {
+		code, _, err := f.Put(ctx, f.Cores[0], f.Mix.Raw(), "*", "first")
+		return err == nil && code == 200
+	})
+	if err != nil {
+		return err
+	}
+	return f.Until(ctx, "every router is ready and knows all runners", func() bool {
+		for _, r := range f.Routers {
+			if !f.Ready(ctx, r) || f.Serving(ctx, r) < len(f.Models)+len(f.Apps) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Stop ends all that the fleet started.
+//
+//	defer f.Stop()
+func (f *Fleet) Stop() {
+	for _, s := range append(append([]*Standin{}, f.Models...), f.Apps...) {
+		if s.end != nil {
+			s.Crash()
+		}
+	}
+	for _, p := range append(append([]*Proc{}, f.Routers...), f.Cores...) {
+		p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+}
+
+// Until asks until what is awaited holds, or ctx ends.
+//
+//	err := f.Until(ctx, "all are ready", func() bool { ... })
+func (f *Fleet) Until(ctx context.Context, what string, ok func() bool) error {
+	for !ok() {
+		if !nap(ctx, 50*time.Millisecond) {
+			return eris.Errorf("drill: gave up waiting until %s", what)
+		}
+	}
+	return nil
+}
+
+// Ask makes one operator's call.
+//
+//	code, raw, err := f.Ask(ctx, "GET", p.Operator, "/v1/fleet", nil, nil)
+func (f *Fleet) Ask(ctx context.Context, method, at, path string, body []byte, head map[string]string) (int, []byte, error) {
+	ctx, end := context.WithTimeout(ctx, 8*time.Second)
+	defer end()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorKey)
+	for k, v := range head {
+		req.Header.Set(k, v)
+	}
+	ans, err := httpc.DoRequest(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer ans.Body.Close()
+	raw, err := io.ReadAll(ans.Body)
+	return ans.StatusCode, raw, err
+}
+
+// Put puts a layout through a process and tells the code and the sequence.
+//
+//	code, seq, err := f.Put(ctx, f.Cores[0], raw, "*", "write-1")
+func (f *Fleet) Put(ctx context.Context, p *Proc, raw []byte, match, id string) (int, uint64, error) {
+	code, ans, err := f.Ask(ctx, "PUT", p.Operator, "/v1/layout", raw, map[string]string{"If-Match": match, "X-Write-Id": id})
+	return code, gjson.GetBytes(ans, "sequence").Uint(), err
+}
+
+// Ready asks a process whether it is ready.
+//
+//	if f.Ready(ctx, r) { ... }
+func (f *Fleet) Ready(ctx context.Context, p *Proc) bool {
+	ctx, end := context.WithTimeout(ctx, time.Second)
+	defer end()
+	code, _, err := f.Ask(ctx, "GET", p.Operator, "/ready", nil, nil)
+	return err == nil && code == 200
+}
+
+// Serving counts the runners that a router would send to.
+//
+//	n := f.Serving(ctx, r)
+func (f *Fleet) Serving(ctx context.Context, p *Proc) int {
+	code, raw, err := f.Ask(ctx, "GET", p.Operator, "/v1/runners", nil, nil)
+	if err != nil || code != 200 {
+		return 0
+	}
+	return len(gjson.GetBytes(raw, `#(standing=="ready")#`).Array())
+}
+
+// Primary finds the core that leads.
+//
+//	p := f.Primary(ctx)
+func (f *Fleet) Primary(ctx context.Context) *Proc {
+	for _, c := range f.Cores {
+		code, raw, err := f.Ask(ctx, "GET", c.Operator, "/v1/standing", nil, nil)
+		if err == nil && code == 200 && gjson.GetBytes(raw, "ready").Bool() {
+			return c
+		}
+	}
+	return nil
+}
+
+// Sequence is the layout sequence that a router obeys.
+//
+//	n := f.Sequence(ctx, r)
+func (f *Fleet) Sequence(ctx context.Context, p *Proc) uint64 {
+	_, raw, err := f.Ask(ctx, "GET", p.Operator, "/v1/standing", nil, nil)
+	if err != nil {
+		return 0
+	}
+	return gjson.GetBytes(raw, "node.sequence").Uint()
+}
+
+// Describe prints where everything listens.
+//
+//	f.Describe(os.Stdout)
+func (f *Fleet) Describe(w io.Writer) {
+	for _, p := range f.Cores {
+		fmt.Fprintf(w, "%-8s hall %-6s operators http://%s\n", p.Name, p.Hall, p.Operator)
+	}
+	for _, p := range f.Routers {
+		fmt.Fprintf(w, "%-8s hall %-6s origins http://%s operators http://%s\n", p.Name, p.Hall, p.Origin, p.Operator)
+	}
+	var keys []string
+	for _, t := range payers(f.Mix) {
+		keys = append(keys, strconv.Quote(Key(t)))
+	}
+	fmt.Fprintf(w, "operators' key %q; origins' keys %s\n", OperatorKey, strings.Join(keys, ", "))
+	raw, _ := json.Marshal(f.Mix.Layout["mappings"])
+	fmt.Fprintf(w, "mappings %s\nlogs under %s\n", raw, f.Dir)
+}
--- /dev/null
+++ b/internal/drill/load.go
@@ -0,0 +1,203 @@
+package drill
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Outcome is one try of an origin, as the origin saw it.
+type Outcome struct {
+	Kind   string
+	N      uint64
+	Key    string
+	Tenant string
+	Router string
+	Path   string
+	Body   []byte
+	Begun  time.Time
+	Took   time.Duration
+	Status int
+	Code   string // of a bounce or trouble
+	Run    string // "not run" or "unknown", as said by the router
+	Retry  string // Retry-After
+	Query  string // the router's id
+	Whole  bool   // the whole answer came, and says it is complete
+	Pieces []int  // numbers of the stream's pieces, as they came
+	Echo   string
+	Err    string // the connection broke
+}
+
+// Load plays a mix's origins against a fleet.
+type Load struct {
+	Fleet *Fleet
+	Scale float64
+	Seed  uint64
+	Tries int // of one query, at another router each
+
+	next atomic.Uint64
+	mu   sync.Mutex
+	all  []Outcome
+	cli  *http.Client
+}
+
+// NewLoad makes a load; equal seeds ask the same things in the same order.
+//
+//	l := drill.NewLoad(fleet, 1, 42)
+func NewLoad(f *Fleet, scale float64, seed uint64) *Load {
+	return &Load{Fleet: f, Scale: scale, Seed: seed, Tries: 6, cli: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+}
+
+// Run plays until ctx ends, then waits for what is under way.
+//
+//	l.Run(ctx)
+func (l *Load) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for i, k := range l.Fleet.Mix.Kinds {
+		r := rand.New(rand.NewPCG(l.Seed, uint64(i)))
+		all.Go(func() {
+			for {
+				wait := time.Duration(r.ExpFloat64() / (k.Rate * l.Scale) * float64(time.Second))
+				if !nap(ctx, wait) {
+					return
+				}
+				n := l.next.Add(1)
+				body := k.body(l.Fleet.Mix.Model, n, r)
+				from := r.IntN(len(l.Fleet.Routers))
+				ten := l.tenant(r)
+				all.Go(func() { l.one(k, n, body, ten, from) })
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (l *Load) tenant(r *rand.Rand) string {
+	list := payers(l.Fleet.Mix)
+	// A few tenants are large: half of the traffic is the first two's.
+	if r.IntN(2) == 0 {
+		return list[r.IntN(2)]
+	}
+	return list[r.IntN(len(list))]
+}
+
+// one asks until the query has an outcome that another try can't better.
+func (l *Load) one(k Kind, n uint64, body []byte, ten string, from int) {
+	for try := range l.Tries {
+		r := l.Fleet.Routers[(from+try)%len(l.Fleet.Routers)]
+		o := l.Ask(k, n, body, ten, r)
+		l.mu.Lock()
+		l.all = append(l.all, o)
+		l.mu.Unlock()
+		again := o.Err != "" || o.Run == "not run" || o.Code == "still-running"
+		if !k.Once && !strings.HasPrefix(k.Method, "G") && o.Err != "" {
+			again = o.Status == 0 // the connection was refused
+		}
+		if !again || o.Status == 402 || o.Status == 429 || o.Code == "outcome-unknown" {
+			return
+		}
+		wait := 200 * time.Millisecond
+		if s, err := strconv.Atoi(o.Retry); err == nil {
+			wait = min(time.Duration(s)*time.Second, 2*time.Second)
+		}
+		time.Sleep(wait)
+	}
+}
+
+// Ask makes one try at one router.
+//
+//	o := l.Ask(kind, 1, body, "casual", fleet.Routers[0])
+func (l *Load) Ask(k Kind, n uint64, body []byte, ten string, r *Proc) (o Outcome) {
+	o = Outcome{Kind: k.Name, N: n, Tenant: ten, Router: r.Name, Body: body, Begun: time.Now(), Path: k.Path}
+	defer func() { o.Took = time.Since(o.Begun) }()
+	if k.Method == "GET" {
+		o.Path += strconv.FormatUint(n, 10)
+	}
+	req, err := http.NewRequest(k.Method, "http://"+r.Origin+o.Path, nil)
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	if len(body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	req.Header.Set("Authorization", "Bearer "+Key(ten))
+	req.Header.Set("X-Drill-N", strconv.FormatUint(n, 10))
+	req.Header.Set("X-Yarrowridge-Tenant", "somebody-else")
+	if k.Once {
+		o.Key = fmt.Sprintf("key-%d", n)
+		req.Header.Set("Idempotency-Key", o.Key)
+	}
+	ans, err := l.cli.Do(req)
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	defer ans.Body.Close()
+	o.Status, o.Retry, o.Query = ans.StatusCode, ans.Header.Get("Retry-After"), ans.Header.Get("X-Yarrowridge-Query")
+	if strings.HasPrefix(ans.Header.Get("Content-Type"), "text/event-stream") {
+		o.stream(ans.Body)
+		return o
+	}
+	raw, err := io.ReadAll(ans.Body)
+	if err != nil {
+		o.Err = err.Error()
+		return o
+	}
+	if ans.StatusCode == 200 {
+		o.Whole, o.Echo = true, gjson.GetBytes(raw, "echo").String()
+		return o
+	}
+	o.Code, o.Run = gjson.GetBytes(raw, "error.code").String(), gjson.GetBytes(raw, "error.run").String()
+	return o
+}
+
+func (o *Outcome) stream(in io.Reader) {
+	sc := bufio.NewScanner(in)
+	sc.Buffer(nil, 1<<20)
+	done := false
+	for sc.Scan() {
+		s, ok := strings.CutPrefix(sc.Text(), "data: ")
+		switch {
+		case !ok:
+		case s == "[DONE]":
+			done = true
+		case gjson.Get(s, "error").Exists():
+			o.Code, o.Run = gjson.Get(s, "error.code").String(), gjson.Get(s, "error.run").String()
+		default:
+			o.Pieces = append(o.Pieces, int(gjson.Get(s, "i").Int()))
+			if e := gjson.Get(s, "echo").String(); o.Echo == "" || o.Echo == e {
+				o.Echo = e
+			} else {
+				o.Echo = "mixed"
+			}
+		}
+	}
+	if err := sc.Err(); err != nil {
+		o.Err = err.Error()
+	}
+	o.Whole = done
+}
+
+// All copies the outcomes so far.
+//
+//	outs := l.All()
+func (l *Load) All() []Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Outcome{}, l.all...)
+}
--- /dev/null
+++ b/internal/drill/main.go
@@ -0,0 +1,155 @@
+package drill
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"yarrowridge/internal/env"
+)
+
+const usage = `drill rehearses a yarrowridge fleet on this machine. Usage:
+
+  drill fleet  [flags]   start a whole fleet with stand-in runners, until interrupted
+  drill load   [flags]   start a fleet and play the mix's origins against it
+  drill hall   [flags]   the same, and take a hall out and bring it back meanwhile
+  drill layout [flags]   print the mix's example layout
+
+`
+
+// Main runs the drill and returns its exit code: 0 all promises held, 1 one was broken or the
+// fleet did not come up, 2 the command line does not hold.
+//
+//	os.Exit(drill.Main(os.Args[1:], os.Stdout))
+func Main(args []string, out io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(out, usage)
+		return env.ExitSet
+	}
+	logx.Disable() // httpc logs every call
+	fs := flag.NewFlagSet("drill "+args[0], flag.ContinueOnError)
+	fs.SetOutput(out)
+	name := fs.String("mix", "trentvale", "deployment to play: trentvale or tokachi")
+	bin := fs.String("bin", "bin", "folder of the programs router and core")
+	dir := fs.String("dir", "", "folder for data and logs; none: a new one, removed after a good end")
+	scale := fs.Float64("scale", 1, "traffic, as a multiple of the deployment's own")
+	span := fs.Duration("for", 10*time.Second, "how long to play")
+	seed := fs.Uint64("seed", 1, "seed of the traffic")
+	if err := fs.Parse(args[1:]); err != nil {
+		return env.ExitSet
+	}
+	mix, err := MixOf(*name)
+	if err != nil || *scale <= 0 || *span <= 0 || fs.NArg() > 0 {
+		fmt.Fprintf(out, "drill: -mix %s -scale %g -for %s: a known mix, a scale and a time above zero, and nothing after the flags are expected\n", *name, *scale, *span)
+		return env.ExitSet
+	}
+	if args[0] == "layout" {
+		out.Write(mix.Raw())
+		return env.ExitOk
+	}
+	if args[0] != "fleet" && args[0] != "load" && args[0] != "hall" {
+		fmt.Fprintf(out, "drill: %q is not a command\n\n%s", args[0], usage)
+		return env.ExitSet
+	}
+	fresh := *dir == ""
+	if fresh {
+		if *dir, err = os.MkdirTemp("", "yarrowridge-drill-"); err != nil {
+			fmt.Fprintf(out, "drill: %s\n", err)
+			return env.ExitTrouble
+		}
+	}
+	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer end()
+	f, err := NewFleet(mix, *bin, *dir)
+	if err == nil {
+		defer f.Stop()
+		up, stop := context.WithTimeout(ctx, 60*time.Second)
+		err = f.Start(up)
+		stop()
+	}
+	if err != nil {
+		fmt.Fprintf(out, "drill: %s; logs are under %s\n", err, *dir)
+		return env.ExitTrouble
+	}
+	if args[0] == "fleet" {
+		f.Describe(out)
+		<-ctx.Done()
+		return env.ExitOk
+	}
+	fmt.Fprintf(out, "fleet is up: %d cores, %d routers, %d runners; seed %d\n", len(f.Cores), len(f.Routers), len(f.Models)+len(f.Apps), *seed)
+	load := NewLoad(f, *scale, *seed)
+	run, stop := context.WithTimeout(ctx, *span)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		load.Run(run)
+		close(done)
+	}()
+	if args[0] == "hall" {
+		f.hall(run, *span, out, load)
+	}
+	<-done
+	outs := load.All()
+	Total(outs).Print(out)
+	bad := Check(mix, outs, f.Diary.All())
+	if len(bad) > 0 {
+		fmt.Fprintf(out, "BROKEN with seed %d: %d breaches; the first: %s: %s\nlogs are under %s\n", *seed, len(bad), bad[0].Promise, bad[0].What, *dir)
+		return env.ExitTrouble
+	}
+	fmt.Fprintf(out, "all promises held (seed %d)\n", *seed)
+	if fresh {
+		f.Stop()
+		os.RemoveAll(*dir)
+	}
+	return env.ExitOk
+}
+
+// hall kills every process of one hall, runners too, and starts them again later.
+func (f *Fleet) hall(ctx context.Context, span time.Duration, out io.Writer, load *Load) {
+	if !nap(ctx, span/4) {
+		return
+	}
+	lost := f.Mix.Halls[0]
+	if p := f.Primary(ctx); p != nil {
+		lost = p.Hall // the hardest hall to lose
+	}
+	at := time.Now()
+	fmt.Fprintf(out, "hall %s is lost\n", lost)
+	var procs []*Proc
+	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
+		if p.Hall == lost {
+			procs = append(procs, p)
+			p.Signal(syscall.SIGKILL)
+		}
+	}
+	var runs []*Standin
+	for _, s := range append(append([]*Standin{}, f.Models...), f.Apps...) {
+		if s.Labels["hall"] == lost {
+			runs = append(runs, s)
+			s.Crash()
+		}
+	}
+	nap(ctx, span/3)
+	for _, k := range f.Mix.Kinds {
+		fmt.Fprintf(out, "  %s: longest time without a whole answer %s\n", k.Name, Gap(load.All(), k.Name, at).Round(time.Millisecond))
+	}
+	for _, p := range procs {
+		p.Wait(10 * time.Second)
+		if err := p.Start(); err != nil {
+			fmt.Fprintf(out, "drill: %s\n", err)
+		}
+	}
+	for _, s := range runs {
+		if err := s.Start(); err != nil {
+			fmt.Fprintf(out, "drill: %s\n", err)
+		}
+	}
+	fmt.Fprintf(out, "hall %s is back\n", lost)
+}
--- /dev/null
+++ b/internal/drill/mix.go
@@ -0,0 +1,165 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+
+	"yarrowridge/internal/layout"
+)
+
+// Mix is a deployment as the drill plays it: its halls, runners, layout and traffic.
+type Mix struct {
+	Name    string
+	Halls   []string
+	Routers int
+	Model   string
+	Models  int // model runners
+	Apps    int // runners of the ordinary application
+	Kinds   []Kind
+	Layout  map[string]any
+}
+
+// Kind is one kind of query.
+type Kind struct {
+	Name   string
+	Method string
+	Path   string
+	Rate   float64 // a second, at scale 1
+	Prefix int     // bytes of prompt shared by many
+	Docs   int     // how many different shared prefixes
+	Tail   int     // bytes of prompt of its own
+	Tokens int
+	Stream bool
+	Once   bool
+	Plain  bool
+}
+
+// Key is the demonstration key of a tenant in the example layouts.
+//
+//	drill.Key("north-counter") // "demo-north-counter"
+func Key(tenant string) string { return "demo-" + tenant }
+
+type obj = map[string]any
+
+func tenants(names []string, funded, quota int) obj {
+	out := obj{}
+	for i, n := range names {
+		t := obj{"keys": []string{layout.HashKey(Key(n))}, "funded": i < funded}
+		if i >= len(names)-quota {
+			t["quota"] = obj{"units": 600, "window_s": 10}
+		}
+		out[n] = t
+	}
+	return out
+}
+
+// Trentvale is the order desk: heavy fit checks, few write-ups, confirmations.
+//
+//	mix := drill.Trentvale()
+func Trentvale() Mix {
+	return Mix{Name: "trentvale", Halls: []string{"east", "north", "south", "west"}, Routers: 8, Model: "lumen-7b", Models: 12, Apps: 4,
+		Kinds: []Kind{
+			{Name: "checks", Method: "POST", Path: "/v1/checks", Rate: 80, Prefix: 8 << 10, Docs: 24, Tail: 100, Tokens: 2},
+			{Name: "writeups", Method: "POST", Path: "/v1/writeups", Rate: 2, Prefix: 2 << 10, Docs: 4, Tail: 400, Tokens: 60, Stream: true},
+			{Name: "confirmations", Method: "POST", Path: "/v1/confirmations", Rate: 60, Once: true, Plain: true},
+		},
+		Layout: obj{
+			"services": obj{"model": obj{"second_share": 0.1, "second_spare": 4}, "orders": obj{"second_share": 0.1, "second_spare": 4}},
+			"pools": obj{
+				"fit":    obj{"select": "app=model, model=lumen-7b", "service": "model"},
+				"orders": obj{"select": "app=orders", "service": "orders"}},
+			"lanes": obj{
+				"checks":        obj{"rank": 2, "patience_ms": 10000, "tenants": []string{"*"}},
+				"writeups":      obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}},
+				"confirmations": obj{"rank": 1, "patience_ms": 5000, "tenants": []string{"*"}, "once": true, "plain": true}},
+			"mappings": []obj{
+				{"method": "POST", "path": "/v1/checks", "lane": "checks", "pool": "fit"},
+				{"method": "POST", "path": "/v1/writeups", "lane": "writeups", "pool": "fit"},
+				{"method": "POST", "path": "/v1/confirmations", "lane": "confirmations", "pool": "orders"}},
+			"tenants": tenants([]string{"counter-east", "counter-north", "counter-south", "counter-west", "yard-a", "yard-b", "yard-c", "casual"}, 7, 1),
+		}}
+}
+
+// Tokachi is the loan desk: risk notes over long histories, few replies, status look-ups.
+//
+//	mix := drill.Tokachi()
+func Tokachi() Mix {
+	return Mix{Name: "tokachi", Halls: []string{"hills", "plain", "river"}, Routers: 6, Model: "kumo-13b", Models: 9, Apps: 3,
+		Kinds: []Kind{
+			{Name: "notes", Method: "POST", Path: "/v1/notes", Rate: 40, Prefix: 6 << 10, Docs: 40, Tail: 300, Tokens: 12, Once: true},
+			{Name: "replies", Method: "POST", Path: "/v1/replies", Rate: 2, Prefix: 1 << 10, Docs: 4, Tail: 400, Tokens: 60, Stream: true},
+			{Name: "status", Method: "GET", Path: "/v1/status/", Rate: 60, Plain: true},
+		},
+		Layout: obj{
+			"services": obj{"model": obj{"second_share": 0.1, "second_spare": 4}, "status": obj{"second_share": 0.1, "second_spare": 4}},
+			"pools": obj{
+				"loans":  obj{"select": "app=model, model in (kumo-13b)", "service": "model"},
+				"status": obj{"select": "app=status, !retired", "service": "status"}},
+			"lanes": obj{
+				"notes":   obj{"rank": 2, "patience_ms": 10000, "tenants": []string{"*"}, "once": true},
+				"replies": obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}},
+				"status":  obj{"rank": 1, "patience_ms": 3000, "tenants": []string{"*"}, "plain": true}},
+			"mappings": []obj{
+				{"method": "POST", "path": "/v1/notes", "lane": "notes", "pool": "loans"},
+				{"method": "POST", "path": "/v1/replies", "lane": "replies", "pool": "loans"},
+				{"method": "GET", "path": "/v1/status/*", "lane": "status", "pool": "status"}},
+			"tenants": tenants([]string{"desk-a", "desk-b", "desk-c", "field-hills", "field-plain", "field-river", "replies", "visitor"}, 7, 1),
+		}}
+}
+
+// MixOf finds a mix by name.
+//
+//	mix, err := drill.MixOf("trentvale")
+func MixOf(name string) (Mix, error) {
+	for _, m := range []Mix{Trentvale(), Tokachi()} {
+		if m.Name == name {
+			return m, nil
+		}
+	}
+	return Mix{}, fmt.Errorf("mix %q: trentvale or tokachi expected", name)
+}
+
+// Raw is the mix's layout as text.
+//
+//	os.WriteFile("examples/trentvale.json", mix.Raw(), 0o644)
+func (m Mix) Raw() []byte {
+	raw, err := json.MarshalIndent(m.Layout, "", "  ")
+	if err != nil {
+		panic(err) // a fixed value that marshals or never did
+	}
+	return append(raw, '\n')
+}
+
+// body makes one query's body; the number makes it unlike all others.
+func (k Kind) body(model string, n uint64, r *rand.Rand) []byte {
+	if k.Method == "GET" {
+		return nil
+	}
+	v := obj{"nonce": n}
+	if k.Plain {
+		v["order"] = fmt.Sprintf("order %d", n)
+	} else {
+		doc := r.IntN(max(1, k.Docs))
+		unit := fmt.Sprintf("%s sheet %d line; ", k.Name, doc)
+		v["model"], v["max_tokens"], v["stream"] = model, k.Tokens, k.Stream
+		v["prompt"] = strings.Repeat(unit, k.Prefix/len(unit)+1) + fmt.Sprintf(" question %d ", n) + strings.Repeat("q", k.Tail)
+	}
+	raw, _ := json.Marshal(v)
+	return raw
+}
+
+// newRand makes the source of one query's chances.
+func newRand(n uint64) *rand.Rand { return rand.New(rand.NewPCG(n, 0)) }
+
+// payers lists a mix's tenants in order, the large ones first.
+func payers(m Mix) []string {
+	var list []string
+	for k := range m.Layout["tenants"].(obj) {
+		list = append(list, k)
+	}
+	sort.Strings(list)
+	return list
+}
--- /dev/null
+++ b/internal/drill/standin.go
@@ -0,0 +1,307 @@
+// Package drill rehearses a whole fleet on one machine: it starts the daemons, stands in for
+// origins and runners, brings faults about and checks the promises from outside.
+package drill
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+// Seen is one query as a stand-in runner received it, byte for byte.
+type Seen struct {
+	Runner string
+	Born   string
+	At     time.Time
+	Method string
+	Path   string
+	Head   http.Header
+	Body   []byte
+	Ended  bool // answered to the last byte
+}
+
+// Diary is what all stand-in runners received, in order.
+type Diary struct {
+	mu  sync.Mutex
+	all []*Seen
+}
+
+func (d *Diary) add(s *Seen) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = append(d.all, s)
+}
+
+func (d *Diary) end(s *Seen) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.Ended = true
+}
+
+// All copies the diary.
+//
+//	for _, s := range diary.All() { ... }
+func (d *Diary) All() []Seen {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Seen, len(d.all))
+	for i, s := range d.all {
+		out[i] = *s
+	}
+	return out
+}
+
+// Standin plays a runner: batches with a rate that falls as the batch fills, a prefix cache,
+// streams, beats and late reports. As a plain one it plays the ordinary application.
+type Standin struct {
+	Name   string
+	Addr   string
+	Labels map[string]string
+	Room   int
+	Most   int
+	Step   time.Duration // one token with an empty batch
+	Slow   float64       // each further stream slows a step by this part
+	Cold   time.Duration // reading 1 KiB of prompt that the cache lacks
+	Plain  bool
+	Beats  []string // the routers' runner listeners, tried in turn
+	Diary  *Diary
+
+	Hits, Misses atomic.Int64 // prompt blocks found in the cache, or not
+
+	born   string
+	turn   atomic.Uint64
+	active atomic.Int64
+	queued atomic.Int64
+	state  atomic.Value
+	hang   atomic.Bool // takes queries and says nothing
+	mute   atomic.Bool // does not beat
+	cutAt  atomic.Int64
+	mu     sync.Mutex
+	cache  map[[32]byte]bool
+	srv    *http.Server
+	end    context.CancelFunc
+}
+
+var births atomic.Uint64
+
+// Start listens and begins to beat. A second start at the same address is another run.
+//
+//	err := s.Start()
+func (s *Standin) Start() error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	s.born = fmt.Sprintf("%s-%d", s.Name, births.Add(1))
+	s.state.Store("ready")
+	s.hang.Store(false)
+	s.cutAt.Store(0)
+	s.mu.Lock()
+	s.cache = map[[32]byte]bool{}
+	s.mu.Unlock()
+	ctx, end := context.WithCancel(context.Background())
+	s.end = end
+	s.srv = &http.Server{Handler: s, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go s.srv.Serve(l)
+	go func() {
+		t := time.NewTicker(500 * time.Millisecond)
+		defer t.Stop()
+		for at := 0; ; at++ {
+			if !s.mute.Load() && !s.beat(ctx, s.Beats[at%len(s.Beats)]) {
+				continue
+			}
+			at--
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+	return nil
+}
+
+// Crash drops the listener and every connection at once.
+//
+//	s.Crash()
+func (s *Standin) Crash() {
+	s.end()
+	s.srv.Close()
+}
+
+// Hang has the runner take queries, beat on, and answer nothing.
+//
+//	s.Hang(true)
+func (s *Standin) Hang(on bool) { s.hang.Store(on) }
+
+// Mute stops the beats.
+//
+//	s.Mute(true)
+func (s *Standin) Mute(on bool) { s.mute.Store(on) }
+
+// CutAfter breaks every stream off after n tokens; zero stops that.
+//
+//	s.CutAfter(5)
+func (s *Standin) CutAfter(n int) { s.cutAt.Store(int64(n)) }
+
+// Leave tells the router asked that this runner leaves, and returns once that was taken.
+//
+//	at := s.Leave(ctx)
+func (s *Standin) Leave(ctx context.Context) time.Time {
+	s.state.Store("leaving")
+	for i := 0; ctx.Err() == nil; i++ {
+		if s.beat(ctx, s.Beats[i%len(s.Beats)]) {
+			break
+		}
+	}
+	return time.Now()
+}
+
+func (s *Standin) beat(ctx context.Context, to string) bool {
+	raw, _ := json.Marshal(map[string]any{"name": s.Name, "addr": s.Addr, "born": s.born, "turn": s.turn.Add(1),
+		"labels": s.Labels, "state": s.state.Load(), "room": s.Room, "max_length": s.Most,
+		"fill":          min(1, float64(s.active.Load())/float64(max(1, s.Room))),
+		"queued_tokens": s.queued.Load()})
+	ctx, end := context.WithTimeout(ctx, 2*time.Second)
+	defer end()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+"/v1/runners/beat", bytes.NewReader(raw))
+	if err != nil {
+		return false
+	}
+	ans, err := httpc.DoRequest(req)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, ans.Body)
+	ans.Body.Close()
+	return ans.StatusCode == 200
+}
+
+// Echo is what a stand-in answers to show which query its answer belongs to.
+//
+//	if got != drill.Echo(body) { ... }
+func Echo(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+// ServeHTTP answers one query.
+//
+//	http.Serve(l, standin)
+func (s *Standin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	seen := &Seen{Runner: s.Name, Born: s.born, At: time.Now(), Method: r.Method, Path: r.URL.RequestURI(), Head: r.Header.Clone(), Body: body}
+	s.Diary.add(seen)
+	if err != nil {
+		return
+	}
+	ctx := r.Context()
+	if s.hang.Load() {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	n := s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.Plain {
+		if !nap(ctx, s.Step) {
+			panic(http.ErrAbortHandler)
+		}
+		if c := s.cutAt.Load(); c > 0 {
+			cut(w)
+		}
+		raw, _ := json.Marshal(map[string]any{"echo": Echo(body), "path": r.URL.RequestURI(), "tenant": r.Header.Get("X-Yarrowridge-Tenant")})
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		w.Write(raw)
+		s.Diary.end(seen)
+		return
+	}
+	tokens := int(gjson.GetBytes(body, "max_tokens").Int())
+	s.queued.Add(int64(tokens))
+	left := tokens
+	defer func() { s.queued.Add(-int64(left)) }()
+	text := gjson.GetBytes(body, "prompt").String() + gjson.GetBytes(body, "messages").Raw
+	if !nap(ctx, s.prefill(text)) {
+		panic(http.ErrAbortHandler)
+	}
+	stream := gjson.GetBytes(body, "stream").Bool()
+	if stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	for i := range tokens {
+		n = s.active.Load()
+		if !nap(ctx, s.Step+time.Duration(s.Slow*float64(n-1)*float64(s.Step))) {
+			panic(http.ErrAbortHandler)
+		}
+		if c := s.cutAt.Load(); c > 0 && int64(i) >= c {
+			cut(w)
+		}
+		s.queued.Add(-1)
+		left--
+		if stream {
+			fmt.Fprintf(w, "data: {\"i\":%d,\"echo\":%q,\"text\":\"w%d \"}\n\n", i, Echo(body), i)
+			http.NewResponseController(w).Flush()
+		}
+	}
+	if stream {
+		io.WriteString(w, "data: [DONE]\n\n")
+	} else {
+		raw, _ := json.Marshal(map[string]any{"echo": Echo(body), "usage": map[string]int{"completion_tokens": tokens}})
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(raw)
+	}
+	s.Diary.end(seen)
+}
+
+func cut(w http.ResponseWriter) {
+	con, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		con.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// prefill is the time to read a prompt: what the cache holds costs nothing.
+func (s *Standin) prefill(text string) time.Duration {
+	const block = 1024
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	miss, h := 0, sha256.New()
+	for from := 0; from+block <= len(text); from += block {
+		io.WriteString(h, text[from:from+block])
+		var key [32]byte
+		copy(key[:], h.Sum(nil))
+		if s.cache[key] {
+			s.Hits.Add(1)
+		} else {
+			miss++
+			s.Misses.Add(1)
+			s.cache[key] = true
+		}
+	}
+	return time.Duration(miss) * s.Cold
+}
+
+func nap(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/layout/select.go
@@ -0,0 +1,120 @@
+package layout
+
+import (
+	"slices"
+	"strings"
+)
+
+// Term is one condition of a selector.
+type Term struct {
+	Key  string
+	Op   string // "=", "!=", "in", "notin", "has", "not"
+	Vals []string
+}
+
+// Selector is a list of conditions that must all hold.
+type Selector []Term
+
+// ParseSelector reads "model=a, hall in (north,east), gpu, !canary"; the second value is
+// the plain sentence of what is wrong, or "".
+//
+//	sel, bad := layout.ParseSelector("model=lumen, hall notin (west)")
+func ParseSelector(s string) (Selector, string) {
+	var out Selector
+	for _, part := range cut(s) {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			return nil, "an empty term between commas"
+		}
+		t, bad := term(part)
+		if bad != "" {
+			return nil, bad
+		}
+		out = append(out, t)
+	}
+	if len(out) == 0 {
+		return nil, "at least one term expected"
+	}
+	return out, ""
+}
+
+// cut splits at commas outside brackets.
+func cut(s string) []string {
+	var out []string
+	deep, from := 0, 0
+	for i, c := range s {
+		switch c {
+		case '(':
+			deep++
+		case ')':
+			deep--
+		case ',':
+			if deep == 0 {
+				out = append(out, s[from:i])
+				from = i + 1
+			}
+		}
+	}
+	if strings.TrimSpace(s) == "" {
+		return nil
+	}
+	return append(out, s[from:])
+}
+
+func term(s string) (Term, string) {
+	if key, val, ok := strings.Cut(s, "!="); ok {
+		return word(Term{Op: "!=", Key: strings.TrimSpace(key), Vals: []string{strings.TrimSpace(val)}}, s)
+	}
+	if key, val, ok := strings.Cut(s, "="); ok {
+		return word(Term{Op: "=", Key: strings.TrimSpace(key), Vals: []string{strings.TrimSpace(val)}}, s)
+	}
+	if key, rest, ok := strings.Cut(s, "("); ok {
+		f := strings.Fields(key)
+		rest, end := strings.CutSuffix(strings.TrimSpace(rest), ")")
+		if len(f) != 2 || (f[1] != "in" && f[1] != "notin") || !end {
+			return Term{}, "term " + s + ": key in (a,b) or key notin (a,b) expected"
+		}
+		t := Term{Key: f[0], Op: f[1]}
+		for _, v := range strings.Split(rest, ",") {
+			t.Vals = append(t.Vals, strings.TrimSpace(v))
+		}
+		return word(t, s)
+	}
+	if key, ok := strings.CutPrefix(s, "!"); ok {
+		return word(Term{Op: "not", Key: strings.TrimSpace(key)}, s)
+	}
+	return word(Term{Op: "has", Key: s}, s)
+}
+
+func word(t Term, s string) (Term, string) {
+	for _, w := range append([]string{t.Key}, t.Vals...) {
+		if w == "" || strings.ContainsAny(w, " \t\r\n()!=,") {
+			return Term{}, "term " + s + ": plain words for key and values expected"
+		}
+	}
+	return t, ""
+}
+
+// Match tells whether a label set satisfies every term.
+//
+//	if sel.Match(map[string]string{"model": "lumen"}) { ... }
+func (s Selector) Match(tags map[string]string) bool {
+	for _, t := range s {
+		v, has := tags[t.Key]
+		ok := false
+		switch t.Op {
+		case "=", "in":
+			ok = has && slices.Contains(t.Vals, v)
+		case "!=", "notin":
+			ok = !has || !slices.Contains(t.Vals, v)
+		case "has":
+			ok = has
+		case "not":
+			ok = !has
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,82 @@
+// Package lease counts the grants of a majority: a duty's holder may act only while enough
+// voters' grants stand, and stops before they end.
+package lease
+
+import (
+	"sync"
+	"time"
+)
+
+// Lease is the holder's side. Each grant counts from when it was asked for, on the holder's own
+// monotonic clock, and is cut by a margin for drift between clocks.
+type Lease struct {
+	mu   sync.Mutex
+	term time.Duration
+	by   map[string]time.Time
+	seen map[string]time.Time
+}
+
+// New makes a lease whose grants run for term, less a tenth for drift.
+//
+//	l := lease.New(2 * time.Second)
+func New(term time.Duration) *Lease {
+	return &Lease{term: term - term/10, by: map[string]time.Time{}, seen: map[string]time.Time{}}
+}
+
+// Grant notes a voter's yes to a question asked at the time given.
+//
+//	l.Grant("a1", asked)
+func (l *Lease) Grant(who string, asked time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if end := asked.Add(l.term); end.After(l.by[who]) {
+		l.by[who] = end
+	}
+}
+
+// Saw notes that a voter answered at all.
+//
+//	l.Saw("a1")
+func (l *Lease) Saw(who string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[who] = time.Now()
+}
+
+// Gone tells how long ago a voter last answered; since is used for one never heard.
+//
+//	if l.Gone("a1", start) > 2*time.Second { ... }
+func (l *Lease) Gone(who string, since time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.seen[who]
+	if t.Before(since) {
+		t = since
+	}
+	return time.Since(t)
+}
+
+// Drop forgets all grants: they were for another epoch.
+//
+//	l.Drop()
+func (l *Lease) Drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.by)
+}
+
+// Stands tells whether the grants that still run now satisfy most.
+//
+//	if l.Stands(v.Most) { ... }
+func (l *Lease) Stands(most func(map[string]bool) bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	got := map[string]bool{}
+	for who, end := range l.by {
+		if now.Before(end) {
+			got[who] = true
+		}
+	}
+	return most(got)
+}
--- /dev/null
+++ b/internal/node/hub.go
@@ -0,0 +1,434 @@
+// Package node is the peer "another router": the hub holds this router's lease at the core, its
+// copy of the news, and the talk with its neighbours in the relay tree.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// How often the hub does what.
+const (
+	beatEvery = 400 * time.Millisecond
+	mendEvery = 300 * time.Millisecond
+	staleFrom = 3 * time.Second
+	forget    = 60 * time.Second
+)
+
+// Hub is one router's share in the fleet's control.
+type Hub struct {
+	ctx   env.Ctx
+	addr  string
+	face  string
+	seeds []string
+	cal   *wire.Caller
+	Core  *core.Client
+	Board *relay.Board
+	box   chan relay.Tell
+	lay   atomic.Pointer[layout.Layout]
+	hook  func(relay.Rec)
+
+	mu    sync.Mutex
+	roll  uint64
+	nodes []core.Node
+	near  []relay.Seat
+	heard time.Time // last answer of the core
+	asked bool      // the core, or failing that all hall peers that answer, have been asked
+	begun time.Time
+	short []string
+	quit  bool // no new origins, please
+	leave bool // the lease is given up
+	more  map[string]wire.Hand
+}
+
+// NewHub makes a hub. hook sees every record of news that is taken, besides the layout.
+//
+//	hub := node.NewHub(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, hook)
+func NewHub(ctx env.Ctx, addr, face string, seeds []string, hook func(relay.Rec)) *Hub {
+	h := &Hub{ctx: ctx, addr: addr, face: face, seeds: seeds, cal: wire.NewCaller(ctx.Net), hook: hook,
+		box: make(chan relay.Tell, 1024), begun: time.Now(), more: map[string]wire.Hand{}}
+	h.Core = core.NewClient(ctx, h.cal, seeds)
+	h.Board = relay.NewBoard(h.see)
+	return h
+}
+
+// see runs under the board's lock, for one key from older to newer.
+func (h *Hub) see(r relay.Rec) {
+	if r.Key != relay.LayoutKey {
+		if h.hook != nil {
+			h.hook(r)
+		}
+		return
+	}
+	lay, bad := layout.Parse(r.Body)
+	if len(bad) > 0 {
+		h.ctx.Log.Error("Layout from the core is not understood. The old one stays.", "sequence", r.Turn, "trouble", bad[0].Path+": "+bad[0].Text)
+		return
+	}
+	lay.Seq = r.Turn
+	h.lay.Store(lay)
+	h.ctx.Log.Info("Layout taken up.", "sequence", r.Turn)
+}
+
+// Layout is the newest layout held; nil before the first.
+//
+//	lay := hub.Layout()
+func (h *Hub) Layout() *layout.Layout { return h.lay.Load() }
+
+// Me is this node as its peers know it.
+//
+//	n := hub.Me()
+func (h *Hub) Me() core.Node {
+	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
+	if lay := h.Layout(); lay != nil {
+		n.Seq = lay.Seq
+	}
+	n.Ready = h.Ready() == ""
+	return n
+}
+
+// Ready tells why no new origins should be sent to this node, or "".
+//
+//	if why := hub.Ready(); why != "" { ... }
+func (h *Hub) Ready() string {
+	h.mu.Lock()
+	quit := h.quit
+	h.mu.Unlock()
+	if quit {
+		return "leaving"
+	}
+	return h.Can()
+}
+
+// Quit begins leaving: we are no longer ready, but go on serving what comes.
+//
+//	hub.Quit()
+func (h *Hub) Quit() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.quit = true
+}
+
+// Can tells why this node can't serve at all yet, or "".
+//
+//	if why := hub.Can(); why != "" { ... }
+func (h *Hub) Can() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.lay.Load() == nil:
+		return "no layout yet"
+	case !h.asked:
+		return "neither the core nor the hall's nodes have been asked yet"
+	}
+	return ""
+}
+
+// Stale tells whether the core has not been heard for a while: the layout may be old.
+//
+//	if hub.Stale() { ... }
+func (h *Hub) Stale() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.heard) > staleFrom
+}
+
+// Nodes lists the nodes that the core last named.
+//
+//	all := hub.Nodes()
+func (h *Hub) Nodes() []core.Node {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes
+}
+
+// Part splits a number between the nodes of the roll: the parts of all add up to no more than it.
+//
+//	mine := hub.Part(4)
+func (h *Hub) Part(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, o := range h.nodes {
+		if o.Name == h.ctx.Name {
+			part := n / len(h.nodes)
+			if i < n%len(h.nodes) {
+				part++
+			}
+			return part
+		}
+	}
+	return 0
+}
+
+// Near lists our neighbours in the relay tree.
+//
+//	for _, s := range hub.Near() { ... }
+func (h *Hub) Near() []relay.Seat {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.near
+}
+
+// Short lists the tenants whose idle units the core wants back.
+//
+//	for _, t := range hub.Short() { ... }
+func (h *Hub) Short() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.short
+}
+
+// Own adds a hand for another owner's calls on the same listener.
+//
+//	hub.Own("piece", pool.Hand)
+func (h *Hub) Own(name string, hand wire.Hand) { h.more[name] = hand }
+
+// Hand answers calls from other processes.
+//
+//	go wire.Serve(ctx, l, hub.Hand)
+func (h *Hub) Hand(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+	switch kind {
+	case "view.ask":
+		return &view.Told{Addr: h.addr, View: h.Core.View()}, nil
+	case "node.tell":
+		return wire.On(body, func(in *relay.Tell) (*core.Done, error) {
+			h.Spread(*in)
+			return &core.Done{}, nil
+		})
+	case "node.sum":
+		return wire.On(body, func(in *relay.Sum) (*relay.Diff, error) {
+			d := h.Board.Diff(*in)
+			return &d, nil
+		})
+	case "node.fix":
+		return wire.On(body, func(in *relay.Fix) (*relay.Tell, error) {
+			h.Spread(relay.Tell{From: in.From, Recs: in.Recs})
+			return &relay.Tell{From: h.ctx.Name, Recs: h.Board.Pick(in.Want)}, nil
+		})
+	case "node.roll":
+		return &Roll{h.Nodes()}, nil
+	}
+	return wire.Hands(h.more).Do(ctx, kind, body)
+}
+
+// Spread takes news and hands on what was new to the neighbours, but for the one it came from.
+//
+//	hub.Spread(relay.Tell{Recs: recs})
+func (h *Hub) Spread(t relay.Tell) {
+	fresh := h.Board.Take(t.Recs)
+	if len(fresh) == 0 {
+		return
+	}
+	select {
+	case h.box <- relay.Tell{From: t.From, Recs: fresh}:
+	default: // the digests will carry it
+	}
+}
+
+// Run beats, spreads and mends until the context ends.
+//
+//	hub.Run()
+func (h *Hub) Run() {
+	go env.Loop(h.ctx, nil, beatEvery, func(struct{}) {}, h.beat)
+	go env.Loop(h.ctx, nil, mendEvery, func(struct{}) {}, h.mend)
+	env.Loop(h.ctx, h.box, 0, h.hand, nil)
+	h.cal.Close()
+}
+
+// hand sends news on, with all that has piled up behind it.
+func (h *Hub) hand(t relay.Tell) {
+	for _, n := range h.Near() {
+		if n.Name == t.From {
+			continue
+		}
+		go func() {
+			ctx, end := context.WithTimeout(h.ctx, time.Second)
+			defer end()
+			h.cal.Call(ctx, n.Addr, "node.tell", &relay.Tell{From: h.ctx.Name, Recs: t.Recs}, nil)
+		}()
+	}
+}
+
+// Sure hands records to the core's other nodes at once and tells whether one at least holds them.
+//
+//	if hub.Sure(ctx, recs) { ... }
+func (h *Hub) Sure(ctx context.Context, recs []relay.Rec) bool {
+	ctx, end := context.WithTimeout(ctx, time.Second)
+	defer end()
+	near := h.Near()
+	ch := make(chan bool, len(near))
+	for _, n := range near {
+		go func() {
+			ch <- h.cal.Call(ctx, n.Addr, "node.tell", &relay.Tell{From: h.ctx.Name, Recs: recs}, nil) == nil
+		}()
+	}
+	for range near {
+		if <-ch {
+			return true
+		}
+	}
+	return len(near) == 0
+}
+
+// beat renews our lease at the core and learns what has changed.
+func (h *Hub) beat() {
+	h.mu.Lock()
+	roll, leave := h.roll, h.leave
+	h.mu.Unlock()
+	if leave {
+		return
+	}
+	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
+	defer end()
+	var out core.Told
+	if err := h.Core.Call(ctx, "core.beat", &core.Beat{Node: h.Me(), Roll: roll}, &out, true); err != nil {
+		h.ctx.Log.Debug("No answer from the core.", "trouble", err.Error())
+		h.alone()
+		return
+	}
+	h.Core.Learn(out.View)
+	h.mu.Lock()
+	was := time.Since(h.heard) > staleFrom && !h.heard.IsZero()
+	h.heard = time.Now()
+	h.short = out.Short
+	if out.Whole {
+		h.roll = out.Roll
+		h.seat(out.Nodes)
+	}
+	h.mu.Unlock()
+	if was {
+		h.ctx.Log.Info("The core is heard again.")
+	}
+	lay := h.Layout()
+	if out.Seq > 0 && (lay == nil || lay.Seq < out.Seq) {
+		var sheet core.Sheet
+		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
+			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
+		}
+	}
+	if lay = h.Layout(); lay == nil || lay.Seq < out.Seq {
+		return // asked, but not answered in full
+	}
+	h.mu.Lock()
+	h.asked = true
+	h.mu.Unlock()
+}
+
+// seat takes a new roll; the caller holds the lock.
+func (h *Hub) seat(nodes []core.Node) {
+	h.nodes = nodes
+	var seats []relay.Seat
+	var addrs []string
+	for _, n := range nodes {
+		seats = append(seats, relay.Seat{Name: n.Name, Hall: n.Hall, Addr: n.Addr})
+		if n.Name != h.ctx.Name {
+			addrs = append(addrs, n.Addr)
+		}
+	}
+	h.near = relay.Near(h.ctx.Name, seats)
+	h.Core.Peers(addrs)
+}
+
+// alone is what a node without a core does: a blank one asks all hall peers it can reach.
+func (h *Hub) alone() {
+	h.mu.Lock()
+	asked, nodes := h.asked, h.nodes
+	h.mu.Unlock()
+	if asked || time.Since(h.begun) < 2*time.Second {
+		return
+	}
+	ctx, end := context.WithTimeout(h.ctx, time.Second)
+	defer end()
+	if len(nodes) == 0 {
+		for _, a := range h.seeds {
+			var r Roll
+			if h.cal.Call(ctx, a, "node.roll", &Ask{}, &r) == nil && len(r.Nodes) > len(nodes) {
+				nodes = r.Nodes
+			}
+		}
+	}
+	for _, n := range nodes {
+		if n.Hall == h.ctx.Hall && n.Name != h.ctx.Name {
+			h.mendWith(ctx, n.Addr)
+		}
+	}
+	if h.Layout() == nil {
+		return
+	}
+	h.ctx.Log.Warn("No core to be found. Serving with the hall's layout.")
+	h.mu.Lock()
+	h.asked = true
+	if len(h.nodes) == 0 {
+		h.seat(append(nodes, core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Born: h.ctx.Born}))
+	}
+	h.mu.Unlock()
+}
+
+// mend compares our news with one neighbour's, or any node's now and then, by digests.
+func (h *Hub) mend() {
+	h.Board.Drop(forget)
+	near := h.Near()
+	nodes := h.Nodes()
+	to := ""
+	if len(near) > 0 && rand.N(3) > 0 {
+		to = near[rand.N(len(near))].Addr
+	} else if len(nodes) > 0 {
+		to = nodes[rand.N(len(nodes))].Addr
+	}
+	if to == "" || to == h.addr {
+		return
+	}
+	ctx, end := context.WithTimeout(h.ctx, time.Second)
+	defer end()
+	h.mendWith(ctx, to)
+}
+
+func (h *Hub) mendWith(ctx context.Context, to string) {
+	sum := h.Board.Sum(h.ctx.Name)
+	var diff relay.Diff
+	if h.cal.Call(ctx, to, "node.sum", &sum, &diff) != nil || len(diff.Range) == 0 {
+		return
+	}
+	fix := h.Board.Fix(h.ctx.Name, diff)
+	if len(fix.Recs)+len(fix.Want) == 0 {
+		return
+	}
+	var back relay.Tell
+	if h.cal.Call(ctx, to, "node.fix", &fix, &back) == nil {
+		h.Spread(back)
+	}
+}
+
+// Leave gives up the lease: the core names us no more, our units cool. Serving what has been
+// read goes on meanwhile.
+//
+//	hub.Leave()
+func (h *Hub) Leave() {
+	h.mu.Lock()
+	h.leave = true
+	h.mu.Unlock()
+	ctx, end := context.WithTimeout(h.ctx, time.Second)
+	defer end()
+	if err := h.Core.Call(ctx, "core.beat", &core.Beat{Node: h.Me(), Leave: true}, &core.Told{}, true); err != nil {
+		h.ctx.Log.Warn("The core was not told that we leave.", "trouble", err.Error())
+	}
+}
+
+// Call reaches another process of the fleet.
+//
+//	err := hub.Call(ctx, addr, "piece.copy", &in, nil)
+func (h *Hub) Call(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	return h.cal.Call(ctx, addr, kind, in, out)
+}
--- /dev/null
+++ b/internal/node/msgs.go
@@ -0,0 +1,26 @@
+package node
+
+import "yarrowridge/internal/core"
+
+//go:generate go tool msgp -tests=false
+
+// Load is what one router has sent to one runner and not yet seen end.
+type Load struct {
+	Streams int     `msg:"s"`
+	Tokens  int     `msg:"t"` // output still to come
+	Rate    float64 `msg:"r"` // tokens a second seen, 0 where no stream has ended
+}
+
+// Work is a router's news of its own work: per runner, and what waits in its queue per kind.
+type Work struct {
+	Runners map[string]Load `msg:"r"`
+	Queued  map[string]int  `msg:"q"`
+}
+
+// Roll is a node's list of nodes.
+type Roll struct {
+	Nodes []core.Node `msg:"n"`
+}
+
+// Ask asks for the roll.
+type Ask struct{}
--- /dev/null
+++ b/internal/origin/front.go
@@ -0,0 +1,500 @@
+// Package origin is the peer "origin": the HTTP face through which prompts come in, and the way
+// of each query from its reading to its end.
+package origin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/allow"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/meter"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/place"
+	"yarrowridge/internal/query"
+	"yarrowridge/internal/runner"
+	"yarrowridge/internal/share"
+)
+
+// Answers are held whole before a success is written, so they are bounded.
+const (
+	answerMost = 8 << 20
+	pieceMost  = 1 << 20
+	idle       = 60 * time.Second // a runner that sends nothing for so long has lost the query
+)
+
+// Front answers origins.
+type Front struct {
+	Ctx    env.Ctx
+	Hub    *node.Hub
+	Yard   *runner.Yard
+	Desk   *place.Desk
+	Send   *runner.Sender
+	Meter  *meter.Meter
+	Log    *query.Log
+	Purses *share.Purses
+	Again  *Second
+	Claims *Claims
+}
+
+// Bounce is a "no" to an origin: what code, at which step, and whether the query ran.
+type Bounce struct {
+	Status  int
+	Code    string
+	Text    string
+	Retry   time.Duration // zero: none
+	Unknown bool          // it may have run, or may be running
+}
+
+// Error gives the code.
+//
+//	(&origin.Bounce{Code: "unknown-key"}).Error()
+func (b *Bounce) Error() string { return b.Code }
+
+// way is one query with all that its steps need.
+type way struct {
+	f    *Front
+	q    *query.Query
+	w    http.ResponseWriter
+	r    *http.Request
+	lay  *layout.Layout
+	ten  int
+	tn   *layout.Tenant
+	lane *layout.Lane
+	pool *layout.Pool
+	body []byte
+
+	model  string
+	prompt string
+	tokens int // output it may have; 0 on plain lanes
+	low    int // what it was lowered to, if it was
+	cost   int // quota units reserved
+	key    string
+	claim  *claim
+	wait   time.Duration // estimated
+	kind   string
+	torn   bool
+}
+
+// ServeHTTP takes one query the whole way.
+//
+//	http.Handle("/", front)
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	y := &way{f: f, q: query.New(), w: w, r: r}
+	w.Header().Set(runner.QueryHead, y.q.Id)
+	err := y.run()
+	if y.cost > 0 {
+		f.Purses.For(y.tn.Name).Loose(y.cost)
+	}
+	code := "done"
+	if err != nil {
+		code = y.end(err)
+		f.Log.Add(y.q, code)
+	}
+	f.Meter.Queries.WithLabelValues(y.q.Lane, code).Inc()
+	if y.torn {
+		// The frame of a stream that ended in trouble is never closed as if it were complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (y *way) run() error {
+	for _, step := range []func() error{y.read, y.known, y.mapped, y.allowed, y.claimed} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return y.serve()
+}
+
+// end answers a query that went wrong before anything was written to the origin.
+func (y *way) end(err error) string {
+	var b *Bounce
+	if !errors.As(err, &b) {
+		b = &Bounce{Status: 500, Code: "internal", Text: "Internal trouble.", Unknown: true}
+		y.f.Ctx.Log.Error("Query in trouble of our own making.", "query", y.q.Id, "trouble", err.Error())
+	}
+	at := y.q.State()
+	if s := at; s == query.Sent || s == query.Answering {
+		y.q.Go(query.Troubled, b.Code)
+	} else {
+		y.q.Go(query.Bounced, b.Code)
+	}
+	if y.claim != nil {
+		y.claim.end(b.Unknown)
+	}
+	if b.Code == "origin-left" || b.Status == 0 {
+		return b.Code // nobody to tell, or told already
+	}
+	h := y.w.Header()
+	for k := range h {
+		if k != runner.QueryHead {
+			h.Del(k)
+		}
+	}
+	h.Set("Content-Type", "application/json")
+	if b.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(b.Retry.Seconds()))))
+	}
+	run := "not run"
+	if b.Unknown {
+		run = "unknown"
+	}
+	y.w.WriteHeader(b.Status)
+	json.NewEncoder(y.w).Encode(map[string]any{"error": map[string]any{
+		"code": b.Code, "step": at, "run": run, "message": b.Text, "query": y.q.Id}})
+	return b.Code
+}
+
+func (y *way) read() error {
+	if why := y.f.Hub.Can(); why != "" {
+		return &Bounce{Status: 503, Code: "not-ready", Text: "This router is not ready: " + why + ".", Retry: time.Second}
+	}
+	y.lay = y.f.Hub.Layout()
+	most := y.lay.Limits.Body
+	raw, err := io.ReadAll(io.LimitReader(y.r.Body, int64(most)+1))
+	switch {
+	case len(raw) > most:
+		return &Bounce{Status: 413, Code: "body-too-large", Text: fmt.Sprintf("A body of at most %d bytes is taken.", most)}
+	case err != nil:
+		return &Bounce{Status: 400, Code: "body-unread", Text: "The body broke off before its end."}
+	}
+	y.body = raw
+	return nil
+}
+
+func (y *way) known() error {
+	key, ok := strings.CutPrefix(y.r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		y.ten, ok = y.lay.Tenant(strings.TrimSpace(key))
+	}
+	if !ok {
+		return &Bounce{Status: 401, Code: "unknown-key", Text: "A known key is expected, as Authorization: Bearer KEY."}
+	}
+	y.tn = &y.lay.Tenants[y.ten]
+	y.q.Tenant = y.tn.Name
+	return y.q.Go(query.Known, "")
+}
+
+func (y *way) mapped() error {
+	m, known := y.lay.Map(y.r.Method, y.r.URL.Path, y.r.Header.Get)
+	switch {
+	case m == nil && known:
+		return &Bounce{Status: 405, Code: "no-mapping", Text: "The path is known, but not with this method and these headers."}
+	case m == nil:
+		return &Bounce{Status: 404, Code: "unknown-path", Text: "Nothing is mapped to this path."}
+	}
+	y.lane, y.pool = &y.lay.Lanes[m.Lane], &y.lay.Pools[m.Pool]
+	y.q.Lane = y.lane.Name
+	if !y.lane.Admits(y.ten) {
+		return &Bounce{Status: 403, Code: "lane-closed", Text: "The lane " + y.lane.Name + " is not open to this tenant."}
+	}
+	y.kind = y.pool.Name
+	if !y.lane.Plain {
+		if err := y.parse(); err != nil {
+			return err
+		}
+		y.kind += "/" + y.model
+	}
+	return y.q.Go(query.Mapped, m.Path)
+}
+
+func (y *way) parse() error {
+	if t, _, err := mime.ParseMediaType(y.r.Header.Get("Content-Type")); err != nil || t != "application/json" {
+		return &Bounce{Status: 415, Code: "bad-type", Text: "Content-Type application/json is expected."}
+	}
+	if enc := y.r.Header.Get("Content-Encoding"); enc != "" && enc != "identity" {
+		return &Bounce{Status: 415, Code: "bad-encoding", Text: "A prompt without Content-Encoding is expected."}
+	}
+	doc := gjson.ParseBytes(y.body)
+	if !gjson.ValidBytes(y.body) || !doc.IsObject() {
+		return &Bounce{Status: 400, Code: "bad-json", Text: "A JSON object is expected."}
+	}
+	bad := func(what string) error {
+		return &Bounce{Status: 400, Code: "bad-prompt", Text: what}
+	}
+	seen := map[string]bool{}
+	twice := ""
+	doc.ForEach(func(k, _ gjson.Result) bool {
+		if seen[k.String()] {
+			twice = k.String()
+		}
+		seen[k.String()] = true
+		return true
+	})
+	if twice != "" {
+		return bad("The field " + strconv.Quote(twice) + " stands there twice.")
+	}
+	model := doc.Get("model")
+	if model.Type != gjson.String || model.Str == "" {
+		return bad("model: a string is expected.")
+	}
+	y.model = model.Str
+	msg, prompt := doc.Get("messages"), doc.Get("prompt")
+	switch {
+	case msg.IsArray() && len(msg.Array()) > 0 && !prompt.Exists():
+		y.prompt = msg.Raw
+	case prompt.Type == gjson.String && !msg.Exists():
+		y.prompt = prompt.Str
+	default:
+		return bad("Either prompt, a string, or messages, a list, is expected.")
+	}
+	if s := doc.Get("stream"); s.Exists() && !s.IsBool() {
+		return bad("stream: true or false is expected.")
+	}
+	if s := doc.Get("allow_downgrade"); s.Exists() && !s.IsBool() {
+		return bad("allow_downgrade: true or false is expected.")
+	}
+	n := doc.Get("max_tokens")
+	if n.Type != gjson.Number || n.Num != math.Trunc(n.Num) || n.Num < 1 || n.Num > float64(y.lay.Limits.Tokens) {
+		return &Bounce{Status: 400, Code: "bad-max-tokens", Text: fmt.Sprintf("max_tokens: a whole number from 1 to %d is expected.", y.lay.Limits.Tokens)}
+	}
+	y.tokens = int(n.Num)
+	return nil
+}
+
+// could lists the runners that serve what is asked, whatever their standing.
+func (y *way) could() []*runner.Entry {
+	var out []*runner.Entry
+	for _, e := range y.f.Yard.List() {
+		if e.Serves(y.pool.Select, y.model, y.tokens) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// allowed judges the free output allowance once, and reserves the tenant's quota.
+func (y *way) allowed() error {
+	note := ""
+	if !y.lane.Plain {
+		var feeds []allow.Feed
+		for _, e := range y.could() {
+			if e.Standing() == "" {
+				queued, rate := e.Feed()
+				feeds = append(feeds, allow.Feed{Queued: queued, Rate: rate})
+			}
+		}
+		waiting := float64(y.f.Desk.Ahead(y.kind, y.lane.Rank) + y.f.Yard.Waiting(y.kind))
+		ask := allow.Ask{Funded: y.tn.Funded, Tokens: y.tokens, Lower: gjson.GetBytes(y.body, "allow_downgrade").Bool()}
+		v := allow.Decide(y.lay.Allowance, ask, feeds, waiting)
+		y.wait = v.Wait
+		y.f.Meter.Allowance.WithLabelValues(y.payer(), string(v.Outcome), allow.Bucket(y.tokens), allow.Bucket(v.Size)).Inc()
+		y.f.Meter.Wait.Observe(v.Wait.Seconds())
+		switch v.Outcome {
+		case allow.NoFunds:
+			return &Bounce{Status: 402, Code: "no-funds", Retry: y.again(),
+				Text: fmt.Sprintf("The free output allowance is %d tokens now; %d were asked for. Ask for less, or later, or use funds.", v.Size, y.tokens)}
+		case allow.NoRunner:
+			return &Bounce{Status: 503, Code: "no-runner", Retry: 5 * time.Second,
+				Text: fmt.Sprintf("No runner that is ready serves model %s with %d tokens of output.", y.model, y.tokens)}
+		case allow.Lowered:
+			y.low = v.Tokens
+			y.lower()
+		}
+		note = fmt.Sprintf("%s, allowance %d, wait %.1f s", v.Outcome, v.Size, v.Wait.Seconds())
+	}
+	if q := y.tn.Quota; q.Units > 0 {
+		cost := 1
+		if q.Tokens > 0 && y.tokens > 0 {
+			cost = (y.tokens + q.Tokens - 1) / q.Tokens
+		}
+		if cost > q.Units {
+			return &Bounce{Status: 429, Code: "over-quota", Text: fmt.Sprintf("This query costs %d units; the quota is %d.", cost, q.Units)}
+		}
+		y.f.Purses.For(y.tn.Name).Rule(q.Units, q.Window)
+		ok, again := y.f.Purses.Keep(y.r.Context(), y.tn.Name, cost)
+		if !ok {
+			return &Bounce{Status: 429, Code: "quota-spent", Retry: again, Text: "The tenant's quota is spent for now."}
+		}
+		y.cost = cost
+	}
+	return y.q.Go(query.Allowed, note)
+}
+
+func (y *way) payer() string {
+	if y.tn.Funded {
+		return "funded"
+	}
+	return "unfunded"
+}
+
+// again is when to come back: once the work ahead should have fallen by half, within a minute.
+func (y *way) again() time.Duration {
+	return min(max(y.wait/2, time.Second), time.Minute)
+}
+
+// lower changes max_tokens in the body, and not a byte besides.
+func (y *way) lower() {
+	n := gjson.GetBytes(y.body, "max_tokens")
+	next := make([]byte, 0, len(y.body))
+	next = append(next, y.body[:n.Index]...)
+	next = strconv.AppendInt(next, int64(y.low), 10)
+	y.body = append(next, y.body[n.Index+len(n.Raw):]...)
+	y.tokens = y.low
+}
+
+// serve queues, nominates and sends, trying another runner only while no byte has left.
+func (y *way) serve() error {
+	skip := map[int]bool{}
+	until := time.Now().Add(y.lane.Patience)
+	svc := y.lay.Services[y.pool.Service]
+	keys := place.Blocks(y.ten, y.prompt)
+	for try := 0; ; try++ {
+		if err := y.q.Go(query.Queued, y.kind); err != nil {
+			return err
+		}
+		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Keys: keys, Could: y.could, Skip: skip}
+		e, err := y.f.Desk.Enter(y.r.Context(), wait, time.Until(until), y.lay.Limits.Queue)
+		switch {
+		case errors.Is(err, place.ErrPatience):
+			return &Bounce{Status: 503, Code: "patience-out", Retry: y.again(), Text: "No runner had room within the lane's patience."}
+		case errors.Is(err, place.ErrFull):
+			return &Bounce{Status: 503, Code: "queue-full", Retry: y.again(), Text: "Too many queries wait."}
+		case err != nil:
+			return &Bounce{Code: "origin-left"}
+		}
+		if err := y.q.Go(query.Nominated, e.Addr); err != nil {
+			return err
+		}
+		if try == 0 {
+			y.f.Meter.Dispatch.WithLabelValues(y.payer()).Observe(y.q.Age().Seconds())
+			y.f.Again.First(svc.Name)
+		}
+		left, err := y.send(e)
+		if err == nil || left {
+			return err
+		}
+		skip[e.Idx] = true
+		if len(skip) >= len(y.could()) || !y.f.Again.May(svc, y.f.Hub.Part(svc.Spare)) {
+			return &Bounce{Status: 502, Code: "runner-unreached", Retry: time.Second, Text: "The runner could not be reached."}
+		}
+	}
+}
+
+// send sends the query to one runner and carries its answer. left says a byte may have left us.
+func (y *way) send(e *runner.Entry) (left bool, err error) {
+	rest, ok := y.tokens, false
+	// A query that may run only once, or whose stream may be resumed, runs on without its origin.
+	ctx, end := context.WithCancelCause(y.r.Context())
+	if y.claim != nil {
+		ctx, end = context.WithCancelCause(context.WithoutCancel(y.r.Context()))
+	}
+	defer func() {
+		end(nil)
+		e.Leave(rest, ok)
+		y.f.Desk.Wake()
+	}()
+	dog := time.AfterFunc(idle, func() { end(errSilent) })
+	defer dog.Stop()
+	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Out{Method: y.r.Method, Path: y.r.URL.RequestURI(), Head: y.r.Header, Body: y.body, Tenant: y.tn.Name, Id: y.q.Id})
+	if err != nil && !left {
+		if y.r.Context().Err() == nil {
+			e.Fail()
+		}
+		return false, err
+	}
+	// The units were reserved until now, so counting their window from here only makes it longer.
+	if y.cost > 0 {
+		y.f.Purses.For(y.tn.Name).Spend(y.cost)
+		y.cost = 0
+	}
+	if e := y.q.Go(query.Sent, e.Addr); e != nil {
+		return true, e
+	}
+	if err != nil {
+		return true, y.lost(e, ctx, err)
+	}
+	defer ans.Body.Close()
+	if err := y.q.Go(query.Answering, strconv.Itoa(ans.StatusCode)); err != nil {
+		return true, err
+	}
+	if t, _, _ := mime.ParseMediaType(ans.Header.Get("Content-Type")); t == "text/event-stream" && ans.StatusCode == 200 {
+		rest, err = y.stream(ctx, e, ans, dog)
+	} else {
+		rest, err = y.whole(ctx, e, ans, dog)
+	}
+	ok = err == nil
+	return true, err
+}
+
+var errSilent = errors.New("silent")
+
+// lost says what became of a query whose runner broke off.
+func (y *way) lost(e *runner.Entry, ctx context.Context, err error) error {
+	if y.r.Context().Err() != nil && y.claim == nil {
+		return &Bounce{Code: "origin-left", Unknown: true}
+	}
+	e.Fail()
+	y.f.Ctx.Log.Warn("Runner lost a query.", "query", y.q.Id, "peer", e.Addr, "trouble", err.Error())
+	if context.Cause(ctx) == errSilent {
+		return &Bounce{Status: 504, Code: "runner-silent", Unknown: true, Text: "The runner sent nothing for too long."}
+	}
+	return &Bounce{Status: 502, Code: "runner-lost", Unknown: true, Text: "The runner broke off before its answer was whole."}
+}
+
+// pass copies the runner's headers for the origin.
+func (y *way) pass(ans *http.Response) {
+	for k, v := range runner.Clean(ans.Header) {
+		y.w.Header()[k] = v
+	}
+	y.w.Header().Set(runner.QueryHead, y.q.Id)
+	if y.low > 0 {
+		y.w.Header().Set(runner.OwnHead+"Lowered-To", strconv.Itoa(y.low))
+	}
+}
+
+// whole reads the answer to its framed end before a byte of it is handed over.
+func (y *way) whole(ctx context.Context, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
+	var raw []byte
+	buf := make([]byte, 32<<10)
+	for err == nil {
+		var n int
+		n, err = ans.Body.Read(buf)
+		raw = append(raw, buf[:n]...)
+		dog.Reset(idle)
+		if n > 0 {
+			e.Token(0, 0)
+		}
+		if len(raw) > answerMost {
+			return y.tokens, &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
+		}
+	}
+	if err != io.EOF {
+		return y.tokens, y.lost(e, ctx, err)
+	}
+	if !y.lane.Plain {
+		n := int(gjson.GetBytes(raw, "usage.completion_tokens").Int())
+		if n <= 0 || n > y.tokens {
+			n = min(y.tokens, len(raw)/4) // the runner does not say: about four bytes a token
+		}
+		e.Token(n, n)
+		rest = y.tokens - n
+	}
+	if ans.StatusCode >= 500 {
+		e.Fail()
+	}
+	if y.claim != nil {
+		y.claim.done(ans.StatusCode, ans.Header.Get("Content-Type"), raw)
+	}
+	if err := y.q.Go(query.Done, ""); err != nil {
+		return rest, err
+	}
+	y.pass(ans)
+	y.w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	y.w.WriteHeader(ans.StatusCode)
+	y.w.Write(raw)
+	return rest, nil
+}
--- /dev/null
+++ b/internal/place/desk.go
@@ -0,0 +1,292 @@
+package place
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/runner"
+)
+
+// Why a wait ended without a runner.
+var (
+	ErrPatience = errors.New("place: patience ran out")
+	ErrFull     = errors.New("place: queue is full")
+	ErrGone     = errors.New("place: the origin left")
+)
+
+// Wait is one query's wait for a runner.
+type Wait struct {
+	Kind   string // pool and model: what can take one of a kind can take them all
+	Rank   int
+	Ten    int
+	Tokens int
+	Keys   []uint64
+	Could  func() []*runner.Entry // runners that serve the kind
+	Skip   map[int]bool           // runs tried already
+
+	ch   chan *runner.Entry
+	over bool // set under the desk's lock: given a runner, or ended
+	out  error
+}
+
+// line is one kind's queue in one rank: first in first out for a tenant, in turn between tenants.
+type line struct {
+	rank int
+	kind string
+	tens map[int][]*Wait
+	turn []int
+}
+
+// Desk holds the queues and nominates.
+type Desk struct {
+	hall string
+	mem  *Memory
+	bell chan struct{}
+	mu   sync.Mutex
+	all  []*line // by rank, then kind
+	n    int
+	sum  map[string]int // tokens waiting, by kind
+}
+
+// NewDesk makes a desk for a router of the hall.
+//
+//	d := place.NewDesk("north", place.NewMemory(1<<18))
+func NewDesk(hall string, mem *Memory) *Desk {
+	return &Desk{hall: hall, mem: mem, bell: make(chan struct{}, 1), sum: map[string]int{}}
+}
+
+// Wake has the desk look again: a runner may have room.
+//
+//	desk.Wake()
+func (d *Desk) Wake() {
+	select {
+	case d.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Run nominates until the context ends.
+//
+//	go desk.Run(ctx)
+func (d *Desk) Run(ctx context.Context) {
+	env.Loop(ctx, d.bell, 50*time.Millisecond, func(struct{}) { d.pump() }, d.pump)
+}
+
+// Waiting tells how many queries wait, and the tokens waiting by kind.
+//
+//	n, sum := desk.Waiting()
+func (d *Desk) Waiting() (int, map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]int{}
+	for k, v := range d.sum {
+		if v > 0 {
+			out[k] = v
+		}
+	}
+	return d.n, out
+}
+
+// Ahead tells the tokens waiting for a kind that would go before a newcomer of the rank.
+//
+//	n := desk.Ahead("fit/lumen", 3)
+func (d *Desk) Ahead(kind string, rank int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := 0
+	for _, l := range d.all {
+		if l.kind == kind && l.rank <= rank {
+			for _, q := range l.tens {
+				for _, w := range q {
+					sum += w.Tokens
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// Enter waits for a runner, for at most patience. most bounds all queues of this router together:
+// beyond it the newest of the lowest rank is bounced, be it this one or another.
+//
+//	e, err := desk.Enter(ctx, w, 2*time.Second, 1000)
+func (d *Desk) Enter(ctx context.Context, w *Wait, patience time.Duration, most int) (*runner.Entry, error) {
+	w.ch = make(chan *runner.Entry, 1)
+	w.over, w.out = false, nil
+	d.mu.Lock()
+	if d.n >= most && !d.evict(w.Rank) {
+		d.mu.Unlock()
+		return nil, ErrFull
+	}
+	d.add(w)
+	d.mu.Unlock()
+	d.Wake()
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	var err error
+	select {
+	case e := <-w.ch:
+		if e == nil {
+			return nil, w.out
+		}
+		return e, nil
+	case <-t.C:
+		err = ErrPatience
+	case <-ctx.Done():
+		err = ErrGone
+	}
+	d.mu.Lock()
+	if !w.over {
+		d.cut(w)
+		d.mu.Unlock()
+		return nil, err
+	}
+	d.mu.Unlock()
+	e := <-w.ch
+	if e == nil {
+		return nil, w.out
+	}
+	if err == ErrGone {
+		e.Leave(w.Tokens, false)
+		d.Wake()
+		return nil, ErrGone
+	}
+	return e, nil
+}
+
+func (d *Desk) line(rank int, kind string) *line {
+	i := sort.Search(len(d.all), func(i int) bool {
+		l := d.all[i]
+		return l.rank > rank || l.rank == rank && l.kind >= kind
+	})
+	if i < len(d.all) && d.all[i].rank == rank && d.all[i].kind == kind {
+		return d.all[i]
+	}
+	l := &line{rank: rank, kind: kind, tens: map[int][]*Wait{}}
+	d.all = append(d.all, nil)
+	copy(d.all[i+1:], d.all[i:])
+	d.all[i] = l
+	return l
+}
+
+func (d *Desk) add(w *Wait) {
+	l := d.line(w.Rank, w.Kind)
+	if len(l.tens[w.Ten]) == 0 {
+		l.turn = append(l.turn, w.Ten)
+	}
+	l.tens[w.Ten] = append(l.tens[w.Ten], w)
+	d.n++
+	d.sum[w.Kind] += w.Tokens
+}
+
+// cut takes a wait out of its line; the caller holds the lock.
+func (d *Desk) cut(w *Wait) {
+	l := d.line(w.Rank, w.Kind)
+	q := l.tens[w.Ten]
+	for i := range q {
+		if q[i] == w {
+			l.tens[w.Ten] = append(q[:i:i], q[i+1:]...)
+			break
+		}
+	}
+	if len(l.tens[w.Ten]) == 0 {
+		delete(l.tens, w.Ten)
+		for i, t := range l.turn {
+			if t == w.Ten {
+				l.turn = append(l.turn[:i:i], l.turn[i+1:]...)
+				break
+			}
+		}
+	}
+	if len(l.turn) == 0 {
+		for i, o := range d.all {
+			if o == l {
+				d.all = append(d.all[:i:i], d.all[i+1:]...)
+				break
+			}
+		}
+	}
+	d.n--
+	if d.sum[w.Kind] -= w.Tokens; d.sum[w.Kind] <= 0 {
+		delete(d.sum, w.Kind)
+	}
+	w.over = true
+}
+
+// evict bounces the newest wait of the lowest rank below the newcomer's.
+func (d *Desk) evict(rank int) bool {
+	for i := len(d.all) - 1; i >= 0; i-- {
+		l := d.all[i]
+		if l.rank <= rank {
+			return false
+		}
+		var big []*Wait
+		for _, q := range l.tens {
+			if len(q) > len(big) {
+				big = q
+			}
+		}
+		if len(big) > 0 {
+			w := big[len(big)-1]
+			d.cut(w)
+			w.out = ErrFull
+			close(w.ch)
+			return true
+		}
+	}
+	return false
+}
+
+// pump gives room to those who wait: by rank, and in turn between the tenants of a rank.
+func (d *Desk) pump() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range append([]*line(nil), d.all...) {
+		var could []*runner.Entry
+		for miss := 0; len(l.turn) > 0 && miss < len(l.turn); {
+			ten := l.turn[0]
+			w := l.tens[ten][0]
+			if could == nil {
+				could = w.Could()
+			}
+			e := d.pick(w, could)
+			if e == nil {
+				miss++
+				l.turn = append(l.turn[1:], ten)
+				continue
+			}
+			miss = 0
+			l.turn = append(l.turn[1:], ten)
+			d.cut(w)
+			w.ch <- e
+		}
+	}
+}
+
+func (d *Desk) pick(w *Wait, could []*runner.Entry) *runner.Entry {
+	var all []One
+	for _, e := range could {
+		if w.Skip[e.Idx] || e.Standing() != "" {
+			continue
+		}
+		n, room := e.Load()
+		all = append(all, One{Entry: e, Idx: e.Idx, Addr: e.Addr, Home: e.Hall() == d.hall, Load: n, Room: room})
+	}
+	depth := d.mem.Match(w.Keys)
+	for len(all) > 0 {
+		i := Nominate(w.Keys, all, depth)
+		if i < 0 {
+			return nil
+		}
+		if e := all[i].Entry; e.Seat(w.Tokens) {
+			d.mem.Note(w.Keys, e.Idx)
+			return e
+		}
+		all = append(all[:i], all[i+1:]...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/board.go
@@ -0,0 +1,225 @@
+// Package relay brings news to every node: a board of records on each, a tree over which new ones
+// flow, and a repair by digests over ranges that mends copies from the newer.
+package relay
+
+import (
+	"hash/fnv"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Ranges is how many ranges of keys have a digest of their own.
+const Ranges = 64
+
+// LayoutKey is the key of the layout's record.
+const LayoutKey = "layout"
+
+// LayoutRec makes the record of a layout.
+//
+//	rec := relay.LayoutRec(7, raw)
+func LayoutRec(seq uint64, raw []byte) Rec { return Rec{Key: LayoutKey, Turn: seq, Body: raw} }
+
+// Newer tells whether a is newer than b.
+//
+//	if relay.Newer(a, b) { ... }
+func Newer(a, b Rec) bool {
+	if a.Gen != b.Gen {
+		return a.Gen > b.Gen
+	}
+	if a.Turn != b.Turn {
+		return a.Turn > b.Turn
+	}
+	return string(a.Body) > string(b.Body)
+}
+
+type held struct {
+	rec Rec
+	at  time.Time
+}
+
+// Board is one node's copy of the news, in shards with a lock each.
+type Board struct {
+	shard [Ranges]struct {
+		mu  sync.RWMutex
+		all map[string]held
+	}
+	see func(Rec)
+}
+
+// NewBoard makes an empty board. see is called for every record that is taken, in no fixed order
+// between keys, and for one key from the older to the newer.
+//
+//	b := relay.NewBoard(func(r relay.Rec) { ... })
+func NewBoard(see func(Rec)) *Board {
+	b := &Board{see: see}
+	for i := range b.shard {
+		b.shard[i].all = map[string]held{}
+	}
+	return b
+}
+
+func hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		h.Write([]byte(p))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+func rangeOf(key string) int { return int(hash(key) % Ranges) }
+
+// Take takes the records that are newer than what stands here, and returns those.
+//
+//	fresh := b.Take(tell.Recs)
+func (b *Board) Take(recs []Rec) []Rec {
+	var fresh []Rec
+	for _, r := range recs {
+		s := &b.shard[rangeOf(r.Key)]
+		s.mu.Lock()
+		old, ok := s.all[r.Key]
+		if !ok || Newer(r, old.rec) {
+			s.all[r.Key] = held{r, time.Now()}
+			fresh = append(fresh, r)
+			if b.see != nil {
+				b.see(r)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return fresh
+}
+
+// Get reads one record and how long ago it came.
+//
+//	rec, age, ok := b.Get("runner/a")
+func (b *Board) Get(key string) (Rec, time.Duration, bool) {
+	s := &b.shard[rangeOf(key)]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	h, ok := s.all[key]
+	return h.rec, time.Since(h.at), ok
+}
+
+// Each visits the records whose key begins with head.
+//
+//	b.Each("runner/", func(r relay.Rec, age time.Duration) { ... })
+func (b *Board) Each(head string, do func(Rec, time.Duration)) {
+	for i := range b.shard {
+		s := &b.shard[i]
+		s.mu.RLock()
+		for k, h := range s.all {
+			if strings.HasPrefix(k, head) {
+				do(h.rec, time.Since(h.at))
+			}
+		}
+		s.mu.RUnlock()
+	}
+}
+
+// Drop forgets records untouched for longer than d: their owner is long gone. The layout stays.
+//
+//	b.Drop(time.Minute)
+func (b *Board) Drop(d time.Duration) {
+	for i := range b.shard {
+		s := &b.shard[i]
+		s.mu.Lock()
+		for k, h := range s.all {
+			if k != LayoutKey && time.Since(h.at) > d {
+				delete(s.all, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func word(n uint64) string {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(n >> (8 * i))
+	}
+	return string(b[:])
+}
+
+// Sum digests every range.
+//
+//	sum := b.Sum("n1")
+func (b *Board) Sum(from string) Sum {
+	out := Sum{From: from, Dig: make([]uint64, Ranges)}
+	for i := range b.shard {
+		s := &b.shard[i]
+		s.mu.RLock()
+		for k, h := range s.all {
+			out.Dig[i] ^= hash(k, word(h.rec.Gen), word(h.rec.Turn))
+		}
+		s.mu.RUnlock()
+	}
+	return out
+}
+
+// Diff names what stands in the ranges whose digest differs from the far side's.
+//
+//	diff := b.Diff(sum)
+func (b *Board) Diff(far Sum) Diff {
+	var out Diff
+	mine := b.Sum("")
+	for i := range b.shard {
+		if i < len(far.Dig) && far.Dig[i] == mine.Dig[i] {
+			continue
+		}
+		out.Range = append(out.Range, i)
+		s := &b.shard[i]
+		s.mu.RLock()
+		for _, h := range s.all {
+			out.Names = append(out.Names, Name{h.rec.Key, h.rec.Gen, h.rec.Turn})
+		}
+		s.mu.RUnlock()
+	}
+	return out
+}
+
+// Fix works out, from the far side's names, what to hand over and what to ask for.
+//
+//	fix := b.Fix("n1", diff)
+func (b *Board) Fix(from string, diff Diff) Fix {
+	out := Fix{From: from}
+	far := map[string]Name{}
+	for _, n := range diff.Names {
+		far[n.Key] = n
+		mine, _, ok := b.Get(n.Key)
+		if !ok || n.Gen > mine.Gen || n.Gen == mine.Gen && n.Turn > mine.Turn {
+			out.Want = append(out.Want, n.Key)
+		}
+	}
+	for _, i := range diff.Range {
+		if i < 0 || i >= Ranges {
+			continue
+		}
+		s := &b.shard[i]
+		s.mu.RLock()
+		for k, h := range s.all {
+			n, ok := far[k]
+			if !ok || h.rec.Gen > n.Gen || h.rec.Gen == n.Gen && h.rec.Turn > n.Turn {
+				out.Recs = append(out.Recs, h.rec)
+			}
+		}
+		s.mu.RUnlock()
+	}
+	sort.Slice(out.Recs, func(i, j int) bool { return out.Recs[i].Key < out.Recs[j].Key })
+	return out
+}
+
+// Pick gives the records asked for.
+//
+//	recs := b.Pick(fix.Want)
+func (b *Board) Pick(keys []string) []Rec {
+	var out []Rec
+	for _, k := range keys {
+		if r, _, ok := b.Get(k); ok {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/msgs.go
@@ -0,0 +1,43 @@
+package relay
+
+//go:generate go tool msgp -tests=false
+
+// Rec is one piece of news. Of two with one key the one with the higher (Gen, Turn) is newer.
+type Rec struct {
+	Key  string `msg:"k"`
+	Gen  uint64 `msg:"g"`
+	Turn uint64 `msg:"t"`
+	Body []byte `msg:"b"`
+}
+
+// Tell hands on news.
+type Tell struct {
+	From string `msg:"f"`
+	Recs []Rec  `msg:"r"`
+}
+
+// Sum is what one says of its copy: a digest for each range of keys.
+type Sum struct {
+	From string   `msg:"f"`
+	Dig  []uint64 `msg:"d"`
+}
+
+// Name is a record without its body.
+type Name struct {
+	Key  string `msg:"k"`
+	Gen  uint64 `msg:"g"`
+	Turn uint64 `msg:"t"`
+}
+
+// Diff names the records of every range that differed.
+type Diff struct {
+	Range []int  `msg:"r"`
+	Names []Name `msg:"n"`
+}
+
+// Fix hands over the records that the far side lacks and asks for those that we lack.
+type Fix struct {
+	From string   `msg:"f"`
+	Recs []Rec    `msg:"r"`
+	Want []string `msg:"w"`
+}
--- /dev/null
+++ b/internal/router/main.go
@@ -0,0 +1,213 @@
+// Package router puts the parts of the router program together.
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/meter"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/operator"
+	"yarrowridge/internal/origin"
+	"yarrowridge/internal/place"
+	"yarrowridge/internal/query"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/runner"
+	"yarrowridge/internal/share"
+	"yarrowridge/internal/web"
+	"yarrowridge/internal/wire"
+)
+
+// Items are the settings of a router.
+var Items = []env.Item{
+	{Name: "name", Kind: env.Text, Must: true, Help: "name of this process, its own in the fleet"},
+	{Name: "hall", Kind: env.Text, Must: true, Help: "hall it stands in"},
+	{Name: "addr", Kind: env.Addr, Must: true, Help: "ip:port where other processes reach it"},
+	{Name: "origin", Kind: env.Addr, Must: true, Help: "ip:port of the origins' listener"},
+	{Name: "runner", Kind: env.Addr, Must: true, Help: "ip:port of the runners' listener"},
+	{Name: "operator", Kind: env.Addr, Help: "ip:port of the operators' listener"},
+	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
+	{Name: "runner-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the runners' key; none: beats need no key"},
+	{Name: "seeds", Kind: env.List, Must: true, Help: "addresses of three other processes of the fleet"},
+	{Name: "drain", Kind: env.Span, Def: "30s", Help: "how long a stop waits for queries under way"},
+	{Name: "notice", Kind: env.Span, Def: "500ms", Help: "how long a stop goes on serving all after /ready has turned"},
+	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
+}
+
+// Main runs a router and returns its exit code.
+//
+//	os.Exit(router.Main(os.Args[1:], os.Stderr))
+func Main(args []string, out io.Writer) int {
+	p, code := env.Start("router", Items, args, out)
+	if code >= 0 {
+		return code
+	}
+	defer p.End()
+	if err := run(p); err != nil {
+		fmt.Fprintf(out, "router: %s\n", err)
+		return env.ExitTrouble
+	}
+	return env.ExitOk
+}
+
+func run(p *env.Proc) error {
+	ctx := p.Ctx
+	desk := place.NewDesk(ctx.Hall, place.NewMemory(1<<18))
+	yard := runner.NewYard(ctx.Hall, desk.Wake)
+	hub := node.NewHub(ctx.Part("node"), p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), yard.See)
+	log := query.NewLog(256)
+	m := meter.New(map[string]func() float64{
+		"yarrowridge_queued":          func() float64 { n, _ := desk.Waiting(); return float64(n) },
+		"yarrowridge_layout_sequence": func() float64 { return float64(hub.Me().Seq) },
+		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[hub.Stale()] },
+	})
+	purses := share.NewPurses(ctx.Part("share"), mover(hub), func() int { return len(hub.Nodes()) }, hub.Short, rules(hub))
+	claims := origin.NewClaims(ctx.Part("claim"), hub)
+	send := runner.NewSender(nil)
+	front := &origin.Front{Ctx: ctx.Part("origin"), Hub: hub, Yard: yard, Desk: desk, Send: send,
+		Meter: m, Log: log, Purses: purses, Again: origin.NewSecond(m), Claims: claims}
+
+	l, err := ctx.Net.Listen(p.Set["addr"])
+	if err != nil {
+		return err
+	}
+	oh, err := web.Handler([]rest.Route{
+		{Method: "GET", Path: "/alive", Handler: func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\"alive\":true}\n") }},
+		{Method: "GET", Path: "/ready", Handler: operator.Ready(hub.Ready)},
+	}, front)
+	if err != nil {
+		return err
+	}
+	rh, err := (&runner.Face{Hub: hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
+	if err != nil {
+		return err
+	}
+	face := &operator.Face{Ctx: ctx.Part("operator"), Core: hub.Core, KeyHash: func() string { return p.Now("operator-key-hash") },
+		Ready: hub.Ready, Metrics: m.Handler(), Views: views(hub, yard, purses, log)}
+	ph, err := face.Handler()
+	if err != nil {
+		return err
+	}
+	var faces []*web.Server
+	for _, f := range []struct {
+		at string
+		h  http.Handler
+	}{{p.Set["origin"], oh}, {p.Set["runner"], rh}, {p.Set["operator"], ph}} {
+		if f.at == "" {
+			continue
+		}
+		s, err := web.Listen(f.at, f.h)
+		if err != nil {
+			return err
+		}
+		go s.Run()
+		faces = append(faces, s)
+	}
+	go wire.Serve(ctx, l, hub.Hand)
+	go desk.Run(ctx)
+	go purses.Run()
+	go hub.Run()
+	go env.Loop(ctx, nil, 250*time.Millisecond, func(struct{}) {}, tell(ctx, hub, yard, desk))
+	ctx.Log.Info("Router is up.", "addr", p.Set["addr"], "origin", p.Set["origin"], "hall", ctx.Hall)
+
+	<-p.Stop
+	ctx.Log.Info("Router leaves. Queries under way are finished.")
+	hub.Quit()
+	env.Wait(ctx, p.Set.Span("notice"))
+	in, end := context.WithTimeout(ctx, p.Set.Span("drain"))
+	defer end()
+	for _, s := range faces {
+		if err := s.Drain(in); err != nil {
+			ctx.Log.Warn("Drain ended before its queries did.", "trouble", err.Error())
+		}
+	}
+	for claims.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
+	}
+	hub.Leave()
+	send.Close()
+	return nil
+}
+
+// rules gives the quotas of the layout in force. A tenant whose quota was struck has none left to draw.
+func rules(hub *node.Hub) func() []share.Rule {
+	return func() []share.Rule {
+		var out []share.Rule
+		if lay := hub.Layout(); lay != nil {
+			for _, t := range lay.Tenants {
+				if t.Quota.Units > 0 {
+					out = append(out, share.Rule{Tenant: t.Name, Units: t.Quota.Units, Window: t.Quota.Window})
+				}
+			}
+		}
+		return out
+	}
+}
+
+// mover carries a draw or a give to the core.
+func mover(hub *node.Hub) share.Mover {
+	return func(ctx context.Context, ten string, turn uint64, units int, give bool) (int, int, error) {
+		var out core.Moved
+		err := hub.Core.Call(ctx, "core.move", &core.Move{Tenant: ten, Holder: core.Holder(hub.Me()), Turn: turn, Units: units, Give: give}, &out, true)
+		return out.Have, out.Under, err
+	}
+}
+
+// tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
+func tell(ctx env.Ctx, hub *node.Hub, yard *runner.Yard, desk *place.Desk) func() {
+	turn, last, still := uint64(0), "", 0
+	return func() {
+		yard.Tally()
+		yard.Forget(time.Minute)
+		w := yard.Own()
+		_, w.Queued = desk.Waiting()
+		raw, err := w.MarshalMsg(nil)
+		if err != nil {
+			return
+		}
+		// An unchanged word is repeated each second, so that others know it still holds.
+		if still++; string(raw) == last && still < 4 {
+			return
+		}
+		turn, last, still = turn+1, string(raw), 0
+		hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: runner.WorkHead + ctx.Name, Gen: ctx.Born, Turn: turn, Body: raw}}})
+	}
+}
+
+// views are what operators may read of this router.
+func views(hub *node.Hub, yard *runner.Yard, purses *share.Purses, log *query.Log) map[string]func() any {
+	return map[string]func() any{
+		"/v1/standing": func() any {
+			return map[string]any{"node": hub.Me(), "stale": hub.Stale(), "why_not_ready": hub.Ready(), "view": hub.Core.View()}
+		},
+		"/v1/relays": func() any { return map[string]any{"near": hub.Near(), "nodes": hub.Nodes()} },
+		"/v1/runners": func() any {
+			out := []any{}
+			for _, e := range yard.List() {
+				n, room := e.Load()
+				queued, rate := e.Feed()
+				why := e.Standing()
+				if why == "" {
+					why = "ready"
+				}
+				out = append(out, map[string]any{"runner": e.News(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued), "rate": rate})
+			}
+			return out
+		},
+		"/v1/shares": func() any {
+			out := map[string]any{}
+			for _, t := range purses.Names() {
+				held, free, spent := purses.For(t).Stat()
+				out[t] = map[string]int{"held": held, "free": free, "spent_in_window": spent}
+			}
+			return out
+		},
+		"/v1/queries": func() any { return log.All() },
+	}
+}
--- /dev/null
+++ b/internal/runner/msgs.go
@@ -0,0 +1,17 @@
+package runner
+
+//go:generate go tool msgp -tests=false
+
+// News is a runner as it told of itself, handed on between routers.
+type News struct {
+	Name   string            `msg:"n" json:"name"`
+	Addr   string            `msg:"a" json:"addr"`
+	Born   string            `msg:"b" json:"born"` // any word that differs between runs at one address
+	Labels map[string]string `msg:"l" json:"labels"`
+	State  string            `msg:"s" json:"state"` // starting, ready or leaving
+	Room   int               `msg:"r" json:"room"`  // streams it takes at once
+	Most   int               `msg:"m" json:"max_length"`
+	Fill   float64           `msg:"f" json:"fill"`
+	Queued int               `msg:"q" json:"queued_tokens"` // its own late count of output still to come
+	Hall   string            `msg:"h" json:"hall"`
+}
--- /dev/null
+++ b/internal/runner/yard.go
@@ -0,0 +1,399 @@
+// Package runner is the peer "model runner" (and any ordinary back end that beats like one): what
+// runners say of themselves, what we see of them, and the one place that sends them queries.
+package runner
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/relay"
+)
+
+// What decides a runner's standing.
+const (
+	Mute    = 5 * time.Second  // no beat for so long: silent
+	Stuck   = 10 * time.Second // queries under way and no byte for so long: stuck
+	barLow  = time.Second
+	barHigh = 16 * time.Second
+	workOld = 3 * time.Second // a router's news of its work older than this is left out
+)
+
+// Entry is one run of one runner, with what this router has sent to it.
+type Entry struct {
+	Idx  int
+	Addr string
+	gen  uint64
+
+	mu      sync.Mutex
+	news    News
+	heard   time.Time
+	told    time.Time // last late report
+	gone    bool
+	streams int
+	tokens  int
+	prog    time.Time // last byte from it, or start of work after idling
+	fails   int
+	bar     time.Time // no new queries before
+	trial   bool      // one query is out to see whether it serves again
+	done    int       // completed streams
+	meter   meter
+	far     node.Load // what other routers say they have sent
+	farRate float64
+}
+
+// meter measures a runner's whole output a second from our own streams: tokens over busy time,
+// scaled by how many of the runner's streams were ours.
+type meter struct {
+	at                       time.Time
+	tokens, busy, mine, all_ float64
+}
+
+func (m *meter) step(now time.Time, own, far int) {
+	if own > 0 && !m.at.IsZero() {
+		d := now.Sub(m.at).Seconds()
+		m.busy += d
+		m.mine += float64(own) * d
+		m.all_ += float64(own+far) * d
+		if m.busy > 30 { // older half fades
+			m.tokens, m.busy, m.mine, m.all_ = m.tokens/2, m.busy/2, m.mine/2, m.all_/2
+		}
+	}
+	m.at = now
+}
+
+func (m *meter) rate() float64 {
+	if m.busy <= 0 || m.mine <= 0 {
+		return 0
+	}
+	return m.tokens / m.busy * m.all_ / m.mine
+}
+
+// Yard is all runners known to this router.
+type Yard struct {
+	hall string
+	mu   sync.RWMutex
+	all  []*Entry
+	by   map[string]*Entry
+	work map[string]farWork
+	wake func()
+}
+
+type farWork struct {
+	work node.Work
+	at   time.Time
+}
+
+// NewYard makes an empty yard; wake is called when a runner may have become free.
+//
+//	y := runner.NewYard("north", desk.Wake)
+func NewYard(hall string, wake func()) *Yard {
+	return &Yard{hall: hall, by: map[string]*Entry{}, work: map[string]farWork{}, wake: wake}
+}
+
+// The heads of the keys under which runners and routers' work stand on the board.
+const (
+	KeyHead  = "runner/"
+	WorkHead = "work/"
+)
+
+// See takes a record of news.
+//
+//	hub := node.NewHub(ctx, addr, face, seeds, yard.See)
+func (y *Yard) See(r relay.Rec) {
+	switch {
+	case strings.HasPrefix(r.Key, KeyHead):
+		var n News
+		if _, err := n.UnmarshalMsg(r.Body); err != nil {
+			return
+		}
+		y.mu.Lock()
+		e := y.by[n.Addr]
+		if e == nil || e.gen != r.Gen {
+			// Another run at a known address is another runner: nothing of the old counts for it.
+			if e != nil {
+				e.mu.Lock()
+				e.gone = true
+				e.mu.Unlock()
+			}
+			e = &Entry{Idx: len(y.all), Addr: n.Addr, gen: r.Gen}
+			y.all = append(y.all, e)
+			y.by[n.Addr] = e
+		}
+		y.mu.Unlock()
+		e.mu.Lock()
+		e.news, e.heard, e.told = n, time.Now(), time.Now()
+		e.mu.Unlock()
+		y.wake()
+	case strings.HasPrefix(r.Key, WorkHead):
+		var w node.Work
+		if _, err := w.UnmarshalMsg(r.Body); err != nil {
+			return
+		}
+		y.mu.Lock()
+		y.work[strings.TrimPrefix(r.Key, WorkHead)] = farWork{w, time.Now()}
+		y.mu.Unlock()
+		y.Tally()
+	}
+}
+
+// Tally sums up anew what the other routers have sent, leaving out those not heard of lately.
+//
+//	yard.Tally()
+func (y *Yard) Tally() {
+	y.mu.Lock()
+	sum := map[string]node.Load{}
+	rate := map[string]float64{}
+	n := map[string]int{}
+	for k, w := range y.work {
+		if time.Since(w.at) > workOld {
+			delete(y.work, k)
+			continue
+		}
+		for a, l := range w.work.Runners {
+			s := sum[a]
+			s.Streams += l.Streams
+			s.Tokens += l.Tokens
+			sum[a] = s
+			if l.Rate > 0 {
+				rate[a] += l.Rate
+				n[a]++
+			}
+		}
+	}
+	all := make([]*Entry, 0, len(y.by))
+	for _, e := range y.by {
+		all = append(all, e)
+	}
+	y.mu.Unlock()
+	now := time.Now()
+	for _, e := range all {
+		e.mu.Lock()
+		e.meter.step(now, e.streams, e.far.Streams)
+		e.far = sum[e.Addr]
+		e.farRate = 0
+		if n[e.Addr] > 0 {
+			e.farRate = rate[e.Addr] / float64(n[e.Addr])
+		}
+		e.mu.Unlock()
+	}
+}
+
+// Waiting is what other routers hold in their queues for a kind of work, in output tokens.
+//
+//	n := yard.Waiting("fit/lumen")
+func (y *Yard) Waiting(kind string) int {
+	y.mu.RLock()
+	defer y.mu.RUnlock()
+	n := 0
+	for _, w := range y.work {
+		if time.Since(w.at) <= workOld {
+			n += w.work.Queued[kind]
+		}
+	}
+	return n
+}
+
+// Own tells our own work, for the other routers.
+//
+//	w := yard.Own()
+func (y *Yard) Own() node.Work {
+	w := node.Work{Runners: map[string]node.Load{}, Queued: map[string]int{}}
+	for _, e := range y.List() {
+		e.mu.Lock()
+		l := node.Load{Streams: e.streams, Tokens: e.tokens}
+		if e.done > 0 {
+			l.Rate = e.meter.rate()
+		}
+		e.mu.Unlock()
+		if l.Streams > 0 || l.Rate > 0 {
+			w.Runners[e.Addr] = l
+		}
+	}
+	return w
+}
+
+// List gives all runs that are not known to be gone, in a steady order.
+//
+//	for _, e := range yard.List() { ... }
+func (y *Yard) List() []*Entry {
+	y.mu.RLock()
+	out := make([]*Entry, 0, len(y.by))
+	for _, e := range y.by {
+		out = append(out, e)
+	}
+	y.mu.RUnlock()
+	sort.Slice(out, func(i, j int) bool { return out[i].Idx < out[j].Idx })
+	return out
+}
+
+// Forget drops runners that have been silent for long.
+//
+//	yard.Forget(time.Minute)
+func (y *Yard) Forget(d time.Duration) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for a, e := range y.by {
+		e.mu.Lock()
+		if time.Since(e.heard) > d && e.streams == 0 {
+			e.gone = true
+			delete(y.by, a)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// News is what the runner last said.
+//
+//	n := e.News()
+func (e *Entry) News() News {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.news
+}
+
+// Standing tells whether the runner may get new queries, and if not why.
+//
+//	if why := e.Standing(); why != "" { ... }
+func (e *Entry) Standing() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.standing(time.Now())
+}
+
+func (e *Entry) standing(now time.Time) string {
+	switch {
+	case e.gone:
+		return "replaced"
+	case e.news.State != "ready":
+		return e.news.State
+	case now.Sub(e.heard) > Mute:
+		return "silent"
+	case e.streams > 0 && now.Sub(e.prog) > Stuck:
+		return "stuck"
+	case now.Before(e.bar):
+		return "failing"
+	case e.fails > 0 && e.trial:
+		return "on trial"
+	}
+	return ""
+}
+
+// Serves tells whether the runner is of the kind asked for, whatever its standing.
+//
+//	if e.Serves(pool, "lumen", 512) { ... }
+func (e *Entry) Serves(sel layout.Selector, model string, tokens int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if model != "" && e.news.Labels["model"] != model {
+		return false
+	}
+	return (e.news.Most == 0 || tokens <= e.news.Most) && sel.Match(e.news.Labels)
+}
+
+// Load is how many streams are on the runner by all accounts, and how many it takes.
+//
+//	n, room := e.Load()
+func (e *Entry) Load() (n, room int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams + e.far.Streams, e.news.Room
+}
+
+// Feed tells the output ahead on the runner and its measured rate. Each stream counts once: our
+// own by our own count, others' by their routers' news. The runner's late report, less what it
+// should have worked off since, only raises the sum where the news know too little.
+//
+//	queued, rate := e.Feed()
+func (e *Entry) Feed() (queued, rate float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.done > 0 {
+		e.meter.step(time.Now(), e.streams, e.far.Streams)
+		rate = e.meter.rate()
+	}
+	if rate == 0 {
+		rate = e.farRate
+	}
+	queued = float64(e.tokens + e.far.Tokens)
+	late := float64(e.news.Queued) - time.Since(e.told).Seconds()*max(rate, 1)
+	return max(queued, late), rate
+}
+
+// Hall is where the runner stands.
+//
+//	if e.Hall() == mine { ... }
+func (e *Entry) Hall() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.news.Hall
+}
+
+// Seat takes a place on the runner for one query, if it may have one now.
+//
+//	if e.Seat(512) { defer e.Leave(...) }
+func (e *Entry) Seat(tokens int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.standing(now) != "" || e.news.Room > 0 && e.streams+e.far.Streams >= e.news.Room {
+		return false
+	}
+	if e.fails > 0 {
+		e.trial = true
+	}
+	e.meter.step(now, e.streams, e.far.Streams)
+	if e.streams == 0 {
+		e.prog = now
+	}
+	e.streams++
+	e.tokens += tokens
+	return true
+}
+
+// Token notes output that has come for one query, and how much of its promise that settles.
+//
+//	e.Token(1, 1)
+func (e *Entry) Token(n, settle int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.meter.step(now, e.streams, e.far.Streams)
+	e.meter.tokens += float64(n)
+	e.tokens = max(0, e.tokens-settle)
+	e.prog = now
+}
+
+// Leave ends a query's place: rest is what was promised and has not come, ok whether the runner
+// answered in full.
+//
+//	e.Leave(412, true)
+func (e *Entry) Leave(rest int, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.meter.step(now, e.streams, e.far.Streams)
+	e.streams--
+	e.tokens = max(0, e.tokens-rest)
+	e.trial = false
+	if ok {
+		e.done++
+		e.fails = 0
+		e.prog = now
+		return
+	}
+}
+
+// Fail notes trouble of the runner's making: it gets no new queries for a while, longer each time.
+//
+//	e.Fail()
+func (e *Entry) Fail() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fails++
+	d := min(barHigh, barLow<<min(e.fails-1, 10))
+	e.bar = time.Now().Add(d)
+}
--- /dev/null
+++ b/internal/share/msgs.go
@@ -0,0 +1,16 @@
+package share
+
+//go:generate go tool msgp -tests=false
+
+// Hold is what one holder has of a tenant's units, and the last turn that changed it.
+type Hold struct {
+	Units int    `msg:"u"`
+	Turn  uint64 `msg:"t"`
+}
+
+// Pot is a tenant's quota as the core keeps it: who holds how many units. Cool are units of
+// holders that are surely gone, not yet free since the last spends may still count.
+type Pot struct {
+	Held map[string]Hold `msg:"h"`
+	Cool map[string]int  `msg:"c"`
+}
--- /dev/null
+++ b/internal/share/pot.go
@@ -0,0 +1,85 @@
+// Package share splits a tenant's quota into unit shares. The shares of all holders never sum to
+// more than the quota, a spent unit comes back to its holder after the window, and only unspent
+// units move, giver first: so no rolling window sees more than the quota, whoever is cut off.
+package share
+
+// Out is how many units are not free: held, or cooling.
+//
+//	free := quota - pot.Out()
+func (p *Pot) Out() int {
+	n := 0
+	for _, h := range p.Held {
+		n += h.Units
+	}
+	for _, c := range p.Cool {
+		n += c
+	}
+	return n
+}
+
+// Draw gives a holder up to want units of what is free under the quota. A turn already taken
+// changes nothing: the answer to it was lost. It returns what the holder has now, and whether
+// the pot changed.
+//
+//	have, changed := pot.Draw("n1/7", 3, 10, 600)
+func (p *Pot) Draw(who string, turn uint64, want, quota int) (int, bool) {
+	h := p.Held[who]
+	if turn <= h.Turn {
+		return h.Units, false
+	}
+	h.Turn = turn
+	if free := quota - p.Out(); free > 0 && want > 0 {
+		h.Units += min(free, want)
+	}
+	p.set(who, h)
+	return h.Units, true
+}
+
+// Give takes back units that the holder has already struck off.
+//
+//	have, changed := pot.Give("n1/7", 4, 5)
+func (p *Pot) Give(who string, turn uint64, units int) (int, bool) {
+	h := p.Held[who]
+	if turn <= h.Turn {
+		return h.Units, false
+	}
+	h.Turn = turn
+	h.Units -= min(max(units, 0), h.Units)
+	p.set(who, h)
+	return h.Units, true
+}
+
+func (p *Pot) set(who string, h Hold) {
+	if p.Held == nil {
+		p.Held = map[string]Hold{}
+	}
+	p.Held[who] = h
+}
+
+// Retire moves a holder's units to cooling: it can spend no more, but what it spent last may
+// still count in a window.
+//
+//	if pot.Retire("n1/7") { ... }
+func (p *Pot) Retire(who string) bool {
+	h, ok := p.Held[who]
+	if !ok {
+		return false
+	}
+	delete(p.Held, who)
+	if h.Units > 0 {
+		if p.Cool == nil {
+			p.Cool = map[string]int{}
+		}
+		p.Cool[who] += h.Units
+	}
+	return true
+}
+
+// Thaw frees a retired holder's units, a window after the retirement.
+//
+//	if pot.Thaw("n1/7") { ... }
+func (p *Pot) Thaw(who string) bool {
+	_, ok := p.Cool[who]
+	delete(p.Cool, who)
+	return ok
+}
--- /dev/null
+++ b/internal/share/purse.go
@@ -0,0 +1,206 @@
+package share
+
+import (
+	"sync"
+	"time"
+)
+
+// Margin is added to the window before a spent unit counts as back: it covers the time between
+// the spend here and the runner's first sight of the query.
+const Margin = 250 * time.Millisecond
+
+// Term is how long a holder that hears nothing of the core may go on spending. The core takes
+// back a silent holder's units only after this and a window more.
+const Term = 24 * time.Hour
+
+// Purse is a node's side: what it holds of one tenant's quota.
+type Purse struct {
+	mu     sync.Mutex
+	units  int // held by the core's word
+	under  int // what all holders had, or the quota if larger, when the core last spoke
+	quota  int // the quota as the layout has it now
+	window time.Duration
+	kept   int // reserved by queries on their way to dispatch
+	spent  []spend
+	out    int // sum of spent
+	heard  time.Time
+	turn   uint64
+	busy   bool          // one draw or give is under way
+	first  chan struct{} // closed by the core's first word
+	need   int           // the largest cost that was lately turned away or near the edge
+}
+
+type spend struct {
+	n  int
+	at time.Time
+}
+
+// NewPurse makes an empty purse.
+//
+//	p := share.NewPurse()
+func NewPurse() *Purse { return &Purse{heard: time.Now(), first: make(chan struct{})} }
+
+// Rule sets the tenant's quota as the layout has it now. A lowered quota shrinks at once what may
+// be spent here, in proportion.
+//
+//	p.Rule(600, time.Minute)
+func (p *Purse) Rule(quota int, window time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.quota, p.window = quota, max(p.window, window)
+	if p.out == 0 {
+		p.window = window
+	}
+}
+
+func (p *Purse) sweep(now time.Time) {
+	for len(p.spent) > 0 && now.Sub(p.spent[0].at) > p.window+Margin {
+		p.out -= p.spent[0].n
+		p.spent = p.spent[1:]
+	}
+}
+
+// free is what may be promised now; the caller holds the lock.
+func (p *Purse) free(now time.Time) int {
+	p.sweep(now)
+	return p.cap() - p.out - p.kept
+}
+
+// cap is what of the units may be in use. Under a lowered quota each holder cuts its own part in
+// proportion, so that the sum is within the quota before any unit has been given back.
+func (p *Purse) cap() int {
+	if p.under <= p.quota {
+		return p.units
+	}
+	return p.units * p.quota / p.under
+}
+
+// Keep reserves n units for a query that has been let in. False: not enough, and the time
+// after which to ask again.
+//
+//	if ok, again := p.Keep(1); !ok { ... }
+func (p *Purse) Keep(n int) (bool, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.heard) > Term {
+		return false, time.Minute
+	}
+	if p.free(now) < n {
+		p.need = max(p.need, n)
+		again := time.Second
+		if len(p.spent) > 0 && p.units >= n {
+			again = max(again, p.window+Margin-now.Sub(p.spent[0].at))
+		}
+		return false, again
+	}
+	p.kept += n
+	return true, 0
+}
+
+// Spend turns a reservation into a spend: the query leaves now.
+//
+//	p.Spend(1)
+func (p *Purse) Spend(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept -= n
+	p.out += n
+	p.spent = append(p.spent, spend{n, time.Now()})
+}
+
+// Loose ends a reservation unspent.
+//
+//	p.Loose(1)
+func (p *Purse) Loose(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept -= n
+}
+
+// Heard notes that the core was heard of.
+//
+//	p.Heard()
+func (p *Purse) Heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = time.Now()
+}
+
+// Want starts a draw if one is called for: it tells the turn and how much to ask, or ok false.
+// Until Got is called no other move starts: a turn whose answer was lost is asked again as it was.
+//
+//	turn, n, ok := p.Want(14)
+func (p *Purse) Want(nodes int) (turn uint64, n int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy || p.quota == 0 {
+		return 0, 0, false
+	}
+	now := time.Now()
+	part := max(1, p.quota/(2*max(1, nodes)))
+	if p.free(now) >= max(p.need, part/4) && p.units > 0 {
+		return 0, 0, false
+	}
+	p.busy = true
+	p.turn++
+	return p.turn, max(part, p.need), true
+}
+
+// Spare starts a give if the fleet is short of this tenant's units and some lie idle here: the
+// units are struck off at once, before the core may hand them on.
+//
+//	turn, n, ok := p.Spare()
+func (p *Purse) Spare() (turn uint64, n int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy {
+		return 0, 0, false
+	}
+	p.sweep(time.Now())
+	idle := p.units - p.out - p.kept
+	n = idle / 2
+	if p.out == 0 && p.need == 0 {
+		n = (idle + 1) / 2
+	}
+	if over := p.units - p.cap(); over > n {
+		n = min(over, idle)
+	}
+	if n <= 0 {
+		return 0, 0, false
+	}
+	p.busy = true
+	p.turn++
+	p.units -= n
+	return p.turn, n, true
+}
+
+// Got ends a draw or a give with the core's word on what is held now.
+//
+//	p.Got(turn, 40, 600)
+func (p *Purse) Got(turn uint64, have, under int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if turn != p.turn || !p.busy {
+		return
+	}
+	p.busy = false
+	select {
+	case <-p.first:
+	default:
+		close(p.first)
+	}
+	p.units, p.under = have, under
+	p.need = 0
+	p.heard = time.Now()
+}
+
+// Stat tells what is held, what may be spent now, and what was spent in the window.
+//
+//	held, free, out := p.Stat()
+func (p *Purse) Stat() (held, free, out int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.free(time.Now())
+	return p.units, f, p.out
+}
--- /dev/null
+++ b/internal/share/purses.go
@@ -0,0 +1,142 @@
+package share
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/env"
+)
+
+// Mover asks the core for a draw or a give and tells what is held after it, and under what sum.
+type Mover func(ctx context.Context, tenant string, turn uint64, units int, give bool) (have, under int, err error)
+
+// Purses are a node's purses, and the part that moves units to and from them.
+type Purses struct {
+	ctx   env.Ctx
+	move  Mover
+	nodes func() int
+	short func() []string
+	rules func() []Rule
+	bell  chan struct{}
+	mu    sync.Mutex
+	all   map[string]*Purse
+}
+
+// Rule is a tenant's quota as the layout has it.
+type Rule struct {
+	Tenant string
+	Units  int
+	Window time.Duration
+}
+
+// NewPurses makes the purses of a node. nodes counts the live nodes, short names the tenants whose
+// idle units are wanted back, rules gives the quotas of the layout.
+//
+//	ps := share.NewPurses(ctx, move, nodes, hub.Short, rules)
+func NewPurses(ctx env.Ctx, move Mover, nodes func() int, short func() []string, rules func() []Rule) *Purses {
+	return &Purses{ctx: ctx, move: move, nodes: nodes, short: short, rules: rules, bell: make(chan struct{}, 1), all: map[string]*Purse{}}
+}
+
+// For gives a tenant's purse.
+//
+//	ok, again := ps.For("counter").Keep(1)
+func (ps *Purses) For(tenant string) *Purse {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	p := ps.all[tenant]
+	if p == nil {
+		p = NewPurse()
+		ps.all[tenant] = p
+	}
+	return p
+}
+
+// Keep reserves units of a tenant's quota. A node that has not yet had the core's first word
+// about the tenant waits a moment for it.
+//
+//	ok, again := ps.Keep(ctx, "counter", 1)
+func (ps *Purses) Keep(ctx context.Context, tenant string, n int) (bool, time.Duration) {
+	p := ps.For(tenant)
+	ok, again := p.Keep(n)
+	if ok {
+		return true, 0
+	}
+	ps.Wake()
+	t := time.NewTimer(time.Second)
+	defer t.Stop()
+	select {
+	case <-p.first:
+	case <-t.C:
+		return false, again
+	case <-ctx.Done():
+		return false, again
+	}
+	return p.Keep(n)
+}
+
+// Wake looks at once whether units should be drawn.
+//
+//	ps.Wake()
+func (ps *Purses) Wake() {
+	select {
+	case ps.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Names lists the tenants that have a purse here.
+//
+//	for _, t := range ps.Names() { ... }
+func (ps *Purses) Names() []string {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var out []string
+	for t := range ps.all {
+		out = append(out, t)
+	}
+	return out
+}
+
+// Run draws and gives until the context ends.
+//
+//	go ps.Run()
+func (ps *Purses) Run() {
+	env.Loop(ps.ctx, ps.bell, 500*time.Millisecond, func(struct{}) { ps.round() }, ps.round)
+}
+
+func (ps *Purses) round() {
+	short := map[string]bool{}
+	for _, t := range ps.short() {
+		short[t] = true
+	}
+	for _, r := range ps.rules() {
+		ps.For(r.Tenant).Rule(r.Units, r.Window)
+	}
+	for _, t := range ps.Names() {
+		p := ps.For(t)
+		if turn, n, ok := p.Want(ps.nodes()); ok {
+			go ps.carry(t, p, turn, n, false)
+		} else if short[t] {
+			if turn, n, ok := p.Spare(); ok {
+				go ps.carry(t, p, turn, n, true)
+			}
+		}
+	}
+}
+
+// carry repeats one turn until the core has answered it: a lost answer changes nothing.
+func (ps *Purses) carry(t string, p *Purse, turn uint64, n int, give bool) {
+	for {
+		ctx, end := context.WithTimeout(ps.ctx, 5*time.Second)
+		have, under, err := ps.move(ctx, t, turn, n, give)
+		end()
+		if err == nil {
+			p.Got(turn, have, under)
+			return
+		}
+		if !env.Wait(ps.ctx, 500*time.Millisecond) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,265 @@
+// Package store keeps versions on disk: one file a version, each holding the changes that were
+// synced together, with a base version now and then so that old files can go.
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrBroken means a version that was once whole on disk no longer is.
+var ErrBroken = errors.New("store: a version is damaged or missing")
+
+// ErrGap means a batch does not follow on from the state held.
+var ErrGap = errors.New("store: batch does not follow")
+
+// Seal adds a checksum so that a damaged file is known for what it is.
+//
+//	d.Write("ballot", store.Seal(raw))
+func Seal(raw []byte) []byte {
+	return binary.BigEndian.AppendUint32(bytes.Clone(raw), crc32.ChecksumIEEE(raw))
+}
+
+// Unseal checks and strips the checksum.
+//
+//	raw, ok := store.Unseal(file)
+func Unseal(file []byte) ([]byte, bool) {
+	if len(file) < 4 {
+		return nil, false
+	}
+	raw, sum := file[:len(file)-4], binary.BigEndian.Uint32(file[len(file)-4:])
+	return raw, crc32.ChecksumIEEE(raw) == sum
+}
+
+// Tidy sets aside what a broken write left behind, and says so.
+//
+//	err := store.Tidy(d, log)
+func Tidy(d Disk, log *slog.Logger) error {
+	all, err := d.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		if strings.HasSuffix(n, ".aside") {
+			log.Warn("Unfinished file removed.", "file", n)
+			if err := d.Remove(n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Store is the state held on one disk.
+type Store struct {
+	disk Disk
+	mu   sync.RWMutex
+	seq  uint64
+	base uint64
+	all  map[string][]byte
+	size int // bytes written since the base
+	sync sync.Mutex
+	shut bool
+}
+
+func name(seq uint64) string { return fmt.Sprintf("v-%016x", seq) }
+
+// Open reads all versions. ErrBroken is returned where a sealed version is damaged or missing:
+// the caller must then count this disk as blank.
+//
+//	s, err := store.Open(d, log)
+func Open(d Disk, log *slog.Logger) (*Store, error) {
+	s := &Store{disk: d, all: map[string][]byte{}}
+	names, err := d.List()
+	if err != nil {
+		return nil, err
+	}
+	var got []Batch
+	for _, n := range names {
+		if !strings.HasPrefix(n, "v-") || strings.HasSuffix(n, ".aside") {
+			continue
+		}
+		file, err := d.Read(n)
+		if err != nil {
+			return nil, err
+		}
+		raw, ok := Unseal(file)
+		var b Batch
+		if ok {
+			_, err = b.UnmarshalMsg(raw)
+		}
+		if !ok || err != nil || name(b.Seq) != n {
+			log.Error("Version is damaged.", "file", n)
+			return nil, eris.Wrap(ErrBroken, n)
+		}
+		got = append(got, b)
+	}
+	sort.Slice(got, func(i, j int) bool { return got[i].Seq < got[j].Seq })
+	from := -1
+	for i, b := range got {
+		if b.Base {
+			from = i
+		}
+	}
+	if len(got) == 0 {
+		return s, nil
+	}
+	if from < 0 && got[0].Seq != 1 {
+		return nil, eris.Wrap(ErrBroken, "no base version")
+	}
+	if from < 0 {
+		from = 0
+	}
+	for i, b := range got[from:] {
+		if i > 0 && b.Seq != s.seq+1 {
+			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.seq+1)
+		}
+		s.take(b)
+	}
+	return s, nil
+}
+
+func (s *Store) take(b Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.Base {
+		s.all = map[string][]byte{}
+		s.base, s.size = b.Seq, 0
+	}
+	for _, p := range b.Puts {
+		s.size += len(p.Key) + len(p.Val)
+		if p.Gone {
+			delete(s.all, p.Key)
+		} else {
+			s.all[p.Key] = p.Val
+		}
+	}
+	s.seq = b.Seq
+}
+
+// Seq is the newest version held.
+//
+//	n := s.Seq()
+func (s *Store) Seq() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.seq
+}
+
+// Get reads a key.
+//
+//	raw, ok := s.Get("layout")
+func (s *Store) Get(key string) ([]byte, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.all[key]
+	return v, ok
+}
+
+// Each visits all keys with a prefix, in no order.
+//
+//	s.Each("share/", func(k string, v []byte) { ... })
+func (s *Store) Each(head string, do func(string, []byte)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for k, v := range s.all {
+		if strings.HasPrefix(k, head) {
+			do(k, v)
+		}
+	}
+}
+
+// Whole gives the state as a base batch.
+//
+//	b := s.Whole()
+func (s *Store) Whole() Batch {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	b := Batch{Seq: s.seq, Base: true}
+	for k, v := range s.all {
+		b.Puts = append(b.Puts, Put{Key: k, Val: v})
+	}
+	sort.Slice(b.Puts, func(i, j int) bool { return b.Puts[i].Key < b.Puts[j].Key })
+	return b
+}
+
+// Add writes and syncs one batch, then takes it. A batch must follow the one before,
+// or be a base, which replaces all. After an error the disk's word can't be relied on:
+// the caller must stop leading.
+//
+//	err := s.Add(store.Batch{Seq: s.Seq() + 1, Puts: puts})
+func (s *Store) Add(b Batch) error {
+	s.sync.Lock()
+	defer s.sync.Unlock()
+	if s.shut {
+		return eris.New("store: closed")
+	}
+	if !b.Base && b.Seq != s.Seq()+1 {
+		return eris.Wrapf(ErrGap, "have %d, got %d", s.Seq(), b.Seq)
+	}
+	raw, err := b.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	if b.Base {
+		// Versions above the base belong to a history that was never acknowledged.
+		if err := s.drop(func(n string) bool { return n > name(b.Seq) }); err != nil {
+			return err
+		}
+	}
+	if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
+		return err
+	}
+	s.take(b)
+	if b.Base {
+		return s.drop(func(n string) bool { return n < name(b.Seq) })
+	}
+	return nil
+}
+
+// Close waits for a write that is under way and bounces all later ones.
+//
+//	s.Close()
+func (s *Store) Close() {
+	s.sync.Lock()
+	defer s.sync.Unlock()
+	s.shut = true
+}
+
+func (s *Store) drop(which func(string) bool) error {
+	all, err := s.disk.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		if strings.HasPrefix(n, "v-") && which(n) {
+			if err := s.disk.Remove(n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Due tells whether enough has piled up since the last base to write a new one.
+//
+//	if s.Due() { err = s.Rebase() }
+func (s *Store) Due() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.seq-s.base > 4096 || s.size > 32<<20
+}
+
+// Rebase writes the state as a base in place of the newest version and drops what is older.
+//
+//	err := s.Rebase()
+func (s *Store) Rebase() error { return s.Add(s.Whole()) }
--- /dev/null
+++ b/internal/view/msgs.go
@@ -0,0 +1,85 @@
+package view
+
+//go:generate go tool msgp -tests=false
+
+// Member is one core process: a random identity kept on its disk, and where it listens.
+type Member struct {
+	Id   string `msg:"i" json:"id"`
+	Addr string `msg:"a" json:"addr"`
+}
+
+// View is the small record that a majority of members decides: who is primary and who is backup.
+type View struct {
+	Epoch   uint64   `msg:"e" json:"epoch"`
+	Members []Member `msg:"m" json:"members"`
+	Prime   string   `msg:"p" json:"primary"`
+	Back    string   `msg:"b" json:"backup"`
+}
+
+// Ballot orders the tries at deciding one epoch.
+type Ballot struct {
+	N   uint64 `msg:"n"`
+	Who string `msg:"w"`
+}
+
+// Book is what a voter keeps on disk. Vows and accepted views belong to epoch View.Epoch+1.
+type Book struct {
+	Id   string `msg:"i"`
+	View View   `msg:"v"`
+	Vow  Ballot `msg:"b"`
+	Acc  Ballot `msg:"a"`
+	Next View   `msg:"n"`
+}
+
+// Prep asks for a vow on the epoch after Cur.
+type Prep struct {
+	Cur    View   `msg:"c"`
+	Ballot Ballot `msg:"b"`
+}
+
+// Vow answers a Prep: yes, or why not.
+type Vow struct {
+	Ok     bool   `msg:"o"`
+	Leased bool   `msg:"l"` // the primary's lease has not run out here
+	Seen   Ballot `msg:"s"`
+	Acc    Ballot `msg:"a"`
+	Next   View   `msg:"n"`
+	View   View   `msg:"v"` // what is decided here; newer than Cur means Cur is old
+	Id     string `msg:"i"`
+}
+
+// Pick asks a voter to accept a view.
+type Pick struct {
+	Cur    View   `msg:"c"`
+	Ballot Ballot `msg:"b"`
+	Next   View   `msg:"n"`
+}
+
+// Learn tells a decided view.
+type Learn struct {
+	View View `msg:"v"`
+}
+
+// Renew asks a voter to lease the primacy of a view to its primary.
+type Renew struct {
+	View View `msg:"v"`
+}
+
+// Grant answers Renew.
+type Grant struct {
+	Ok   bool   `msg:"o"`
+	Vow  bool   `msg:"p"` // refused since a vow for the next epoch stands here
+	View View   `msg:"v"`
+	Id   string `msg:"i"`
+}
+
+// Ask asks a process what it knows of the core.
+type Ask struct{}
+
+// Told says which view a process knows, and who it is. Blank voters have no view.
+type Told struct {
+	Id   string `msg:"i"`
+	Addr string `msg:"a"`
+	View View   `msg:"v"`
+	Acc  bool   `msg:"c"` // a founding view was accepted but not learnt as decided
+}
--- /dev/null
+++ b/internal/wire/msgs.go
@@ -0,0 +1,13 @@
+package wire
+
+//go:generate go tool msgp -tests=false
+
+// Frame is what goes over the wire between our own processes: one call or one answer.
+// Fmt is the message format of the sender; neighbours one format apart still talk.
+type Frame struct {
+	Fmt  uint8  `msg:"f"`
+	Id   uint64 `msg:"i"`
+	Kind string `msg:"k"`
+	Err  string `msg:"e"`
+	Body []byte `msg:"b"`
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,357 @@
+// Package wire carries msgp frames between yarrowridge's own processes.
+// It knows nothing of what the frames mean: each peer package owns its messages.
+package wire
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Fmt is the format this build speaks. A frame one below or above is read too.
+const Fmt = 1
+
+// Most is the largest frame body read, in bytes.
+const Most = 8 << 20
+
+// Two kinds of trouble a caller must tell apart.
+var (
+	// ErrUnsent means no byte of the call has left this process.
+	ErrUnsent = errors.New("not sent")
+	// ErrDoubt means the call may have been carried out.
+	ErrDoubt = errors.New("in doubt")
+)
+
+// Net dials and listens. The daemons use TCP; the simulated fleet uses memory.
+type Net interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+}
+
+// TCP is the net of the daemons.
+//
+//	con, err := wire.TCP{}.Dial(ctx, "127.0.0.1:7401")
+type TCP struct{}
+
+// Dial opens a connection within two seconds.
+//
+//	con, err := wire.TCP{}.Dial(ctx, "127.0.0.1:7401")
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: 2 * time.Second}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Listen binds addr.
+//
+//	l, err := wire.TCP{}.Listen("127.0.0.1:7401")
+func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Fault is an answer of "no" from the far side, as against a break on the way.
+type Fault struct{ Code string }
+
+// Error gives the code.
+//
+//	wire.Fault{Code: "lost"}.Error() // "lost"
+func (f Fault) Error() string { return f.Code }
+
+// Is tells whether err is a far-side fault with this code.
+//
+//	if wire.Is(err, "not-primary") { ... }
+func Is(err error, code string) bool {
+	var f Fault
+	return errors.As(err, &f) && f.Code == code
+}
+
+// Hand carries out one call: kind and body in, answer out.
+type Hand func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error)
+
+func write(w io.Writer, f *Frame) error {
+	buf := make([]byte, 4, 64+len(f.Body))
+	buf, err := f.MarshalMsg(buf)
+	if err != nil {
+		return err
+	}
+	binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
+	_, err = w.Write(buf)
+	return err
+}
+
+func read(r io.Reader, f *Frame) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > Most+1024 {
+		return eris.Errorf("wire: frame of %d bytes, at most %d expected", n, Most)
+	}
+	buf := make([]byte, n)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return err
+	}
+	if _, err := f.UnmarshalMsg(buf); err != nil {
+		return eris.Wrap(err, "wire: frame unread")
+	}
+	if f.Fmt+1 < Fmt || f.Fmt > Fmt+1 {
+		return eris.Errorf("wire: format %d, %d to %d expected", f.Fmt, Fmt-1, Fmt+1)
+	}
+	return nil
+}
+
+// Serve answers calls on l until ctx ends. Each call runs as its own task.
+//
+//	go wire.Serve(ctx, l, hand)
+func Serve(ctx context.Context, l net.Listener, hand Hand) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var all sync.WaitGroup
+	for {
+		con, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				all.Wait()
+				return
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		all.Go(func() { serve(ctx, con, hand) })
+	}
+}
+
+func serve(ctx context.Context, con net.Conn, hand Hand) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	stop := context.AfterFunc(ctx, func() { con.Close() })
+	defer stop()
+	defer con.Close()
+	var mu sync.Mutex
+	for {
+		var f Frame
+		if read(con, &f) != nil {
+			return
+		}
+		go func() {
+			out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind}
+			ans, err := hand(ctx, f.Kind, f.Body)
+			if err == nil && ans != nil {
+				out.Body, err = ans.MarshalMsg(nil)
+			}
+			if err != nil {
+				out.Err = "trouble"
+				var far Fault
+				if errors.As(err, &far) {
+					out.Err = far.Code
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			con.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			if write(con, &out) != nil {
+				con.Close()
+			}
+		}()
+	}
+}
+
+// Caller makes calls, keeping one open connection for each address.
+type Caller struct {
+	net  Net
+	mu   sync.Mutex
+	open map[string]*link
+}
+
+type link struct {
+	mu   sync.Mutex
+	con  net.Conn
+	next uint64
+	wait map[uint64]chan Frame
+	dead bool
+}
+
+// NewCaller makes a caller over a net.
+//
+//	cal := wire.NewCaller(wire.TCP{})
+func NewCaller(n Net) *Caller { return &Caller{net: n, open: map[string]*link{}} }
+
+// Close ends all connections.
+//
+//	defer cal.Close()
+func (c *Caller) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, l := range c.open {
+		l.kill()
+		delete(c.open, k)
+	}
+}
+
+func (l *link) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		return
+	}
+	l.dead = true
+	l.con.Close()
+	for _, ch := range l.wait {
+		close(ch)
+	}
+	l.wait = nil
+}
+
+func (l *link) loop() {
+	for {
+		var f Frame
+		if read(l.con, &f) != nil {
+			l.kill()
+			return
+		}
+		l.mu.Lock()
+		ch := l.wait[f.Id]
+		delete(l.wait, f.Id)
+		l.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+	}
+}
+
+func (c *Caller) dial(ctx context.Context, addr string) (*link, error) {
+	c.mu.Lock()
+	l := c.open[addr]
+	c.mu.Unlock()
+	if l != nil {
+		l.mu.Lock()
+		dead := l.dead
+		l.mu.Unlock()
+		if !dead {
+			return l, nil
+		}
+	}
+	con, err := c.net.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	l = &link{con: con, wait: map[uint64]chan Frame{}}
+	c.mu.Lock()
+	if old := c.open[addr]; old != nil {
+		old.mu.Lock()
+		dead := old.dead
+		old.mu.Unlock()
+		if !dead {
+			c.mu.Unlock()
+			con.Close()
+			return old, nil
+		}
+	}
+	c.open[addr] = l
+	c.mu.Unlock()
+	go l.loop()
+	return l, nil
+}
+
+// Call sends in to addr and reads the answer into out (nil where none is wanted).
+// The error wraps ErrUnsent, ErrDoubt or a Fault, with the step and the peer.
+//
+//	err := cal.Call(ctx, addr, "core.find", &ask, &ans)
+func (c *Caller) Call(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	f := Frame{Fmt: Fmt, Kind: kind}
+	if in != nil {
+		var err error
+		if f.Body, err = in.MarshalMsg(nil); err != nil {
+			return err
+		}
+	}
+	l, err := c.dial(ctx, addr)
+	if err != nil {
+		return eris.Wrapf(errors.Join(ErrUnsent, err), "%s to %s", kind, addr)
+	}
+	ch := make(chan Frame, 1)
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return eris.Wrapf(ErrUnsent, "%s to %s", kind, addr)
+	}
+	l.next++
+	f.Id = l.next
+	l.wait[f.Id] = ch
+	if end, ok := ctx.Deadline(); ok {
+		l.con.SetWriteDeadline(end)
+	} else {
+		l.con.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	}
+	err = write(l.con, &f)
+	l.mu.Unlock()
+	if err != nil {
+		l.kill()
+		return eris.Wrapf(errors.Join(ErrDoubt, err), "%s to %s", kind, addr)
+	}
+	select {
+	case ans, ok := <-ch:
+		if !ok {
+			return eris.Wrapf(ErrDoubt, "%s to %s: connection lost", kind, addr)
+		}
+		if ans.Err != "" {
+			return eris.Wrapf(Fault{ans.Err}, "%s to %s", kind, addr)
+		}
+		if out != nil {
+			if _, err := out.UnmarshalMsg(ans.Body); err != nil {
+				return eris.Wrapf(errors.Join(ErrDoubt, err), "%s to %s: answer unread", kind, addr)
+			}
+		}
+		return nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		delete(l.wait, f.Id)
+		l.mu.Unlock()
+		return eris.Wrapf(errors.Join(ErrDoubt, ctx.Err()), "%s to %s", kind, addr)
+	}
+}
+
+// Hands sends each call to the hand that owns the part of its kind before the dot.
+//
+//	wire.Hands{"core": a, "view": b}.Do
+type Hands map[string]Hand
+
+// Do is the Hand that splits by owner.
+//
+//	wire.Serve(ctx, l, hands.Do)
+func (h Hands) Do(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+	for i := range len(kind) {
+		if kind[i] == '.' {
+			if own := h[kind[:i]]; own != nil {
+				return own(ctx, kind, body)
+			}
+			break
+		}
+	}
+	return nil, Fault{"unknown-kind"}
+}
+
+// On unpacks a call's body and passes it to a typed function.
+//
+//	return wire.On(body, func(in *Ask) (*Ans, error) { ... })
+func On[I any, P interface {
+	*I
+	msgp.Unmarshaler
+}, O msgp.Marshaler](body []byte, do func(P) (O, error)) (msgp.Marshaler, error) {
+	in := P(new(I))
+	if _, err := in.UnmarshalMsg(body); err != nil {
+		return nil, Fault{"bad-body"}
+	}
+	return do(in)
+}
