Keep the backup in another hall than the primary, so that one hall cannot take both

Cause: founding took the two members with the lowest addresses, enlisting the lowest identity; with five cores in four halls both could stand in one hall. A hall taken out then took primary and backup together, and only their return could lead on. Change: members carry their hall; founding, enlisting and a calm primary prefer another hall. The drill's gap figure now counts an outage that has not ended.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -392,10 +392,17 @@
 		if !ok || t.View.Epoch > 0 || t.Id == "" {
 			return
 		}
-		cur.Members = append(cur.Members, view.Member{Id: t.Id, Addr: a})
+		cur.Members = append(cur.Members, view.Member{Id: t.Id, Addr: a, Hall: t.Hall})
 	}
 	next := cur
 	next.Prime, next.Back = cur.Members[0].Id, cur.Members[min(1, len(cur.Members)-1)].Id
+	for _, m := range cur.Members {
+		// The loss of one hall must not take both.
+		if m.Hall != cur.Members[0].Hall {
+			next.Back = m.Id
+			break
+		}
+	}
 	s.decide(cur, next, true)
 }
 
@@ -480,7 +487,7 @@
 	v = s.vot.View()
 	ctx, end := context.WithTimeout(s.ctx, step)
 	defer end()
-	if err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr}}, nil); err != nil {
+	if err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr, Hall: s.ctx.Hall}}, nil); err != nil {
 		s.ctx.Log.Debug("No answer to our wish to join.", "trouble", err.Error())
 	}
 }
@@ -531,6 +538,9 @@
 			s.start(v)
 		}
 	}
+	if !gone && v.Hall(v.Back) == s.ctx.Hall && s.elsewhere(v, ls) && s.pause(2*time.Second) {
+		gone = true // a backup in another hall outlives the loss of ours
+	}
 	if gone {
 		s.ctx.Log.Warn("Backup is let go.", "peer", v.Addr(v.Back))
 		s.setReady(false)
@@ -572,7 +582,8 @@
 		if m.Id == me || ls.Gone(m.Id, time.Time{}) > time.Second || time.Since(s.bad[m.Id]) < 5*time.Second {
 			continue
 		}
-		if best == nil || m.Id < best.Id {
+		away := m.Hall != s.ctx.Hall
+		if best == nil || away && best.Hall == s.ctx.Hall || away == (best.Hall != s.ctx.Hall) && m.Id < best.Id {
 			best = &v.Members[i]
 		}
 	}
@@ -588,6 +599,19 @@
 	s.decide(v, next, false)
 }
 
+// elsewhere tells whether a member of another hall has answered us steadily and could be backup.
+func (s *Server) elsewhere(v view.View, ls *lease.Lease) bool {
+	s.mu.Lock()
+	calm := s.ready && time.Since(s.since) > 5*time.Second
+	s.mu.Unlock()
+	for _, m := range v.Members {
+		if calm && m.Hall != s.ctx.Hall && ls.Gone(m.Id, time.Time{}) < time.Second && time.Since(s.bad[m.Id]) > 10*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
 // copyTo brings a backup to exactly our state.
 func (s *Server) copyTo(v view.View, addr, id string) bool {
 	s.synced = ""
--- a/internal/drill/check.go
+++ b/internal/drill/check.go
@@ -141,21 +141,21 @@
 	}
 }
 
-// Gap is the longest time, from a moment on, in which no query of a kind came to a whole answer.
+// Gap is the longest time between two moments in which no query of a kind came to a whole answer.
 //
-//	back := drill.Gap(outs, "checks", fault)
-func Gap(outs []Outcome, kind string, from time.Time) time.Duration {
+//	back := drill.Gap(outs, "checks", fault, time.Now())
+func Gap(outs []Outcome, kind string, from, to time.Time) time.Duration {
 	var ends []time.Time
 	for _, o := range outs {
 		if o.Kind == kind && o.Whole && o.Status == 200 {
-			if end := o.Begun.Add(o.Took); end.After(from) {
+			if end := o.Begun.Add(o.Took); end.After(from) && end.Before(to) {
 				ends = append(ends, end)
 			}
 		}
 	}
 	sort.Slice(ends, func(i, j int) bool { return ends[i].Before(ends[j]) })
 	long := time.Duration(0)
-	for _, e := range ends {
+	for _, e := range append(ends, to) {
 		long = max(long, e.Sub(from))
 		from = e
 	}
--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -138,7 +138,7 @@
 	}
 	nap(ctx, span/3)
 	for _, k := range f.Mix.Kinds {
-		fmt.Fprintf(out, "  %s: longest time without a whole answer %s\n", k.Name, Gap(load.All(), k.Name, at).Round(time.Millisecond))
+		fmt.Fprintf(out, "  %s: longest time without a whole answer %s\n", k.Name, Gap(load.All(), k.Name, at, time.Now()).Round(time.Millisecond))
 	}
 	for _, p := range procs {
 		p.Wait(10 * time.Second)
--- a/internal/view/msgs.go
+++ b/internal/view/msgs.go
@@ -6,6 +6,7 @@
 type Member struct {
 	Id   string `msg:"i" json:"id"`
 	Addr string `msg:"a" json:"addr"`
+	Hall string `msg:"h" json:"hall"`
 }
 
 // View is the small record that a majority of members decides: who is primary and who is backup.
@@ -80,6 +81,7 @@
 type Told struct {
 	Id   string `msg:"i"`
 	Addr string `msg:"a"`
+	Hall string `msg:"h"`
 	View View   `msg:"v"`
 	Acc  bool   `msg:"c"` // a founding view was accepted but not learnt as decided
 }
--- a/internal/view/msgs_gen.go
+++ b/internal/view/msgs_gen.go
@@ -909,6 +909,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "h":
+			z.Hall, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -922,9 +928,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "i"
-	err = en.Append(0x82, 0xa1, 0x69)
+	err = en.Append(0x83, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -943,19 +949,32 @@
 		err = msgp.WrapError(err, "Addr")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Hall)
+	if err != nil {
+		err = msgp.WrapError(err, "Hall")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
+	o = append(o, 0x83, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Id)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Hall)
 	return
 }
 
@@ -989,6 +1008,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "h":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1003,7 +1028,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall)
 	return
 }
 
@@ -1597,6 +1622,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "h":
+			z.Hall, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
 		case "v":
 			err = z.View.DecodeMsg(dc)
 			if err != nil {
@@ -1622,9 +1653,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Told) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "i"
-	err = en.Append(0x84, 0xa1, 0x69)
+	err = en.Append(0x85, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -1643,6 +1674,16 @@
 		err = msgp.WrapError(err, "Addr")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Hall)
+	if err != nil {
+		err = msgp.WrapError(err, "Hall")
+		return
+	}
 	// write "v"
 	err = en.Append(0xa1, 0x76)
 	if err != nil {
@@ -1669,13 +1710,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
+	o = append(o, 0x85, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Id)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Hall)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o, err = z.View.MarshalMsg(o)
@@ -1719,6 +1763,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "h":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
 		case "v":
 			bts, err = z.View.UnmarshalMsg(bts)
 			if err != nil {
@@ -1745,7 +1795,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Told) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
@@ -1812,6 +1862,12 @@
 							err = msgp.WrapError(err, "Members", za0001, "Addr")
 							return
 						}
+					case "h":
+						z.Members[za0001].Hall, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0001, "Hall")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -1868,9 +1924,9 @@
 		return
 	}
 	for za0001 := range z.Members {
-		// map header, size 2
+		// map header, size 3
 		// write "i"
-		err = en.Append(0x82, 0xa1, 0x69)
+		err = en.Append(0x83, 0xa1, 0x69)
 		if err != nil {
 			return
 		}
@@ -1889,6 +1945,16 @@
 			err = msgp.WrapError(err, "Members", za0001, "Addr")
 			return
 		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Members[za0001].Hall)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001, "Hall")
+			return
+		}
 	}
 	// write "p"
 	err = en.Append(0xa1, 0x70)
@@ -1924,13 +1990,16 @@
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
-		// map header, size 2
+		// map header, size 3
 		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
+		o = append(o, 0x83, 0xa1, 0x69)
 		o = msgp.AppendString(o, z.Members[za0001].Id)
 		// string "a"
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendString(o, z.Members[za0001].Addr)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Members[za0001].Hall)
 	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -2004,6 +2073,12 @@
 							err = msgp.WrapError(err, "Members", za0001, "Addr")
 							return
 						}
+					case "h":
+						z.Members[za0001].Hall, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0001, "Hall")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -2041,7 +2116,7 @@
 func (z *View) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Id) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Addr)
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Id) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Addr) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Hall)
 	}
 	s += 2 + msgp.StringPrefixSize + len(z.Prime) + 2 + msgp.StringPrefixSize + len(z.Back)
 	return
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -34,6 +34,18 @@
 	return ""
 }
 
+// Hall finds the hall a member stands in.
+//
+//	if v.Hall(v.Back) == v.Hall(v.Prime) { ... }
+func (v View) Hall(id string) string {
+	for _, m := range v.Members {
+		if m.Id == id {
+			return m.Hall
+		}
+	}
+	return ""
+}
+
 // Has tells whether an identity is a member.
 //
 //	if v.Has(me) { ... }
@@ -158,10 +170,10 @@
 
 // Told answers an Ask.
 //
-//	t := v.Told("127.0.0.1:7401")
-func (v *Voter) Told(addr string) *Told {
+//	t := v.Told("127.0.0.1:7401", "north")
+func (v *Voter) Told(addr, hall string) *Told {
 	b := v.seen.Load()
-	return &Told{Id: b.Id, Addr: addr, View: b.View, Acc: b.Acc.N > 0}
+	return &Told{Id: b.Id, Addr: addr, Hall: hall, View: b.View, Acc: b.Acc.N > 0}
 }
 
 // Learn takes a decided view if it is newer.
