Simulated world for whole processes, with storms, swapped machines and lost primaries

Real code of cores and routers runs over an in-memory net and disks in simulated time (testing/synctest): cuts both and one way, crashes, stalls, slow and full disks, lost disks. Histories are held against a register whose writes in doubt may or may not have happened.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -75,7 +75,7 @@
 	cal  *wire.Caller
 	own  wire.Hands
 	box  chan *job
-	keep sync.Mutex // held while a batch or a copy is taken as backup
+	keep env.Gate // held while a batch or a copy is taken as backup
 
 	// Only the run loop touches these.
 	top    uint64               // highest ballot number seen
@@ -195,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
+	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{}, cold: map[string]time.Time{},
 		aged: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
--- /dev/null
+++ b/internal/sim/core_test.go
@@ -0,0 +1,224 @@
+package sim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/sim"
+)
+
+// Faults of every kind, at random, under operators who race: no acknowledged layout is lost, no
+// bounced one is ever obeyed, no router goes back, and service returns in time.
+func TestCoreStorm(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 6)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		b := &book{}
+		stop := time.Now().Add(60 * time.Second)
+		for i := range 3 {
+			o := f.operator()
+			go func() {
+				for n := 1; time.Now().Before(stop); n++ {
+					mark := i*1000 + n
+					id := ""
+					if n%2 == 0 {
+						id = fmt.Sprintf("w-%d", mark)
+					}
+					b.add(o.put(mark, 0, id))
+					time.Sleep(time.Duration(30+f.rnd.IntN(200)) * time.Millisecond)
+				}
+			}()
+		}
+		for time.Now().Before(stop) {
+			f.fault()
+			time.Sleep(time.Duration(200+f.rnd.IntN(2500)) * time.Millisecond)
+		}
+		f.settle()
+		time.Sleep(7 * time.Second) // operators' last calls end
+		f.settle()
+		o := f.operator()
+		p := o.put(99999, 0, "last")
+		if p.code != 200 {
+			t.Fatalf("a calm fleet answered %d", p.code)
+		}
+		b.add(p)
+		f.within(2*time.Second, "every router obeys the acknowledged layout", func() bool {
+			for _, r := range f.routers {
+				if lay := r.hub.Layout(); lay == nil || lay.Seq < p.seq {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(100 * time.Millisecond)
+		f.check(b)
+		ok := 0
+		for _, q := range b.all {
+			if q.code == 200 {
+				ok++
+			}
+		}
+		t.Logf("%d writes, %d acknowledged", len(b.all), ok)
+		if ok < 20 {
+			t.Errorf("only %d of %d writes were acknowledged", ok, len(b.all))
+		}
+	})
+}
+
+// fault brings about one fault, or heals what stands.
+func (f *fleet) fault() {
+	c := f.cores[f.rnd.IntN(len(f.cores))]
+	if p := f.primary(); p != nil && f.rnd.IntN(2) == 0 {
+		c = p
+	}
+	var rest []string
+	for _, o := range f.cores {
+		if o != c {
+			rest = append(rest, o.addr)
+		}
+	}
+	for _, r := range f.routers {
+		rest = append(rest, r.addr)
+	}
+	switch f.rnd.IntN(11) {
+	case 0, 1:
+		f.crashCore(c)
+	case 2: // everything of the core at once
+		for _, o := range f.cores {
+			f.crashCore(o)
+		}
+		time.Sleep(time.Duration(f.rnd.IntN(500)) * time.Millisecond)
+		f.settle()
+	case 3:
+		f.w.Split([]string{c.addr}, rest)
+	case 4: // one way only
+		for _, a := range rest {
+			if f.rnd.IntN(2) == 0 {
+				f.w.Cut(c.addr, a)
+			} else {
+				f.w.Cut(a, c.addr)
+			}
+		}
+	case 5: // the core in two parts
+		cut := 1 + f.rnd.IntN(4)
+		var a, b []string
+		for i, k := range f.rnd.Perm(5) {
+			if i < cut {
+				a = append(a, f.cores[k].addr)
+			} else {
+				b = append(b, f.cores[k].addr)
+			}
+		}
+		f.w.Split(a, b)
+	case 6:
+		c.disk.Stall()
+	case 7:
+		c.disk.Slow(time.Duration(f.rnd.IntN(800)) * time.Millisecond)
+	case 8:
+		c.disk.Full(true)
+	case 9:
+		r := f.routers[f.rnd.IntN(len(f.routers))]
+		f.crashRouter(r)
+		f.startRouter(r)
+	case 10:
+		f.settle()
+	}
+	if f.rnd.IntN(3) == 0 {
+		f.settle()
+	}
+}
+
+// A core's disk is lost, again and again: a blank core at a new address gets the seat, unattended,
+// until all five machines have been swapped, while routers know the old seeds only.
+func TestSwapAll(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 4)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		b := &book{}
+		o := f.operator()
+		for i, k := range f.rnd.Perm(5) {
+			p := o.put(i+1, 0, "")
+			if p.code != 200 {
+				t.Fatalf("write %d answered %d", i, p.code)
+			}
+			b.add(p)
+			old := f.cores[k]
+			f.crashCore(old)
+			next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), hall: old.hall, disk: sim.NewDisk()}
+			f.cores[k] = next
+			f.startCore(next)
+			f.within(12*time.Second, "the blank core has the lost one's seat", func() bool {
+				p := f.primary()
+				if p == nil {
+					return false
+				}
+				v := p.srv.Peek().View
+				has := false
+				for _, m := range v.Members {
+					has = has || m.Addr == next.addr
+					if m.Addr == old.addr {
+						return false
+					}
+				}
+				return has && len(v.Members) == 5
+			})
+		}
+		p := o.put(77, 0, "")
+		b.add(p)
+		if p.code != 200 {
+			t.Fatalf("after the swap a write was answered %d", p.code)
+		}
+		f.within(2*time.Second, "routers follow to the new machines", func() bool {
+			for _, r := range f.routers {
+				if lay := r.hub.Layout(); lay == nil || lay.Seq != p.seq || r.hub.Stale() {
+					return false
+				}
+			}
+			return true
+		})
+		f.check(b)
+	})
+}
+
+// The primary's machine, disk and all, is gone right after an acknowledgement: nothing is lost,
+// and service is back in time. Primary and backup never stand in one hall where they need not.
+func TestPrimaryLost(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 4)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		b := &book{}
+		o := f.operator()
+		for i := range 3 {
+			p := o.put(i+1, 0, "")
+			if p.code != 200 {
+				t.Fatalf("write answered %d", p.code)
+			}
+			b.add(p)
+			lost := f.primary()
+			if v := lost.srv.Peek().View; v.Hall(v.Prime) == v.Hall(v.Back) {
+				t.Errorf("primary and backup both stand in hall %s", v.Hall(v.Prime))
+			}
+			f.crashCore(lost)
+			lost.disk = sim.NewDisk()
+			took := f.within(6*time.Second, "another primary", func() bool { return f.primary() != nil })
+			f.startCore(lost) // blank, at the old address
+			if i == 0 {
+				t.Logf("takeover took %s", took)
+			}
+			f.within(2*time.Second, "every router obeys the acknowledged layout", func() bool {
+				for _, r := range f.routers {
+					if lay := r.hub.Layout(); lay == nil || lay.Seq < p.seq {
+						return false
+					}
+				}
+				return true
+			})
+			f.within(15*time.Second, "five members again", func() bool {
+				p := f.primary()
+				return p != nil && len(p.srv.Peek().View.Members) == 5 && p.srv.Peek().View.Addr(lost.srv.Peek().Me) != ""
+			})
+		}
+		f.check(b)
+	})
+}
--- /dev/null
+++ b/internal/sim/disk.go
@@ -0,0 +1,185 @@
+package sim
+
+import (
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/store"
+)
+
+// ErrFull is a write to a full disk, ErrDead one by a process that has crashed.
+var (
+	ErrFull = errors.New("sim: disk is full")
+	ErrDead = errors.New("sim: process is gone")
+)
+
+// Disk outlives the processes that use it.
+type Disk struct {
+	mu    sync.Mutex
+	files map[string][]byte
+	now   *Handle
+	slow  time.Duration
+	full  bool
+	stall chan struct{}
+	Syncs int
+}
+
+// NewDisk makes an empty disk.
+//
+//	d := sim.NewDisk()
+func NewDisk() *Disk { return &Disk{files: map[string][]byte{}} }
+
+// Handle is a disk as one run of a process sees it.
+type Handle struct{ d *Disk }
+
+// Use opens the disk for a new run; the run before can do nothing more to it. A write that was
+// under way is lost, and leaves its unfinished file behind.
+//
+//	h := d.Use()
+func (d *Disk) Use() *Handle {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.now = &Handle{d}
+	return d.now
+}
+
+// Slow makes every write take so long.
+//
+//	d.Slow(200 * time.Millisecond)
+func (d *Disk) Slow(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = by
+}
+
+// Full has every write fail, or no longer.
+//
+//	d.Full(true)
+func (d *Disk) Full(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = on
+}
+
+// Stall has every write wait until Flow.
+//
+//	d.Stall()
+func (d *Disk) Stall() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stall == nil {
+		d.stall = make(chan struct{})
+	}
+}
+
+// Flow ends a stall.
+//
+//	d.Flow()
+func (d *Disk) Flow() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stall != nil {
+		close(d.stall)
+		d.stall = nil
+	}
+}
+
+// Spoil flips a bit of a file, as a bad sector would.
+//
+//	ok := d.Spoil("v-0000000000000001")
+func (d *Disk) Spoil(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	if len(f) == 0 {
+		return false
+	}
+	next := append([]byte{}, f...)
+	next[len(next)/2] ^= 4
+	d.files[name] = next
+	return true
+}
+
+// Names lists the files.
+//
+//	all := d.Names()
+func (d *Disk) Names() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for n := range d.files {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Write is atomic once it returns: a run that ends in the middle leaves the old file and a torn
+// one aside.
+func (h *Handle) Write(name string, data []byte) error {
+	d := h.d
+	d.mu.Lock()
+	if d.now == h {
+		d.files[name+".aside"] = append([]byte{}, data[:len(data)/2]...)
+	}
+	slow, full, stall := d.slow, d.full, d.stall
+	d.mu.Unlock()
+	if stall != nil {
+		<-stall
+	}
+	if slow > 0 {
+		time.Sleep(slow)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now != h {
+		return ErrDead
+	}
+	if full {
+		return ErrFull
+	}
+	d.Syncs++
+	delete(d.files, name+".aside")
+	d.files[name] = append([]byte{}, data...)
+	return nil
+}
+
+// Read gives a file.
+func (h *Handle) Read(name string) ([]byte, error) {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	if h.d.now != h {
+		return nil, ErrDead
+	}
+	return h.d.files[name], nil
+}
+
+// List names the files.
+func (h *Handle) List() ([]string, error) { return h.d.Names(), nil }
+
+// Remove drops a file.
+func (h *Handle) Remove(name string) error {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	if h.d.now != h {
+		return ErrDead
+	}
+	delete(h.d.files, name)
+	return nil
+}
+
+// Rename moves a file.
+func (h *Handle) Rename(from, to string) error {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	if h.d.now != h {
+		return ErrDead
+	}
+	h.d.files[to] = h.d.files[from]
+	delete(h.d.files, from)
+	return nil
+}
+
+var _ store.Disk = (*Handle)(nil)
--- /dev/null
+++ b/internal/sim/fleet_test.go
@@ -0,0 +1,336 @@
+package sim_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/wire"
+)
+
+var (
+	seeds = flag.Int("seeds", 4, "how many seeds each simulated run takes")
+	first = flag.Uint64("seed", 1, "first seed")
+	loud  = flag.Bool("loud", false, "print the processes' logs")
+)
+
+// overSeeds runs a simulated history for every seed, each in a bubble of its own.
+func overSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
+	for i := range uint64(*seeds) {
+		seed := *first + i
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(t, seed) })
+		})
+	}
+}
+
+// fleet is a simulated fleet: real code of cores and routers in a made world.
+type fleet struct {
+	t       *testing.T
+	w       *sim.World
+	rnd     *rand.Rand
+	log     *slog.Logger
+	cores   []*coreProc
+	routers []*routerProc
+	halls   []string
+	ctx     context.Context
+	end     context.CancelFunc
+	lost    time.Duration
+	founder []string
+}
+
+type coreProc struct {
+	addr, hall string
+	disk       *sim.Disk
+	srv        *core.Server
+	crash      func()
+	up         bool
+}
+
+type routerProc struct {
+	name, addr, hall string
+	hub              *node.Hub
+	crash            func()
+	up               bool
+	seen             []uint64
+	raw              map[uint64]string
+}
+
+func newFleet(t *testing.T, seed uint64, routers int) *fleet {
+	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), halls: []string{"east", "north", "south", "west"}, lost: 3 * time.Second}
+	out := io.Discard
+	if *loud {
+		out = os.Stderr
+	}
+	f.log = env.NewLog(out, slog.LevelDebug)
+	f.ctx, f.end = context.WithCancel(t.Context())
+	for i := range 5 {
+		c := &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()}
+		f.cores = append(f.cores, c)
+		f.founder = append(f.founder, c.addr)
+	}
+	for _, c := range f.cores {
+		f.startCore(c)
+	}
+	for i := range routers {
+		r := &routerProc{name: fmt.Sprintf("r%02d", i), addr: fmt.Sprintf("10.0.1.%d:1", i+1), hall: f.halls[i%4], raw: map[uint64]string{}}
+		f.routers = append(f.routers, r)
+		f.startRouter(r)
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) stop() {
+	f.end()
+	for _, c := range f.cores {
+		c.disk.Flow()
+		f.crashCore(c)
+	}
+	for _, r := range f.routers {
+		f.crashRouter(r)
+	}
+	time.Sleep(10 * time.Second) // simulated: let every task see the end
+	synctest.Wait()
+}
+
+func (f *fleet) startCore(c *coreProc) {
+	n, crash := f.w.Net(c.addr)
+	ctx, end := context.WithCancel(f.ctx)
+	c.crash = func() { end(); crash() }
+	ec := env.Ctx{Context: ctx, Name: c.addr, Hall: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
+	var srv *core.Server
+	var err error
+	for range 40 { // a stalled or full disk keeps a process from starting
+		srv, err = core.Open(ec.Part("core"), core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost}, c.disk.Use())
+		if err == nil {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err != nil {
+		f.t.Fatalf("core %s: %v", c.addr, err)
+	}
+	l, err := n.Listen(c.addr)
+	if err != nil {
+		f.t.Fatalf("core %s: %v", c.addr, err)
+	}
+	c.srv, c.up = srv, true
+	go wire.Serve(ctx, l, srv.Hand)
+	go srv.Run()
+}
+
+func (f *fleet) crashCore(c *coreProc) {
+	if c.up {
+		c.up = false
+		c.crash()
+		c.disk.Use() // whatever the dead run still does to its disk is lost
+	}
+}
+
+func (f *fleet) startRouter(r *routerProc) {
+	n, crash := f.w.Net(r.addr)
+	ctx, end := context.WithCancel(f.ctx)
+	r.crash = func() { end(); crash() }
+	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
+	r.hub = node.NewHub(ec.Part("node"), r.addr, r.addr, []string{f.founder[0], f.founder[1], "10.0.1.1:1"}, func(relay.Rec) {})
+	r.seen = nil
+	l, err := n.Listen(r.addr)
+	if err != nil {
+		f.t.Fatalf("router %s: %v", r.name, err)
+	}
+	r.up = true
+	go wire.Serve(ctx, l, r.hub.Hand)
+	go r.hub.Run()
+	hub := r.hub
+	go env.Loop(ctx, nil, 20*time.Millisecond, func(struct{}) {}, func() {
+		lay := hub.Layout()
+		if lay == nil {
+			return
+		}
+		if n := len(r.seen); n > 0 && r.seen[n-1] > lay.Seq {
+			f.t.Errorf("%s went back from sequence %d to %d", r.name, r.seen[n-1], lay.Seq)
+		}
+		if n := len(r.seen); n == 0 || r.seen[n-1] != lay.Seq {
+			r.seen = append(r.seen, lay.Seq)
+			r.raw[lay.Seq] = string(lay.Raw)
+		}
+	})
+}
+
+func (f *fleet) crashRouter(r *routerProc) {
+	if r.up {
+		r.up = false
+		r.crash()
+	}
+}
+
+// primary is the core that says it is ready to answer as primary.
+func (f *fleet) primary() *coreProc {
+	for _, c := range f.cores {
+		if c.up && c.srv.Peek().Ready {
+			return c
+		}
+	}
+	return nil
+}
+
+// within waits, in simulated time, until ok holds.
+func (f *fleet) within(d time.Duration, what string, ok func() bool) time.Duration {
+	begun := time.Now()
+	for !ok() {
+		if time.Since(begun) > d {
+			f.t.Fatalf("not within %s: %s", d, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// settle heals every fault and waits until the fleet answers again.
+func (f *fleet) settle() time.Duration {
+	f.w.Heal()
+	for _, c := range f.cores {
+		c.disk.Flow()
+		c.disk.Full(false)
+		c.disk.Slow(0)
+		if !c.up {
+			f.startCore(c)
+		}
+	}
+	for _, r := range f.routers {
+		if !r.up {
+			f.startRouter(r)
+		}
+	}
+	return f.within(12*time.Second, "a primary that answers", func() bool { return f.primary() != nil })
+}
+
+// operator is a client on a machine of its own.
+type operator struct {
+	f   *fleet
+	cli *core.Client
+}
+
+var machines = 0
+
+func (f *fleet) operator() *operator {
+	machines++
+	n, _ := f.w.Net(fmt.Sprintf("10.0.9.%d:1", machines))
+	ec := env.Ctx{Context: f.ctx, Name: "op", Log: f.log, Net: n}
+	return &operator{f, core.NewClient(ec, wire.NewCaller(n), append([]string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"}, f.founder...))}
+}
+
+// sheet is a small layout that differs from all others by its mark.
+func sheet(mark int) []byte { return []byte(fmt.Sprintf(`{"limits":{"queue":%d}}`, mark)) }
+
+// put is one write as its operator saw it.
+type put struct {
+	mark       int
+	begun, end time.Time
+	code       int // 200, 412, 503 surely not taken, 504 in doubt
+	seq        uint64
+}
+
+func (o *operator) put(mark int, match uint64, id string) put {
+	p := put{mark: mark, begun: time.Now()}
+	ctx, end := context.WithTimeout(o.f.ctx, 6*time.Second)
+	defer end()
+	var out core.Wrote
+	err := o.cli.Call(ctx, "core.write", &core.Write{Id: id, Match: match, Any: match == 0, Raw: sheet(mark)}, &out, id != "")
+	p.end = time.Now()
+	switch {
+	case err == nil:
+		p.code, p.seq = out.Code, out.Seq
+	case core.Doubt(err):
+		p.code = 504
+	default:
+		p.code = 503
+	}
+	return p
+}
+
+// book is the history of all writes.
+type book struct {
+	mu  sync.Mutex
+	all []put
+}
+
+func (b *book) add(p put) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all = append(b.all, p)
+}
+
+// check holds a history against a register that writes in doubt may or may not have changed.
+func (f *fleet) check(b *book) {
+	t := f.t
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	acked := map[uint64]put{}
+	byMark := map[string]put{}
+	var done []put
+	for _, p := range b.all {
+		byMark[string(sheet(p.mark))] = p
+		if p.code != 200 {
+			continue
+		}
+		if o, twice := acked[p.seq]; twice {
+			t.Errorf("sequence %d acknowledged for marks %d and %d", p.seq, o.mark, p.mark)
+		}
+		acked[p.seq] = p
+		done = append(done, p)
+	}
+	for _, p := range done {
+		for _, q := range done {
+			if p.end.Before(q.begun) && p.seq >= q.seq {
+				t.Errorf("mark %d was acknowledged as %d before mark %d began, which got %d", p.mark, p.seq, q.mark, q.seq)
+			}
+		}
+	}
+	told := map[uint64]string{}
+	see := func(who string, seq uint64, raw string) {
+		if was, ok := told[seq]; ok && was != raw {
+			t.Errorf("%s: sequence %d is %q here, %q elsewhere", who, seq, raw, was)
+		}
+		told[seq] = raw
+		if p, ok := byMark[raw]; ok && (p.code == 412 || p.code == 503) {
+			t.Errorf("%s obeyed mark %d, which was answered %d", who, p.mark, p.code)
+		}
+		if p, ok := acked[seq]; ok && string(sheet(p.mark)) != raw {
+			t.Errorf("%s: sequence %d is %q, acknowledged was mark %d", who, seq, raw, p.mark)
+		}
+	}
+	for _, r := range f.routers {
+		for seq, raw := range r.raw {
+			see(r.name, seq, raw)
+		}
+	}
+	// What is read back at the end is the newest acknowledged, or a later one in doubt.
+	o := f.operator()
+	ctx, end := context.WithTimeout(f.ctx, 10*time.Second)
+	defer end()
+	var last core.Sheet
+	if err := o.cli.Call(ctx, "core.layout", &core.Want{}, &last, true); err != nil {
+		t.Fatalf("reading back: %v", err)
+	}
+	see("the core", last.Seq, string(last.Raw))
+	sort.Slice(done, func(i, j int) bool { return done[i].seq < done[j].seq })
+	if n := len(done); n > 0 && done[n-1].seq > last.Seq {
+		t.Errorf("read back sequence %d, but %d was acknowledged", last.Seq, done[n-1].seq)
+	}
+}
--- /dev/null
+++ b/internal/sim/net.go
@@ -0,0 +1,309 @@
+// Package sim is the world that the tests put whole processes into: a network and disks in memory,
+// with delay, cuts, freezes, stalls and losses, in simulated time (testing/synctest).
+package sim
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/wire"
+)
+
+// World is a network of machines, each known by its address.
+type World struct {
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	ears  map[string]*ear
+	cons  map[*con]bool
+	cuts  map[[2]string]bool // from, to: nothing gets through
+	lag   time.Duration      // the most that a piece is under way
+	Calls int                // pieces sent, for counting messages
+}
+
+// NewWorld makes a world whose delays come from the seed.
+//
+//	w := sim.NewWorld(42)
+func NewWorld(seed uint64) *World {
+	w := &World{rnd: rand.New(rand.NewPCG(seed, 7)), ears: map[string]*ear{}, cons: map[*con]bool{},
+		cuts: map[[2]string]bool{}, lag: 4 * time.Millisecond}
+	return w
+}
+
+// ErrRefused is a dial to where nobody listens.
+var ErrRefused = errors.New("sim: refused")
+
+// machine is the net as one process at an address sees it. A process that has crashed keeps its
+// handle, but the handle does nothing more.
+type machine struct {
+	w    *World
+	addr string
+	dead bool
+}
+
+// Net gives a process at addr its net, and the function that crashes it: all its connections
+// break and nothing it still does is seen by anyone.
+//
+//	n, crash := w.Net("10.0.0.1:7401")
+func (w *World) Net(addr string) (wire.Net, func()) {
+	m := &machine{w: w, addr: addr}
+	return m, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		m.dead = true
+		if e := w.ears[addr]; e != nil && e.m == m {
+			e.shut()
+		}
+		for c := range w.cons {
+			if c.m == m || c.far.m == m {
+				c.fail()
+				c.far.fail()
+			}
+		}
+	}
+}
+
+// Cut stops all that goes from one address to the other; Heal lets it through again. What is
+// written meanwhile arrives late, as TCP has it.
+//
+//	w.Cut(a, b); w.Cut(b, a)
+func (w *World) Cut(from, to string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts[[2]string{from, to}] = true
+}
+
+// Heal ends every cut.
+//
+//	w.Heal()
+func (w *World) Heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.cuts)
+	for c := range w.cons {
+		c.poke()
+	}
+}
+
+// Split cuts two groups off each other, both ways.
+//
+//	w.Split([]string{a}, []string{b, c})
+func (w *World) Split(a, b []string) {
+	for _, x := range a {
+		for _, y := range b {
+			w.Cut(x, y)
+			w.Cut(y, x)
+		}
+	}
+}
+
+type ear struct {
+	m    *machine
+	addr string
+	ch   chan *con
+	done chan struct{}
+	once sync.Once
+}
+
+func (e *ear) shut() {
+	e.once.Do(func() {
+		close(e.done)
+		delete(e.m.w.ears, e.addr)
+	})
+}
+
+func (e *ear) Accept() (net.Conn, error) {
+	select {
+	case c := <-e.ch:
+		return c, nil
+	case <-e.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (e *ear) Close() error {
+	e.m.w.mu.Lock()
+	defer e.m.w.mu.Unlock()
+	e.shut()
+	return nil
+}
+
+func (e *ear) Addr() net.Addr { return spot(e.addr) }
+
+type spot string
+
+func (spot) Network() string  { return "sim" }
+func (s spot) String() string { return string(s) }
+
+// Listen binds an address of the world.
+func (m *machine) Listen(addr string) (net.Listener, error) {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	if m.dead || m.w.ears[addr] != nil {
+		return nil, errors.New("sim: address in use")
+	}
+	e := &ear{m: m, addr: addr, ch: make(chan *con, 64), done: make(chan struct{})}
+	m.w.ears[addr] = e
+	return e, nil
+}
+
+// Dial connects, after a delay; through a cut it waits until the context ends.
+func (m *machine) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	wait := m.w.delay()
+	for {
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil, ctx.Err()
+		}
+		m.w.mu.Lock()
+		if m.dead {
+			m.w.mu.Unlock()
+			return nil, ErrRefused
+		}
+		if m.w.cuts[[2]string{m.addr, addr}] || m.w.cuts[[2]string{addr, m.addr}] {
+			m.w.mu.Unlock()
+			wait = 50 * time.Millisecond
+			continue
+		}
+		e := m.w.ears[addr]
+		if e == nil {
+			m.w.mu.Unlock()
+			return nil, ErrRefused
+		}
+		a, b := &con{w: m.w, m: m, to: addr}, &con{w: m.w, m: e.m, to: m.addr}
+		a.far, b.far = b, a
+		a.more, b.more = make(chan struct{}, 1), make(chan struct{}, 1)
+		a.gone, b.gone = make(chan struct{}), make(chan struct{})
+		m.w.cons[a], m.w.cons[b] = true, true
+		m.w.mu.Unlock()
+		select {
+		case e.ch <- b:
+			return a, nil
+		case <-e.done:
+			return nil, ErrRefused
+		}
+	}
+}
+
+func (w *World) delay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.rnd.Int64N(int64(w.lag)) + 1)
+}
+
+type piece struct {
+	data []byte
+	at   time.Time
+}
+
+// con is one end of a connection. What arrives stands in its own queue.
+type con struct {
+	w    *World
+	m    *machine
+	to   string
+	far  *con
+	in   []piece
+	last time.Time
+	more chan struct{}
+	gone chan struct{}
+	down bool
+	eof  bool
+}
+
+func (c *con) poke() {
+	select {
+	case c.more <- struct{}{}:
+	default:
+	}
+}
+
+// fail breaks the end; the caller holds the world's lock.
+func (c *con) fail() {
+	if !c.down {
+		c.down = true
+		close(c.gone)
+		delete(c.w.cons, c)
+	}
+}
+
+func (c *con) Read(b []byte) (int, error) {
+	for {
+		c.w.mu.Lock()
+		if c.down {
+			c.w.mu.Unlock()
+			return 0, io.ErrUnexpectedEOF
+		}
+		wait := time.Duration(-1)
+		if len(c.in) > 0 && !c.w.cuts[[2]string{c.to, c.m.addr}] {
+			if wait = time.Until(c.in[0].at); wait <= 0 {
+				n := copy(b, c.in[0].data)
+				if c.in[0].data = c.in[0].data[n:]; len(c.in[0].data) == 0 {
+					c.in = c.in[1:]
+				}
+				c.w.mu.Unlock()
+				return n, nil
+			}
+		} else if c.eof && len(c.in) == 0 {
+			c.w.mu.Unlock()
+			return 0, io.EOF
+		}
+		c.w.mu.Unlock()
+		if wait < 0 {
+			select {
+			case <-c.more:
+			case <-c.gone:
+			}
+			continue
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-c.gone:
+			t.Stop()
+		}
+	}
+}
+
+func (c *con) Write(b []byte) (int, error) {
+	d := c.w.delay()
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.down || c.m.dead {
+		return 0, io.ErrClosedPipe
+	}
+	if c.far.down || c.far.eof {
+		return 0, io.ErrClosedPipe
+	}
+	at := time.Now().Add(d)
+	if at.Before(c.far.last) {
+		at = c.far.last // pieces of one connection keep their order
+	}
+	c.far.last = at
+	c.far.in = append(c.far.in, piece{append([]byte{}, b...), at})
+	c.w.Calls++
+	c.far.poke()
+	return len(b), nil
+}
+
+func (c *con) Close() error {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.fail()
+	c.far.eof = true
+	c.far.poke()
+	return nil
+}
+
+func (c *con) LocalAddr() net.Addr                { return spot(c.m.addr) }
+func (c *con) RemoteAddr() net.Addr               { return spot(c.to) }
+func (c *con) SetDeadline(time.Time) error        { return os.ErrNoDeadline }
+func (c *con) SetReadDeadline(time.Time) error    { return os.ErrNoDeadline }
+func (c *con) SetWriteDeadline(t time.Time) error { return nil }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"yarrowridge/internal/env"
 )
 
 // ErrBroken means a version that was once whole on disk no longer is.
@@ -67,7 +69,7 @@
 	base uint64
 	all  map[string][]byte
 	size int // bytes written since the base
-	sync sync.Mutex
+	sync env.Gate
 	shut bool
 }
 
@@ -78,7 +80,7 @@
 //
 //	s, err := store.Open(d, log)
 func Open(d Disk, log *slog.Logger) (*Store, error) {
-	s := &Store{disk: d, all: map[string][]byte{}}
+	s := &Store{sync: env.NewGate(), disk: d, all: map[string][]byte{}}
 	names, err := d.List()
 	if err != nil {
 		return nil, err
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -6,12 +6,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"yarrowridge/internal/env"
 	"yarrowridge/internal/store"
 )
 
@@ -83,7 +83,7 @@
 type Voter struct {
 	disk  store.Disk
 	term  time.Duration
-	mu    sync.Mutex // held over a write; readers of what is decided never wait for the disk
+	mu    env.Gate // held over a write; readers of what is decided never wait for the disk
 	book  Book
 	seen  atomic.Pointer[Book]
 	until time.Time // the primary's lease as granted here
@@ -107,7 +107,7 @@
 //
 //	v, err := view.Open(disk, 2*time.Second, log)
 func Open(d store.Disk, term time.Duration, log *slog.Logger) (*Voter, error) {
-	v := &Voter{disk: d, term: term, born: time.Now()}
+	v := &Voter{mu: env.NewGate(), disk: d, term: term, born: time.Now()}
 	raw, err := d.Read(file)
 	if err != nil {
 		return nil, err
