--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -30,6 +30,15 @@
 				}
 			}()
 		}
+		for range 4 {
+			o := f.operator()
+			go func() {
+				for time.Now().Before(stop) {
+					o.look(b)
+					time.Sleep(time.Duration(5+f.rnd.IntN(30)) * time.Millisecond)
+				}
+			}()
+		}
 		for time.Now().Before(stop) {
 			f.fault()
 			time.Sleep(time.Duration(200+f.rnd.IntN(2500)) * time.Millisecond)
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -264,10 +264,33 @@
 	return p
 }
 
-// book is the history of all writes.
+// look is one read as its operator saw it.
+type look struct {
+	begun time.Time
+	seq   uint64
+	raw   string
+}
+
+// look reads the layout back.
+func (o *operator) look(b *book) {
+	l := look{begun: time.Now()}
+	ctx, end := context.WithTimeout(o.f.ctx, 2*time.Second)
+	defer end()
+	var out core.Sheet
+	if o.cli.Call(ctx, "core.layout", &core.Want{}, &out, true) != nil {
+		return
+	}
+	l.seq, l.raw = out.Seq, string(out.Raw)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.looks = append(b.looks, l)
+}
+
+// book is the history of all writes and reads.
 type book struct {
-	mu  sync.Mutex
-	all []put
+	mu    sync.Mutex
+	all   []put
+	looks []look
 }
 
 func (b *book) add(p put) {
@@ -315,6 +338,14 @@
 			t.Errorf("%s: sequence %d is %q, acknowledged was mark %d", who, seq, raw, p.mark)
 		}
 	}
+	for _, l := range b.looks {
+		see("a reader", l.seq, l.raw)
+		for _, p := range done {
+			if p.end.Before(l.begun) && p.seq > l.seq {
+				t.Errorf("read sequence %d after %d had been acknowledged", l.seq, p.seq)
+			}
+		}
+	}
 	for _, r := range f.routers {
 		for seq, raw := range r.raw {
 			see(r.name, seq, raw)
