Let a primary without a majority rest, so that the backup it reaches may take over

Cause: a primary cut off from the witnesses but not from its backup kept renewing its lease at the backup's voter; the backup takes over only when that has run out, so nobody ever led. Change: a primary whose lease has not stood for two terms asks for none for two to three terms.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -93,7 +93,9 @@
 	began  time.Time // of leading this epoch
 	ls     *lease.Lease
 	ready  bool
-	vowed  bool // a voter refused to renew since it vowed for the next epoch
+	stood  time.Time // when the lease last stood
+	rest   time.Time // since when we ask for no lease, having failed to get one
+	vowed  bool      // a voter refused to renew since it vowed for the next epoch
 	sick   bool
 	sheet  Sheet // newest layout committed
 	nodes  map[string]*seat
@@ -269,6 +271,16 @@
 	s.mu.Lock()
 	lead := v.Prime == s.vot.Id() && s.epoch == v.Epoch && !s.sick && v.Epoch > 0
 	ls := s.ls
+	if ls.Stands(v.Most) {
+		s.stood = time.Now()
+	} else if time.Since(s.stood) > 2*s.set.Term && time.Since(s.began) > 2*s.set.Term {
+		// We reach too few to lead. Those we reach must not be kept from following another, so
+		// we ask for nothing for a while, then try again.
+		if s.rest.Before(s.stood) || time.Since(s.rest) > 4*s.set.Term {
+			s.rest = time.Now()
+		}
+		lead = lead && time.Since(s.rest) > 2*s.set.Term+rand.N(s.set.Term)
+	}
 	s.mu.Unlock()
 	if !lead {
 		return
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -231,3 +231,71 @@
 		f.check(b)
 	})
 }
+
+// A primary cut off from the other cores, but not from its readers, answers nothing once its
+// lease is over: whoever reaches it must not read what another primary has replaced.
+func TestStalePrimary(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 2)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		b := &book{}
+		near, far := f.operator(), f.operator()
+		b.add(near.put(1, 0, ""))
+		near.look(b)
+		old := f.primary()
+		var rest []string
+		for _, c := range f.cores {
+			if c != old {
+				rest = append(rest, c.addr)
+			}
+		}
+		f.w.Split([]string{old.addr}, append(rest, far.addr, f.routers[0].addr, f.routers[1].addr))
+		for range 60 {
+			b.add(far.put(len(b.all)+1, 0, ""))
+			near.look(b)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if n := len(b.looks); n < 2 {
+			t.Errorf("%d reads answered, at least those before the cut expected", n)
+		}
+		f.settle()
+		f.check(b)
+		if b.all[len(b.all)-1].code != 200 {
+			t.Error("the rest of the core did not take a write")
+		}
+	})
+}
+
+// A primary that reaches its backup but no majority must let the backup go on: the backup can
+// reach the others, and the fleet must not wait for the primary's links.
+func TestHeldBackup(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 2)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		o := f.operator()
+		b := &book{}
+		b.add(o.put(1, 0, ""))
+		old := f.primary()
+		v := old.srv.Peek().View
+		var rest []string
+		for _, c := range f.cores {
+			if c != old && c.addr != v.Addr(v.Back) {
+				rest = append(rest, c.addr)
+			}
+		}
+		f.w.Split([]string{old.addr}, rest)
+		time.Sleep(100 * time.Millisecond)
+		took := f.within(12*time.Second, "the backup leads", func() bool {
+			p := f.primary()
+			return p != nil && p != old
+		})
+		t.Logf("took %s", took)
+		f.within(3*time.Second, "a write", func() bool {
+			p := o.put(2+len(b.all), 0, "")
+			b.add(p)
+			return p.code == 200
+		})
+		f.settle()
+		f.check(b)
+	})
+}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -222,17 +222,19 @@
 
 // operator is a client on a machine of its own.
 type operator struct {
-	f   *fleet
-	cli *core.Client
+	f    *fleet
+	addr string
+	cli  *core.Client
 }
 
 var machines = 0
 
 func (f *fleet) operator() *operator {
 	machines++
-	n, _ := f.w.Net(fmt.Sprintf("10.0.9.%d:1", machines))
+	addr := fmt.Sprintf("10.0.9.%d:1", machines)
+	n, _ := f.w.Net(addr)
 	ec := env.Ctx{Context: f.ctx, Name: "op", Log: f.log, Net: n}
-	return &operator{f, core.NewClient(ec, wire.NewCaller(n), append([]string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"}, f.founder...))}
+	return &operator{f, addr, core.NewClient(ec, wire.NewCaller(n), append([]string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"}, f.founder...))}
 }
 
 // sheet is a small layout that differs from all others by its mark.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,9 @@
 // Most is the largest frame body read, in bytes.
 const Most = 8 << 20
 
+// dialWait is the most that opening a connection may take.
+const dialWait = 700 * time.Millisecond
+
 // Two kinds of trouble a caller must tell apart.
 var (
 	// ErrUnsent means no byte of the call has left this process.
@@ -242,7 +245,10 @@
 			return l, nil
 		}
 	}
-	con, err := c.net.Dial(ctx, addr)
+	// A dark machine must not eat the caller's whole time: there may be another to ask.
+	short, end := context.WithTimeout(ctx, dialWait)
+	con, err := c.net.Dial(short, addr)
+	end()
 	if err != nil {
 		return nil, err
 	}
