Streams: numbered pieces, an understudy in another hall, resume through any router

Why: a stream whose router or origin connection fell ended there. Ways weighed: (a) pieces copied to the understudy before the origin sees them, (b) copies behind the origin, (c) replaying the prompt. (b) may lose shown pieces, (c) joins two runs; so (a), with pieces that are already in the buffer copied together.

--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -20,24 +20,25 @@
 
 // Outcome is one try of an origin, as the origin saw it.
 type Outcome struct {
-	Kind   string
-	N      uint64
-	Key    string
-	Tenant string
-	Router string
-	Path   string
-	Body   []byte
-	Begun  time.Time
-	Took   time.Duration
-	Status int
-	Code   string // of a bounce or trouble
-	Run    string // "not run" or "unknown", as said by the router
-	Retry  string // Retry-After
-	Query  string // the router's id
-	Whole  bool   // the whole answer came, and says it is complete
-	Pieces []int  // numbers of the stream's pieces, as they came
-	Echo   string
-	Err    string // the connection broke
+	Kind    string
+	N       uint64
+	Key     string
+	Tenant  string
+	Router  string
+	Path    string
+	Body    []byte
+	Begun   time.Time
+	Took    time.Duration
+	Status  int
+	Code    string // of a bounce or trouble
+	Run     string // "not run" or "unknown", as said by the router
+	Retry   string // Retry-After
+	Query   string // the router's id
+	Whole   bool   // the whole answer came, and says it is complete
+	Pieces  []int  // numbers of the stream's pieces, as they came
+	Echo    string
+	Err     string // the connection broke
+	Resumed int    // times the stream was asked for again
 }
 
 // Load plays a mix's origins against a fleet.
@@ -99,6 +100,9 @@
 	for try := range l.Tries {
 		r := l.Fleet.Routers[(from+try)%len(l.Fleet.Routers)]
 		o := l.Ask(k, n, body, ten, r)
+		for i := 1; i < len(l.Fleet.Routers) && o.broken(k); i++ {
+			l.Resume(&o, l.Fleet.Routers[(from+try+i)%len(l.Fleet.Routers)])
+		}
 		l.mu.Lock()
 		l.all = append(l.all, o)
 		l.mu.Unlock()
@@ -117,6 +121,38 @@
 	}
 }
 
+// broken tells whether a stream broke off with no word of its end.
+func (o *Outcome) broken(k Kind) bool {
+	return k.Stream && o.Status == 200 && !o.Whole && o.Code == "" && o.Query != ""
+}
+
+// Resume asks a router for the rest of a stream that broke off.
+//
+//	l.Resume(&o, fleet.Routers[1])
+func (l *Load) Resume(o *Outcome, r *Proc) {
+	req, err := http.NewRequest("GET", "http://"+r.Origin+"/v1/streams/"+o.Query, nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+Key(o.Tenant))
+	req.Header.Set("Last-Event-ID", strconv.Itoa(len(o.Pieces)))
+	o.Resumed++
+	ans, err := l.cli.Do(req)
+	if err != nil {
+		return
+	}
+	defer ans.Body.Close()
+	if ans.StatusCode != 200 {
+		raw, _ := io.ReadAll(ans.Body)
+		if c := gjson.GetBytes(raw, "error.code").String(); c == "no-stream" {
+			o.Code, o.Run = c, "unknown"
+		}
+		return
+	}
+	o.Err = ""
+	o.stream(ans.Body)
+}
+
 // Ask makes one try at one router.
 //
 //	o := l.Ask(kind, 1, body, "casual", fleet.Routers[0])
--- /dev/null
+++ b/internal/drill/stream_test.go
@@ -0,0 +1,176 @@
+package drill
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// reader reads a stream event by event, so that a test can stop in the middle.
+type reader struct {
+	id  string
+	ans *http.Response
+	sc  *bufio.Scanner
+}
+
+func (l *Load) open(t *testing.T, r *Proc, ten string, n uint64, tokens int) *reader {
+	t.Helper()
+	k := Kind{Name: "writeups", Method: "POST", Path: "/v1/writeups", Tail: 10, Tokens: tokens, Stream: true}
+	req, err := http.NewRequest("POST", "http://"+r.Origin+k.Path, strings.NewReader(string(k.body(l.Fleet.Mix.Model, n, newRand(n)))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+Key(ten))
+	ans, err := l.cli.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ans.StatusCode != 200 {
+		raw, _ := io.ReadAll(ans.Body)
+		t.Fatalf("status %d: %s", ans.StatusCode, raw)
+	}
+	return &reader{ans.Header.Get("X-Yarrowridge-Query"), ans, bufio.NewScanner(ans.Body)}
+}
+
+// next gives the next piece's number, or -1 and why there is none.
+func (r *reader) next() (int, string) {
+	for r.sc.Scan() {
+		s, ok := strings.CutPrefix(r.sc.Text(), "data: ")
+		switch {
+		case !ok:
+		case s == "[DONE]":
+			return -1, "done"
+		case gjson.Get(s, "error").Exists():
+			return -1, gjson.Get(s, "error.code").String()
+		default:
+			return int(gjson.Get(s, "i").Int()), ""
+		}
+	}
+	return -1, "broken"
+}
+
+// rest resumes a stream after n pieces and reads it to its end.
+func (l *Load) rest(t *testing.T, r *Proc, ten, id string, n int) ([]int, string) {
+	t.Helper()
+	req, _ := http.NewRequest("GET", "http://"+r.Origin+StreamsPath+id+"?after="+strconv.Itoa(n), nil)
+	req.Header.Set("Authorization", "Bearer "+Key(ten))
+	ans, err := l.cli.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ans.Body.Close()
+	if ans.StatusCode != 200 {
+		raw, _ := io.ReadAll(ans.Body)
+		return nil, gjson.GetBytes(raw, "error.code").String()
+	}
+	rd := &reader{id, ans, bufio.NewScanner(ans.Body)}
+	var got []int
+	for {
+		i, why := rd.next()
+		if why != "" {
+			return got, why
+		}
+		got = append(got, i)
+	}
+}
+
+const StreamsPath = "/v1/streams/"
+
+func follows(got []int, from int) bool {
+	for i, n := range got {
+		if n != from+i {
+			return false
+		}
+	}
+	return true
+}
+
+// Streams through lost origins, routers and runners: resumed at any piece through any router, with
+// no gap, no repeat and no false end, and only by the tenant that owns them.
+func TestStreams(t *testing.T) {
+	f := up(t, Trentvale())
+	l := NewLoad(f, 1, 1)
+	ctx, end := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer end()
+
+	t.Run("origin leaves and resumes elsewhere", func(t *testing.T) {
+		rd := l.open(t, f.Routers[0], "yard-a", 1, 120)
+		for i := range 10 {
+			if n, why := rd.next(); n != i {
+				t.Fatalf("piece %d: got %d %s", i, n, why)
+			}
+		}
+		rd.ans.Body.Close()
+		if _, why := l.rest(t, f.Routers[3], "yard-b", rd.id, 10); why != "no-stream" {
+			t.Errorf("another tenant got %q, no-stream expected", why)
+		}
+		got, why := l.rest(t, f.Routers[3], "yard-a", rd.id, 10)
+		if why != "done" || len(got) != 110 || !follows(got, 10) {
+			t.Errorf("resumed: %d pieces from %v, ended %q", len(got), got[:min(3, len(got))], why)
+		}
+		// Once more from the start, after its end.
+		if got, why := l.rest(t, f.Routers[5], "yard-a", rd.id, 0); why != "done" || len(got) != 120 || !follows(got, 0) {
+			t.Errorf("read again: %d pieces, ended %q", len(got), why)
+		}
+	})
+
+	t.Run("router killed", func(t *testing.T) {
+		rd := l.open(t, f.Routers[1], "yard-a", 2, 400)
+		n := 0
+		for ; n < 20; n++ {
+			if i, why := rd.next(); i != n {
+				t.Fatalf("piece %d: got %d %s", n, i, why)
+			}
+		}
+		f.Routers[1].Kill()
+		for {
+			i, why := rd.next()
+			if why == "broken" {
+				break
+			}
+			if i != n {
+				t.Fatalf("piece %d: got %d %s", n, i, why)
+			}
+			n++
+		}
+		got, why := l.rest(t, f.Routers[2], "yard-a", rd.id, n)
+		if why != "router-lost" || !follows(got, n) {
+			t.Errorf("resumed after %d: %v, ended %q; router-lost expected", n, got, why)
+		}
+		if err := f.Routers[1].Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Until(ctx, "the router is back", func() bool { return f.Ready(ctx, f.Routers[1]) }); err != nil {
+			t.Fatal(err)
+		}
+	})
+
+	t.Run("runner cuts", func(t *testing.T) {
+		for _, m := range f.Models {
+			m.CutAfter(15)
+		}
+		rd := l.open(t, f.Routers[2], "yard-a", 3, 60)
+		for i := range 15 {
+			if n, why := rd.next(); n != i {
+				t.Fatalf("piece %d: got %d %s", i, n, why)
+			}
+		}
+		if n, why := rd.next(); why != "runner-lost" {
+			t.Errorf("got %d %q, runner-lost expected", n, why)
+		}
+		for _, m := range f.Models {
+			m.CutAfter(0)
+		}
+		if got, why := l.rest(t, f.Routers[6], "yard-a", rd.id, 5); why != "runner-lost" || len(got) != 10 || !follows(got, 5) {
+			t.Errorf("resumed a lost stream: %v %q", got, why)
+		}
+	})
+}
--- a/internal/node/msgs.go
+++ b/internal/node/msgs.go
@@ -24,3 +24,31 @@
 
 // Ask asks for the roll.
 type Ask struct{}
+
+// StreamCopy hands pieces of a stream to its understudy.
+type StreamCopy struct {
+	Id     string   `msg:"i"`
+	Tenant string   `msg:"t"`
+	Owner  string   `msg:"o"` // name of the router that carries it
+	Addr   string   `msg:"a"`
+	From   int      `msg:"f"`
+	Pieces [][]byte `msg:"p"`
+	End    bool     `msg:"e"` // the runner's own end has come
+	Lost   string   `msg:"l"` // or it ended in this trouble
+}
+
+// StreamAsk asks for the pieces after a number.
+type StreamAsk struct {
+	Id     string `msg:"i"`
+	Tenant string `msg:"t"`
+	After  int    `msg:"a"`
+	WaitMs int    `msg:"w"` // wait so long for something new
+}
+
+// StreamTold answers with what is held.
+type StreamTold struct {
+	Have   bool     `msg:"h"`
+	Pieces [][]byte `msg:"p"`
+	End    bool     `msg:"e"`
+	Lost   string   `msg:"l"`
+}
--- a/internal/node/msgs_gen.go
+++ b/internal/node/msgs_gen.go
@@ -392,6 +392,720 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Id, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		case "t":
+			z.Tenant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		case "a":
+			z.After, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		case "w":
+			z.WaitMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "i"
+	err = en.Append(0x84, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Id)
+	if err != nil {
+		err = msgp.WrapError(err, "Id")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.After)
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.WaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "i"
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Id)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.After)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		case "t":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		case "a":
+			z.After, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "After")
+				return
+			}
+		case "w":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamAsk) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamCopy) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Id, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		case "t":
+			z.Tenant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		case "o":
+			z.Owner, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "a":
+			z.Addr, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+			if cap(z.Pieces) >= int(zb0002) {
+				z.Pieces = (z.Pieces)[:zb0002]
+			} else {
+				z.Pieces = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Pieces {
+				z.Pieces[za0001], err = dc.ReadBytes(z.Pieces[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001)
+					return
+				}
+			}
+		case "e":
+			z.End, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.Lost, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamCopy) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "i"
+	err = en.Append(0x88, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Id)
+	if err != nil {
+		err = msgp.WrapError(err, "Id")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Owner)
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Addr)
+	if err != nil {
+		err = msgp.WrapError(err, "Addr")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pieces)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pieces")
+		return
+	}
+	for za0001 := range z.Pieces {
+		err = en.WriteBytes(z.Pieces[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Pieces", za0001)
+			return
+		}
+	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.End)
+	if err != nil {
+		err = msgp.WrapError(err, "End")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Lost)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamCopy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "i"
+	o = append(o, 0x88, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Id)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Owner)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.From)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
+	for za0001 := range z.Pieces {
+		o = msgp.AppendBytes(o, z.Pieces[za0001])
+	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.End)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.Lost)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		case "t":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		case "o":
+			z.Owner, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+			if cap(z.Pieces) >= int(zb0002) {
+				z.Pieces = (z.Pieces)[:zb0002]
+			} else {
+				z.Pieces = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Pieces {
+				z.Pieces[za0001], bts, err = msgp.ReadBytesBytes(bts, z.Pieces[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001)
+					return
+				}
+			}
+		case "e":
+			z.End, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.Lost, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamCopy) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pieces {
+		s += msgp.BytesPrefixSize + len(z.Pieces[za0001])
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Lost)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamTold) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "h":
+			z.Have, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+			if cap(z.Pieces) >= int(zb0002) {
+				z.Pieces = (z.Pieces)[:zb0002]
+			} else {
+				z.Pieces = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Pieces {
+				z.Pieces[za0001], err = dc.ReadBytes(z.Pieces[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001)
+					return
+				}
+			}
+		case "e":
+			z.End, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.Lost, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamTold) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "h"
+	err = en.Append(0x84, 0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Have)
+	if err != nil {
+		err = msgp.WrapError(err, "Have")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pieces)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pieces")
+		return
+	}
+	for za0001 := range z.Pieces {
+		err = en.WriteBytes(z.Pieces[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Pieces", za0001)
+			return
+		}
+	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.End)
+	if err != nil {
+		err = msgp.WrapError(err, "End")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Lost)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamTold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "h"
+	o = append(o, 0x84, 0xa1, 0x68)
+	o = msgp.AppendBool(o, z.Have)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
+	for za0001 := range z.Pieces {
+		o = msgp.AppendBytes(o, z.Pieces[za0001])
+	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.End)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.Lost)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamTold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "h":
+			z.Have, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+			if cap(z.Pieces) >= int(zb0002) {
+				z.Pieces = (z.Pieces)[:zb0002]
+			} else {
+				z.Pieces = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Pieces {
+				z.Pieces[za0001], bts, err = msgp.ReadBytesBytes(bts, z.Pieces[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001)
+					return
+				}
+			}
+		case "e":
+			z.End, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.Lost, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamTold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pieces {
+		s += msgp.BytesPrefixSize + len(z.Pieces[za0001])
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Lost)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Work) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -37,16 +37,17 @@
 
 // Front answers origins.
 type Front struct {
-	Ctx    env.Ctx
-	Hub    *node.Hub
-	Yard   *runner.Yard
-	Desk   *place.Desk
-	Send   *runner.Sender
-	Meter  *meter.Meter
-	Log    *query.Log
-	Purses *share.Purses
-	Again  *Second
-	Claims *Claims
+	Ctx     env.Ctx
+	Hub     *node.Hub
+	Yard    *runner.Yard
+	Desk    *place.Desk
+	Send    *runner.Sender
+	Meter   *meter.Meter
+	Log     *query.Log
+	Purses  *share.Purses
+	Again   *Second
+	Claims  *Claims
+	Streams *node.Streams
 }
 
 // Bounce is a "no" to an origin: what code, at which step, and whether the query ran.
@@ -65,27 +66,29 @@
 
 // way is one query with all that its steps need.
 type way struct {
-	f    *Front
-	q    *query.Query
-	w    http.ResponseWriter
-	r    *http.Request
-	lay  *layout.Layout
-	ten  int
-	tn   *layout.Tenant
-	lane *layout.Lane
-	pool *layout.Pool
-	body []byte
+	f      *Front
+	q      *query.Query
+	w      http.ResponseWriter
+	r      *http.Request
+	lay    *layout.Layout
+	ten    int
+	tn     *layout.Tenant
+	lane   *layout.Lane
+	pool   *layout.Pool
+	body   []byte
+	secret string // the key it came with
 
-	model  string
-	prompt string
-	tokens int // output it may have; 0 on plain lanes
-	low    int // what it was lowered to, if it was
-	cost   int // quota units reserved
-	key    string
-	claim  *claim
-	wait   time.Duration // estimated
-	kind   string
-	torn   bool
+	streamed bool // it asks for a stream
+	model    string
+	prompt   string
+	tokens   int // output it may have; 0 on plain lanes
+	low      int // what it was lowered to, if it was
+	cost     int // quota units reserved
+	key      string
+	claim    *claim
+	wait     time.Duration // estimated
+	kind     string
+	torn     bool
 }
 
 // ServeHTTP takes one query the whole way.
@@ -111,7 +114,16 @@
 }
 
 func (y *way) run() error {
-	for _, step := range []func() error{y.read, y.known, y.mapped, y.allowed, y.claimed} {
+	if err := y.read(); err != nil {
+		return err
+	}
+	if err := y.known(); err != nil {
+		return err
+	}
+	if strings.HasPrefix(y.r.URL.Path, StreamPath) {
+		return y.resume()
+	}
+	for _, step := range []func() error{y.mapped, y.allowed, y.claimed} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -178,7 +190,8 @@
 func (y *way) known() error {
 	key, ok := strings.CutPrefix(y.r.Header.Get("Authorization"), "Bearer ")
 	if ok {
-		y.ten, ok = y.lay.Tenant(strings.TrimSpace(key))
+		y.secret = strings.TrimSpace(key)
+		y.ten, ok = y.lay.Tenant(y.secret)
 	}
 	if !ok {
 		return &Bounce{Status: 401, Code: "unknown-key", Text: "A known key is expected, as Authorization: Bearer KEY."}
@@ -254,6 +267,7 @@
 	if s := doc.Get("stream"); s.Exists() && !s.IsBool() {
 		return bad("stream: true or false is expected.")
 	}
+	y.streamed = doc.Get("stream").Bool()
 	if s := doc.Get("allow_downgrade"); s.Exists() && !s.IsBool() {
 		return bad("allow_downgrade: true or false is expected.")
 	}
@@ -389,7 +403,7 @@
 	rest, ok := y.tokens, false
 	// A query that may run only once, or whose stream may be resumed, runs on without its origin.
 	ctx, end := context.WithCancelCause(y.r.Context())
-	if y.claim != nil {
+	if y.claim != nil || y.streamed {
 		ctx, end = context.WithCancelCause(context.WithoutCancel(y.r.Context()))
 	}
 	defer func() {
@@ -422,7 +436,7 @@
 		return true, err
 	}
 	if t, _, _ := mime.ParseMediaType(ans.Header.Get("Content-Type")); t == "text/event-stream" && ans.StatusCode == 200 {
-		rest, err = y.stream(ctx, e, ans, dog)
+		rest, err = y.stream(ctx, end, e, ans, dog)
 	} else {
 		rest, err = y.whole(ctx, e, ans, dog)
 	}
@@ -434,7 +448,7 @@
 
 // lost says what became of a query whose runner broke off.
 func (y *way) lost(e *runner.Entry, ctx context.Context, err error) error {
-	if y.r.Context().Err() != nil && y.claim == nil {
+	if y.r.Context().Err() != nil && y.claim == nil && ctx.Err() != nil {
 		return &Bounce{Code: "origin-left", Unknown: true}
 	}
 	e.Fail()
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -5,14 +5,25 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"yarrowridge/internal/node"
 	"yarrowridge/internal/query"
 	"yarrowridge/internal/runner"
 )
 
+// linger is how long a stream runs on for an origin that may come back.
+const linger = 30 * time.Second
+
+// StreamPath is where a stream is resumed.
+const StreamPath = "/v1/streams/"
+
 // event reads one server-sent event, its blank line included.
 func event(r *bufio.Reader) ([]byte, error) {
 	var out []byte
@@ -36,54 +47,187 @@
 // last tells whether an event is the runner's own word that the stream is complete.
 func last(ev []byte) bool { return bytes.HasPrefix(ev, []byte("data: [DONE]")) }
 
-// stream carries a stream piece by piece. The end event is handed over only after the runner's
-// own end has been read to its frame.
-func (y *way) stream(ctx context.Context, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
+// end is the event that tells an origin that a stream is complete.
+const endEvent = "data: [DONE]\n\n"
+
+// number puts a piece's number into its event, after any the runner set.
+func number(ev []byte, n int) []byte {
+	out := append([]byte{}, bytes.TrimRight(ev, "\r\n")...)
+	return append(out, fmt.Sprintf("\nid: %d\n\n", n)...)
+}
+
+// trouble is the event that ends a stream explicitly.
+func trouble(code, text, id string) []byte {
+	raw, _ := json.Marshal(map[string]any{"error": map[string]any{"code": code, "run": "unknown", "message": text, "query": id}})
+	return append(append([]byte("event: trouble\ndata: "), raw...), '\n', '\n')
+}
+
+// stream carries a stream piece by piece: each is numbered, held by the understudy, and only then
+// shown. The end event is handed over only after the runner's own end has been read to its frame.
+func (y *way) stream(ctx context.Context, stop context.CancelCauseFunc, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
 	rest = y.tokens
+	ss := y.f.Streams
+	st := ss.Open(y.q.Id, y.tn.Name)
 	y.pass(ans)
+	y.w.Header().Del("Content-Length") // pieces get their numbers
 	y.w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(y.w)
+	var gone *time.Timer
+	show := func(b []byte) {
+		if gone != nil {
+			return
+		}
+		_, err := y.w.Write(b)
+		if err == nil {
+			err = flush.Flush()
+		}
+		if err != nil {
+			gone = time.AfterFunc(linger, func() { stop(errLeft) })
+		}
+	}
+	defer func() {
+		if gone != nil {
+			gone.Stop()
+		}
+	}()
+	fail := func(err error) (int, error) {
+		b := &Bounce{Code: "internal"}
+		errors.As(err, &b)
+		ss.Close(ctx, st, b.Code)
+		show(trouble(b.Code, b.Text, y.q.Id))
+		y.torn = true
+		return rest, &Bounce{Code: b.Code, Unknown: true}
+	}
 	in := bufio.NewReaderSize(ans.Body, 16<<10)
-	var end []byte
+	seen, done := 0, false
 	for {
-		ev, err := event(in)
-		if err == io.EOF && len(ev) == 0 && end != nil {
-			break
-		}
-		if err != nil || end != nil {
-			return rest, y.cut(y.lost(e, ctx, io.ErrUnexpectedEOF))
+		var batch [][]byte
+		for {
+			var ev []byte
+			ev, err = event(in)
+			if err != nil || done && len(ev) > 0 {
+				if len(ev) > 0 {
+					err = io.ErrUnexpectedEOF // half an event, or one after the end
+				}
+				break
+			}
+			if done = last(ev); done {
+				continue
+			}
+			seen++
+			batch = append(batch, number(ev, seen))
+			if in.Buffered() == 0 || len(batch) >= 64 {
+				break
+			}
 		}
 		dog.Reset(idle)
-		if last(ev) {
-			end = ev
-			continue
+		if n := len(batch); n > 0 {
+			settle := min(n, rest)
+			rest -= settle
+			e.Token(n, settle)
+			ss.Add(ctx, st, batch)
+			for _, p := range batch {
+				show(p)
+			}
+		}
+		if err == io.EOF && done {
+			break
 		}
-		n := min(1, rest)
-		rest -= n
-		e.Token(1, n)
-		if _, err := y.w.Write(ev); err != nil {
-			return rest, &Bounce{Code: "origin-left", Unknown: true}
+		if err != nil {
+			var b *Bounce
+			if !errors.As(err, &b) {
+				err = y.lost(e, ctx, err)
+			}
+			return fail(err)
+		}
+		if y.stale() {
+			stop(errLeft)
+			return fail(&Bounce{Code: "key-withdrawn", Text: "The key of this stream was withdrawn."})
 		}
-		flush.Flush()
 	}
+	ss.Close(ctx, st, "")
 	if err := y.q.Go(query.Done, ""); err != nil {
 		return rest, err
 	}
-	y.w.Write(end)
-	flush.Flush()
+	show([]byte(endEvent))
 	return rest, nil
 }
 
-// cut tells the origin, inside a stream, that it ended in trouble.
-func (y *way) cut(err error) error {
-	b, ok := err.(*Bounce)
-	if !ok {
-		return err
+var errLeft = errors.New("the origin left")
+
+// stale tells whether the layout in force no longer knows the key that this query came with.
+func (y *way) stale() bool {
+	lay := y.f.Hub.Layout()
+	if lay.Seq == y.lay.Seq {
+		return false
+	}
+	ten, ok := lay.Tenant(y.secret)
+	if !ok || lay.Tenants[ten].Name != y.tn.Name {
+		return true
+	}
+	y.lay = lay
+	return false
+}
+
+// resume carries on a stream at the piece after the one the origin names, through any router.
+func (y *way) resume() error {
+	id := strings.TrimPrefix(y.r.URL.Path, StreamPath)
+	if y.r.Method != http.MethodGet {
+		return &Bounce{Status: 405, Code: "no-mapping", Text: "A stream is resumed with GET."}
+	}
+	after := 0
+	from := y.r.Header.Get("Last-Event-ID")
+	if v := y.r.URL.Query().Get("after"); v != "" {
+		from = v
+	}
+	if from != "" {
+		n, err := strconv.Atoi(from)
+		if err != nil || n < 0 {
+			return &Bounce{Status: 400, Code: "bad-piece", Text: "after, or Last-Event-ID: the number of the last piece had is expected."}
+		}
+		after = n
+	}
+	y.q.Lane = "resume"
+	flush := http.NewResponseController(y.w)
+	begun := false
+	until := time.Now().Add(idle)
+	for y.r.Context().Err() == nil {
+		told, err := y.f.Streams.Resume(y.r.Context(), id, y.tn.Name, after)
+		switch {
+		case err != nil && !begun:
+			return &Bounce{Status: 404, Code: "no-stream", Unknown: true, Text: "No router within reach holds this stream for this tenant."}
+		case err != nil || time.Now().After(until):
+			told = &node.StreamTold{Lost: node.LostRouter}
+		}
+		if !begun {
+			begun = true
+			y.w.Header().Set("Content-Type", "text/event-stream")
+			y.w.WriteHeader(http.StatusOK)
+		}
+		for _, p := range told.Pieces {
+			after++
+			y.w.Write(p)
+		}
+		switch {
+		case told.End:
+			io.WriteString(y.w, endEvent)
+			flush.Flush()
+			return &Bounce{Code: "resumed"}
+		case told.Lost != "":
+			y.w.Write(trouble(told.Lost, "The run behind this stream was lost.", id))
+			flush.Flush()
+			y.torn = true
+			return &Bounce{Code: told.Lost, Unknown: true}
+		}
+		if len(told.Pieces) > 0 {
+			until = time.Now().Add(idle)
+		}
+		flush.Flush()
+		if y.stale() {
+			y.w.Write(trouble("key-withdrawn", "The key of this stream was withdrawn.", id))
+			y.torn = true
+			return &Bounce{Code: "key-withdrawn", Unknown: true}
+		}
 	}
-	raw, _ := json.Marshal(map[string]any{"error": map[string]any{"code": b.Code, "run": "unknown", "message": b.Text, "query": y.q.Id}})
-	y.w.Write([]byte("event: trouble\ndata: "))
-	y.w.Write(append(raw, '\n', '\n'))
-	http.NewResponseController(y.w).Flush()
-	y.torn = true
-	return &Bounce{Code: b.Code, Unknown: true}
+	return &Bounce{Code: "origin-left", Unknown: true}
 }
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -69,10 +69,11 @@
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[hub.Stale()] },
 	})
 	purses := share.NewPurses(ctx.Part("share"), mover(hub), func() int { return len(hub.Nodes()) }, hub.Short, rules(hub))
+	streams := node.NewStreams(ctx.Part("stream"), hub)
 	claims := origin.NewClaims(ctx.Part("claim"), hub)
 	send := runner.NewSender(nil)
 	front := &origin.Front{Ctx: ctx.Part("origin"), Hub: hub, Yard: yard, Desk: desk, Send: send,
-		Meter: m, Log: log, Purses: purses, Again: origin.NewSecond(m), Claims: claims}
+		Meter: m, Log: log, Purses: purses, Again: origin.NewSecond(m), Claims: claims, Streams: streams}
 
 	l, err := ctx.Net.Listen(p.Set["addr"])
 	if err != nil {
@@ -113,6 +114,7 @@
 	go wire.Serve(ctx, l, hub.Hand)
 	go desk.Run(ctx)
 	go purses.Run()
+	go streams.Run()
 	go hub.Run()
 	go env.Loop(ctx, nil, 250*time.Millisecond, func(struct{}) {}, tell(ctx, hub, yard, desk))
 	ctx.Log.Info("Router is up.", "addr", p.Set["addr"], "origin", p.Set["origin"], "hall", ctx.Hall)
