Tests: allowance against a plain model, quota over all holders in simulated time

Each checker was seen red: spends uncounted, spends back early, draws blind to others, retired units free at once, a lowered quota not cut, a bent slope, unmeasured runners at nought.

--- /dev/null
+++ b/internal/allow/allow_test.go
@@ -0,0 +1,96 @@
+package allow
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yarrowridge/internal/layout"
+)
+
+var rule = layout.Allowance{Ceiling: 4096, Floor: 512, Full: 60 * time.Second, Low: 300 * time.Second, Rate: 10}
+
+// The curve at its thresholds, between them and past them.
+func TestCurve(t *testing.T) {
+	for sec, want := range map[float64]int{0: 4096, 59.9: 4096, 60: 4096, 120: 3200, 180: 2304, 240: 1408, 299.999: 513, 300: 512, 301: 512, 1e6: 512} {
+		if got := Size(rule, time.Duration(sec*float64(time.Second))); got != want {
+			t.Errorf("wait %g s: allowance %d, %d expected", sec, got, want)
+		}
+	}
+}
+
+// plain is the rule as the paper tells it, by big steps and with no care for speed.
+func plain(r layout.Allowance, ask Ask, feeds []Feed, waiting float64) (Outcome, int) {
+	size := r.Floor
+	if len(feeds) > 0 {
+		sum, rate := waiting, 0.0
+		for _, f := range feeds {
+			sum += f.Queued
+			if f.Rate == 0 {
+				f.Rate = r.Rate
+			}
+			rate += f.Rate
+		}
+		wait := sum / rate
+		full, low := r.Full.Seconds(), r.Low.Seconds()
+		size = int(math.Ceil(float64(r.Ceiling) - (wait-full)/(low-full)*float64(r.Ceiling-r.Floor)))
+		size = min(max(size, r.Floor), r.Ceiling)
+	}
+	switch {
+	case ask.Funded:
+		return Funded, ask.Tokens
+	case ask.Tokens <= size:
+		return Free, ask.Tokens
+	case len(feeds) == 0:
+		return NoRunner, ask.Tokens
+	case ask.Lower:
+		return Lowered, size
+	}
+	return NoFunds, ask.Tokens
+}
+
+// The decision against the plain model, for any rule, fleet and prompt.
+func TestDecideAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(1, 2000).Draw(t, "floor")
+		r := layout.Allowance{Floor: floor, Ceiling: floor + rapid.IntRange(0, 8000).Draw(t, "above"),
+			Full: time.Duration(rapid.IntRange(0, 200).Draw(t, "full")) * time.Second, Rate: 10}
+		r.Low = r.Full + time.Duration(rapid.IntRange(1, 500).Draw(t, "low"))*time.Second
+		feeds := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Feed {
+			f := Feed{Queued: float64(rapid.IntRange(0, 50000).Draw(t, "queued"))}
+			if rapid.Bool().Draw(t, "measured") {
+				f.Rate = float64(rapid.IntRange(1, 300).Draw(t, "rate"))
+			}
+			return f
+		}), 0, 6).Draw(t, "feeds")
+		ask := Ask{Funded: rapid.Bool().Draw(t, "funded"), Lower: rapid.Bool().Draw(t, "lower"), Tokens: rapid.IntRange(1, 16384).Draw(t, "tokens")}
+		waiting := float64(rapid.IntRange(0, 20000).Draw(t, "waiting"))
+		got := Decide(r, ask, feeds, waiting)
+		out, tokens := plain(r, ask, feeds, waiting)
+		// A wait in whole nanoseconds may move the line by one token; a prompt just there may go either way.
+		if got.Outcome != out && math.Abs(float64(got.Size-ask.Tokens)) > 1 {
+			t.Fatalf("outcome %s, the model says %s (allowance %d)", got.Outcome, out, got.Size)
+		}
+		if got.Outcome == out && math.Abs(float64(got.Tokens-tokens)) > 1 {
+			t.Fatalf("tokens %d, the model says %d", got.Tokens, tokens)
+		}
+		if got.Outcome != Lowered && got.Tokens != ask.Tokens {
+			t.Fatalf("tokens changed from %d to %d without lowering", ask.Tokens, got.Tokens)
+		}
+	})
+}
+
+// More work ahead never raises the allowance; more speed never lowers it.
+func TestMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := float64(rapid.IntRange(0, 100000).Draw(t, "queued"))
+		v := float64(rapid.IntRange(1, 500).Draw(t, "rate"))
+		more := float64(rapid.IntRange(0, 100000).Draw(t, "more"))
+		at := func(q, v float64) int { return Decide(rule, Ask{Tokens: 1}, []Feed{{q, v}}, 0).Size }
+		if at(q+more, v) > at(q, v) || at(q, v+more) < at(q, v) {
+			t.Fatalf("queued %g rate %g more %g: not monotone", q, v, more)
+		}
+	})
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,140 @@
+package share
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// whole is the quota system of some holders and one core, with answers that get lost.
+type whole struct {
+	pot   Pot
+	quota int
+}
+
+// Any order of draws, gives, spends, lost answers, deaths and changed quotas: the rolling window
+// over all holders never holds more units than the largest quota in force within it.
+func TestQuotaOverAllHolders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			const window = 10 * time.Second
+			w := whole{quota: rapid.IntRange(1, 60).Draw(rt, "quota")}
+			names := []string{"a", "b", "c", "d"}
+			purses := map[string]*Purse{}
+			cool := map[string]time.Time{}
+			for _, n := range names {
+				purses[n] = NewPurse()
+			}
+			type hit struct {
+				n  int
+				at time.Time
+			}
+			var hits []hit
+			type quotaAt struct {
+				n  int
+				at time.Time
+			}
+			quotas := []quotaAt{{w.quota, time.Now()}}
+			lives := 0
+			steps := rapid.IntRange(20, 120).Draw(rt, "steps")
+			for range steps {
+				n := names[rapid.IntRange(0, 3).Draw(rt, "who")]
+				p := purses[n]
+				switch rapid.IntRange(0, 9).Draw(rt, "step") {
+				case 0, 1, 2: // draw; the answer may be lost, and the turn asked again
+					p.Rule(w.quota, window)
+					if turn, k, ok := p.Want(4); ok {
+						have, _ := w.pot.Draw(n, turn, k, w.quota)
+						under := max(w.quota, w.pot.Out())
+						if rapid.Bool().Draw(rt, "lost") {
+							have, _ = w.pot.Draw(n, turn, k, w.quota)
+							under = max(w.quota, w.pot.Out())
+						}
+						p.Got(turn, have, under)
+					}
+				case 3: // give
+					if turn, k, ok := p.Spare(); ok {
+						w.pot.Give(n, turn, k)
+						have, _ := w.pot.Give(n, turn, k)
+						p.Got(turn, have, max(w.quota, w.pot.Out()))
+					}
+				case 4, 5, 6:
+					k := rapid.IntRange(1, 4).Draw(rt, "units")
+					for range rapid.SampledFrom([]int{1, 100}).Draw(rt, "times") {
+						if ok, _ := p.Keep(k); !ok {
+							break
+						}
+						p.Spend(k)
+						hits = append(hits, hit{k, time.Now()})
+					}
+				case 7:
+					time.Sleep(time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * time.Millisecond)
+				case 8: // the holder dies and comes back as another run under the same name
+					lives++
+					w.pot.Retire(n)
+					cool[n] = time.Now()
+					purses[n] = NewPurse()
+				case 9:
+					for who, at := range cool {
+						if time.Since(at) > window+2*Margin && w.pot.Thaw(who) {
+							delete(cool, who)
+						}
+					}
+				}
+				if out := w.pot.Out(); out > w.quota {
+					rt.Fatalf("%d units out of a quota of %d", out, w.quota)
+				}
+			}
+			for i := range hits {
+				sum := 0
+				for _, h := range hits[i:] {
+					if h.at.Sub(hits[i].at) < window {
+						sum += h.n
+					}
+				}
+				most := 0
+				for _, q := range quotas {
+					most = max(most, q.n)
+				}
+				if sum > most {
+					rt.Fatalf("%d units within a window of a quota of %d", sum, most)
+				}
+			}
+		})
+	})
+}
+
+// A lowered quota binds each holder at once, in proportion, before any unit was given back.
+func TestLoweredQuota(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		high := rapid.IntRange(10, 200).Draw(rt, "high")
+		low := rapid.IntRange(1, high).Draw(rt, "low")
+		var pot Pot
+		var all []*Purse
+		for i := range 5 {
+			p := NewPurse()
+			p.Rule(high, time.Minute)
+			if turn, _, ok := p.Want(1); ok {
+				have, _ := pot.Draw(string(rune('a'+i)), turn, rapid.IntRange(0, high).Draw(rt, "units"), high)
+				p.Got(turn, have, max(high, pot.Out()))
+			}
+			all = append(all, p)
+		}
+		sum := 0
+		for _, p := range all {
+			p.Rule(low, time.Minute)
+			for {
+				if ok, _ := p.Keep(1); !ok {
+					break
+				}
+				p.Spend(1)
+				sum++
+			}
+		}
+		if sum > low {
+			rt.Fatalf("%d units spent under a quota of %d", sum, low)
+		}
+	})
+}
