Real-process faults: restarts, leaving runners, lost primaries, quota, hard faults

Each run plays a deployment's origins, brings the fault about with signals, and holds origins' outcomes against runners' diaries.

--- /dev/null
+++ b/internal/drill/fault_test.go
@@ -0,0 +1,312 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// under plays a mix while a fault is brought about, then holds every promise against what was seen.
+func under(t *testing.T, f *Fleet, scale float64, fault func(ctx context.Context, l *Load)) []Outcome {
+	t.Helper()
+	l := NewLoad(f, scale, 1)
+	ctx, end := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer end()
+	run, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	all.Go(func() { l.Run(run) })
+	if err := f.Until(ctx, "traffic flows", func() bool { return Total(l.All()).Done > 50 }); err != nil {
+		t.Fatal(err)
+	}
+	fault(ctx, l)
+	n := Total(l.All()).Done
+	if err := f.Until(ctx, "traffic flows again", func() bool { return Total(l.All()).Done > n+50 }); err != nil {
+		t.Error(err)
+	}
+	stop()
+	all.Wait()
+	outs := l.All()
+	for i, b := range Check(f.Mix, outs, f.Diary.All()) {
+		if i < 5 {
+			t.Errorf("%s: %s", b.Promise, b.What)
+		}
+	}
+	s := Total(outs)
+	t.Logf("tries %d: done %d, bounced %d, troubled %d, broken %d %v", s.Queries, s.Done, s.Bounced, s.Troubled, s.Broken, s.Codes)
+	return outs
+}
+
+// Routers and cores are stopped with a warning and started again, one by one, under load: no query
+// that was read is dropped.
+func TestPlannedRestarts(t *testing.T) {
+	f := up(t, Tokachi())
+	outs := under(t, f, 0.7, func(ctx context.Context, l *Load) {
+		for _, p := range append(append([]*Proc{}, f.Routers...), f.Cores...) {
+			p.Signal(syscall.SIGTERM)
+			if !p.Wait(40 * time.Second) {
+				t.Fatalf("%s does not stop", p.Name)
+			}
+			if err := p.Start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := f.Until(ctx, p.Name+" is ready again", func() bool { return f.Ready(ctx, p) }); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	answered, ran := map[uint64]int{}, map[uint64]int{}
+	for _, o := range outs {
+		if o.Err == "" {
+			answered[o.N]++
+		}
+		if o.Code == "router-lost" || o.Code == "runner-lost" {
+			t.Errorf("query %d was troubled by a planned restart: %s", o.N, o.Code)
+		}
+	}
+	for _, s := range f.Diary.All() {
+		n, _ := strconv.ParseUint(s.Head.Get("X-Drill-N"), 10, 64)
+		ran[n]++
+	}
+	for n, k := range ran {
+		if k > answered[n] {
+			t.Errorf("query %d reached runners %d times and was answered %d times", n, k, answered[n])
+		}
+	}
+}
+
+// A runner says to one router that it leaves, and that router dies at once: two seconds later no
+// router sends it anything new.
+func TestLeavingRunner(t *testing.T) {
+	f := up(t, Trentvale())
+	var gone []*Standin
+	var said time.Time
+	under(t, f, 1, func(ctx context.Context, l *Load) {
+		var told *Proc
+		for _, r := range f.Routers {
+			if r.Runner == f.Models[0].Beats[0] {
+				told = r
+			}
+		}
+		for _, s := range append(append([]*Standin{}, f.Models...), f.Apps...) {
+			if s.Beats[0] == told.Runner {
+				gone = append(gone, s)
+			}
+		}
+		for _, s := range gone {
+			s.Leave(ctx)
+			s.Mute(true) // its word is not repeated
+		}
+		said = time.Now()
+		told.Kill()
+		n := len(f.Diary.All())
+		if err := f.Until(ctx, "much more traffic", func() bool {
+			return len(f.Diary.All()) > n+200 && time.Since(said) > 4*time.Second
+		}); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if len(gone) == 0 {
+		t.Fatal("no runner beat to the router that was killed")
+	}
+	for _, s := range f.Diary.All() {
+		for _, g := range gone {
+			if s.Runner == g.Name && s.At.Sub(said) > 2*time.Second {
+				t.Errorf("%s got a query %s after it had said that it leaves", s.Runner, s.At.Sub(said))
+			}
+		}
+	}
+}
+
+// Operators write while the primary is killed, frozen and thawed: no acknowledged layout is lost
+// and no sequence acknowledged twice.
+func TestPrimaryFaults(t *testing.T) {
+	f := up(t, Tokachi())
+	ctx, end := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer end()
+	acked := map[uint64]int{}
+	var mu sync.Mutex
+	mark := 100
+	write := func() bool {
+		mu.Lock()
+		mark++
+		m := mark
+		mu.Unlock()
+		lay := map[string]any{}
+		for k, v := range f.Mix.Layout {
+			lay[k] = v
+		}
+		lay["limits"] = obj{"queue": m}
+		raw, _ := json.Marshal(lay)
+		code, seq, err := f.Put(ctx, f.Routers[m%len(f.Routers)], raw, "*", fmt.Sprintf("w%d", m))
+		if err != nil || code != 200 {
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if was, twice := acked[seq]; twice && was != m {
+			t.Errorf("sequence %d acknowledged for %d and %d", seq, was, m)
+		}
+		acked[seq] = m
+		return true
+	}
+	lead := func() *Proc {
+		var p *Proc
+		if err := f.Until(ctx, "a primary", func() bool { p = f.Primary(ctx); return p != nil }); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	for _, fault := range []string{"kill", "freeze", "kill-all"} {
+		if !write() {
+			t.Fatalf("before %s: no write taken", fault)
+		}
+		p := lead()
+		begun := time.Now()
+		switch fault {
+		case "kill":
+			p.Kill()
+		case "freeze":
+			p.Signal(syscall.SIGSTOP)
+		case "kill-all":
+			for _, c := range f.Cores {
+				c.Signal(syscall.SIGKILL)
+			}
+			for _, c := range f.Cores {
+				c.Wait(10 * time.Second)
+				if err := c.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if err := f.Until(ctx, "a write after "+fault, write); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: a write was taken after %s", fault, time.Since(begun).Round(10*time.Millisecond))
+		switch fault {
+		case "kill":
+			if err := p.Start(); err != nil {
+				t.Fatal(err)
+			}
+		case "freeze":
+			p.Signal(syscall.SIGCONT)
+			write()
+		}
+	}
+	var seqs []uint64
+	for s := range acked {
+		seqs = append(seqs, s)
+	}
+	sort.Slice(seqs, func(i, j int) bool { return seqs[i] < seqs[j] })
+	last := seqs[len(seqs)-1]
+	for _, r := range f.Routers {
+		if err := f.Until(ctx, r.Name+" obeys", func() bool { return f.Sequence(ctx, r) >= last }); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A tenant's quota over all routers, while routers die and come back: no rolling window of what
+// the runners saw holds more.
+func TestQuotaOverRouters(t *testing.T) {
+	mix := Trentvale()
+	const units, window = 24, 3
+	mix.Layout["tenants"].(obj)["casual"].(obj)["quota"] = obj{"units": units, "window_s": window}
+	f := up(t, mix)
+	l := NewLoad(f, 1, 1)
+	ctx, end := context.WithTimeout(t.Context(), time.Minute)
+	defer end()
+	run, stop := context.WithTimeout(ctx, 9*time.Second)
+	defer stop()
+	k := Kind{Name: "confirmations", Method: "POST", Path: "/v1/confirmations", Plain: true}
+	var all sync.WaitGroup
+	for i, r := range f.Routers {
+		all.Go(func() {
+			for n := uint64(i * 100000); run.Err() == nil; n++ {
+				l.Ask(k, n+1, k.body("", n+1, newRand(n)), "casual", r)
+				nap(run, 5*time.Millisecond)
+			}
+		})
+	}
+	for i := 0; run.Err() == nil; i++ {
+		p := f.Routers[i%len(f.Routers)]
+		p.Kill()
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		nap(run, 700*time.Millisecond)
+	}
+	all.Wait()
+	var at []time.Time
+	for _, s := range f.Diary.All() {
+		if s.Head.Get("X-Yarrowridge-Tenant") == "casual" {
+			at = append(at, s.At)
+		}
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
+	most := 0
+	for i, j := 0, 0; i < len(at); i++ {
+		for at[i].Sub(at[j]) >= window*time.Second {
+			j++
+		}
+		most = max(most, i-j+1)
+	}
+	t.Logf("%d ran, at most %d in any %d s of a quota of %d", len(at), most, window, units)
+	if most > units {
+		t.Errorf("%d queries in a window of a quota of %d", most, units)
+	}
+	if len(at) < units/2 {
+		t.Errorf("only %d queries ran", len(at))
+	}
+}
+
+// came tells whether a query of a kind that began after a moment has come to a whole answer.
+func came(outs []Outcome, kind string, from time.Time) bool {
+	for _, o := range outs {
+		if o.Kind == kind && o.Whole && o.Status == 200 && o.Begun.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// Half of the routers, the primary and the backup die at once; then every process does.
+func TestHardFaults(t *testing.T) {
+	f := up(t, Tokachi())
+	under(t, f, 0.7, func(ctx context.Context, l *Load) {
+		p := f.Primary(ctx)
+		dead := append([]*Proc{}, f.Routers[:len(f.Routers)/2]...)
+		for _, c := range f.Cores {
+			if c == p || c == f.Cores[1] {
+				dead = append(dead, c)
+			}
+		}
+		for _, set := range [][]*Proc{dead, append(append([]*Proc{}, f.Cores...), f.Routers...)} {
+			at := time.Now()
+			for _, p := range set {
+				p.Signal(syscall.SIGKILL)
+			}
+			for _, p := range set {
+				p.Wait(10 * time.Second)
+				if err := p.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, k := range f.Mix.Kinds {
+				from := time.Now()
+				if err := f.Until(ctx, k.Name+" flows", func() bool { return came(l.All(), k.Name, from) }); err != nil {
+					t.Fatal(err)
+				}
+				t.Logf("%d processes killed: %s came through after %s", len(set), k.Name, time.Since(at).Round(10*time.Millisecond))
+				if d := time.Since(at); d > 30*time.Second {
+					t.Errorf("service for %s took %s", k.Name, d)
+				}
+			}
+		}
+	})
+}
