Count a router's own streams once: its own word of its work is not others' work

Cause: a router's news of its own work comes back from its own board and was added to what other routers have sent; a runner with six streams, two of them ours, counted eight. Ruled out: late news (the count stayed at eight for as long as the streams ran). Whole routers now run in the simulated world too, with runners that beat and batch; the router is put together in one place for both.

--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -57,42 +57,72 @@
 	return env.ExitOk
 }
 
-func run(p *env.Proc) error {
-	ctx := p.Ctx
-	desk := place.NewDesk(ctx.Hall, place.NewMemory(1<<18))
-	yard := runner.NewYard(ctx.Hall, desk.Wake)
-	hub := node.NewHub(ctx.Part("node"), p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), yard.See)
-	log := query.NewLog(256)
-	m := meter.New(map[string]func() float64{
-		"yarrowridge_queued":          func() float64 { n, _ := desk.Waiting(); return float64(n) },
-		"yarrowridge_layout_sequence": func() float64 { return float64(hub.Me().Seq) },
-		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[hub.Stale()] },
+// Router is the parts of one router, put together.
+type Router struct {
+	Hub     *node.Hub
+	Yard    *runner.Yard
+	Desk    *place.Desk
+	Purses  *share.Purses
+	Claims  *origin.Claims
+	Streams *node.Streams
+	Log     *query.Log
+	Meter   *meter.Meter
+	Front   *origin.Front
+	ctx     env.Ctx
+	send    *runner.Sender
+}
+
+// New puts a router together. face is where origins reach it, dial how it reaches runners (nil: TCP).
+//
+//	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
+func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
+	r := &Router{ctx: ctx, Desk: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: query.NewLog(256), send: runner.NewSender(dial)}
+	r.Yard = runner.NewYard(ctx.Name, r.Desk.Wake)
+	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Yard.See)
+	r.Meter = meter.New(map[string]func() float64{
+		"yarrowridge_queued":          func() float64 { n, _ := r.Desk.Waiting(); return float64(n) },
+		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
+		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
 	})
-	purses := share.NewPurses(ctx.Part("share"), mover(hub), func() int { return len(hub.Nodes()) }, hub.Short, rules(hub))
-	streams := node.NewStreams(ctx.Part("stream"), hub)
-	claims := origin.NewClaims(ctx.Part("claim"), hub)
-	send := runner.NewSender(nil)
-	front := &origin.Front{Ctx: ctx.Part("origin"), Hub: hub, Yard: yard, Desk: desk, Send: send,
-		Meter: m, Log: log, Purses: purses, Again: origin.NewSecond(m), Claims: claims, Streams: streams}
+	r.Purses = share.NewPurses(ctx.Part("share"), mover(r.Hub), func() int { return len(r.Hub.Nodes()) }, r.Hub.Short, rules(r.Hub))
+	r.Claims = origin.NewClaims(ctx.Part("claim"), r.Hub)
+	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
+	r.Front = &origin.Front{Ctx: ctx.Part("origin"), Hub: r.Hub, Yard: r.Yard, Desk: r.Desk, Send: r.send,
+		Meter: r.Meter, Log: r.Log, Purses: r.Purses, Again: origin.NewSecond(r.Meter), Claims: r.Claims, Streams: r.Streams}
+	return r
+}
 
+// Start begins all parts; they end with the context.
+//
+//	r.Start()
+func (r *Router) Start() {
+	go r.Desk.Run(r.ctx)
+	go r.Purses.Run()
+	go r.Streams.Run()
+	go r.Hub.Run()
+	go env.Loop(r.ctx, nil, 250*time.Millisecond, func(struct{}) {}, r.tell())
+}
+
+func run(p *env.Proc) error {
+	ctx := p.Ctx
+	r := New(ctx, p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), nil)
 	l, err := ctx.Net.Listen(p.Set["addr"])
 	if err != nil {
 		return err
 	}
 	oh, err := web.Handler([]rest.Route{
 		{Method: "GET", Path: "/alive", Handler: func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\"alive\":true}\n") }},
-		{Method: "GET", Path: "/ready", Handler: operator.Ready(hub.Ready)},
-	}, front)
+		{Method: "GET", Path: "/ready", Handler: operator.Ready(r.Hub.Ready)},
+	}, r.Front)
 	if err != nil {
 		return err
 	}
-	rh, err := (&runner.Face{Hub: hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
+	rh, err := (&runner.Face{Hub: r.Hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
 	if err != nil {
 		return err
 	}
-	face := &operator.Face{Ctx: ctx.Part("operator"), Core: hub.Core, KeyHash: func() string { return p.Now("operator-key-hash") },
-		Ready: hub.Ready, Metrics: m.Handler(), Views: views(hub, yard, purses, log)}
-	ph, err := face.Handler()
+	ph, err := (&operator.Face{Ctx: ctx.Part("operator"), Core: r.Hub.Core, KeyHash: func() string { return p.Now("operator-key-hash") },
+		Ready: r.Hub.Ready, Metrics: r.Meter.Handler(), Views: r.views()}).Handler()
 	if err != nil {
 		return err
 	}
@@ -111,17 +141,13 @@
 		go s.Run()
 		faces = append(faces, s)
 	}
-	go wire.Serve(ctx, l, hub.Hand)
-	go desk.Run(ctx)
-	go purses.Run()
-	go streams.Run()
-	go hub.Run()
-	go env.Loop(ctx, nil, 250*time.Millisecond, func(struct{}) {}, tell(ctx, hub, yard, desk))
+	go wire.Serve(ctx, l, r.Hub.Hand)
+	r.Start()
 	ctx.Log.Info("Router is up.", "addr", p.Set["addr"], "origin", p.Set["origin"], "hall", ctx.Hall)
 
 	<-p.Stop
 	ctx.Log.Info("Router leaves. Queries under way are finished.")
-	hub.Quit()
+	r.Hub.Quit()
 	env.Wait(ctx, p.Set.Span("notice"))
 	in, end := context.WithTimeout(ctx, p.Set.Span("drain"))
 	defer end()
@@ -130,10 +156,10 @@
 			ctx.Log.Warn("Drain ended before its queries did.", "trouble", err.Error())
 		}
 	}
-	for claims.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
+	for r.Claims.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
 	}
-	hub.Leave()
-	send.Close()
+	r.Hub.Leave()
+	r.send.Close()
 	return nil
 }
 
@@ -162,36 +188,37 @@
 }
 
 // tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
-func tell(ctx env.Ctx, hub *node.Hub, yard *runner.Yard, desk *place.Desk) func() {
+func (r *Router) tell() func() {
 	turn, last, still := uint64(0), "", 0
 	return func() {
-		yard.Tally()
-		yard.Forget(time.Minute)
-		w := yard.Own()
-		_, w.Queued = desk.Waiting()
+		r.Yard.Tally()
+		r.Yard.Forget(time.Minute)
+		w := r.Yard.Own()
+		_, w.Queued = r.Desk.Waiting()
 		raw, err := w.MarshalMsg(nil)
 		if err != nil {
 			return
 		}
 		// An unchanged word is repeated each second, so that others know it still holds.
-		if still++; string(raw) == last && still < 4 {
+		now := fmt.Sprint(w) // maps print in order, so equal work reads alike
+		if still++; now == last && still < 4 {
 			return
 		}
-		turn, last, still = turn+1, string(raw), 0
-		hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: runner.WorkHead + ctx.Name, Gen: ctx.Born, Turn: turn, Body: raw}}})
+		turn, last, still = turn+1, now, 0
+		r.Hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: runner.WorkHead + r.ctx.Name, Gen: r.ctx.Born, Turn: turn, Body: raw}}})
 	}
 }
 
 // views are what operators may read of this router.
-func views(hub *node.Hub, yard *runner.Yard, purses *share.Purses, log *query.Log) map[string]func() any {
+func (r *Router) views() map[string]func() any {
 	return map[string]func() any{
 		"/v1/standing": func() any {
-			return map[string]any{"node": hub.Me(), "stale": hub.Stale(), "why_not_ready": hub.Ready(), "view": hub.Core.View()}
+			return map[string]any{"node": r.Hub.Me(), "stale": r.Hub.Stale(), "why_not_ready": r.Hub.Ready(), "view": r.Hub.Core.View()}
 		},
-		"/v1/relays": func() any { return map[string]any{"near": hub.Near(), "nodes": hub.Nodes()} },
+		"/v1/relays": func() any { return map[string]any{"near": r.Hub.Near(), "nodes": r.Hub.Nodes()} },
 		"/v1/runners": func() any {
 			out := []any{}
-			for _, e := range yard.List() {
+			for _, e := range r.Yard.List() {
 				n, room := e.Load()
 				queued, rate := e.Feed()
 				why := e.Standing()
@@ -204,12 +231,12 @@
 		},
 		"/v1/shares": func() any {
 			out := map[string]any{}
-			for _, t := range purses.Names() {
-				held, free, spent := purses.For(t).Stat()
+			for _, t := range r.Purses.Names() {
+				held, free, spent := r.Purses.For(t).Stat()
 				out[t] = map[string]int{"held": held, "free": free, "spent_in_window": spent}
 			}
 			return out
 		},
-		"/v1/queries": func() any { return log.All() },
+		"/v1/queries": func() any { return r.Log.All() },
 	}
 }
--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -29,7 +29,7 @@
 //
 //	h, err := face.Handler()
 func (f *Face) Handler() (http.Handler, error) {
-	return web.Handler([]rest.Route{{Method: "POST", Path: "/v1/runners/beat", Handler: f.beat}}, nil)
+	return web.Handler([]rest.Route{{Method: "POST", Path: "/v1/runners/beat", Handler: f.Beat}}, nil)
 }
 
 func tell(w http.ResponseWriter, code int, v map[string]any) {
@@ -92,7 +92,10 @@
 	return n, turn, bad
 }
 
-func (f *Face) beat(w http.ResponseWriter, r *http.Request) {
+// Beat takes one beat.
+//
+//	http.HandleFunc("/v1/runners/beat", face.Beat)
+func (f *Face) Beat(w http.ResponseWriter, r *http.Request) {
 	if hash := f.KeyHash(); hash != "" {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if layout.HashKey(key) != hash {
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -19,10 +19,13 @@
 // redirects and obeys the environment's proxy.
 type Sender struct{ tran *http.Transport }
 
+// Dial opens a connection to a runner.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewSender makes a sender. dial may be nil for TCP.
 //
 //	s := runner.NewSender(nil)
-func NewSender(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Sender {
+func NewSender(dial Dial) *Sender {
 	if dial == nil {
 		d := &net.Dialer{Timeout: time.Second}
 		dial = d.DialContext
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -74,7 +74,7 @@
 
 // Yard is all runners known to this router.
 type Yard struct {
-	hall string
+	me   string // this router's name
 	mu   sync.RWMutex
 	all  []*Entry
 	by   map[string]*Entry
@@ -87,11 +87,11 @@
 	at   time.Time
 }
 
-// NewYard makes an empty yard; wake is called when a runner may have become free.
+// NewYard makes the empty yard of a router; wake is called when a runner may have become free.
 //
-//	y := runner.NewYard("north", desk.Wake)
-func NewYard(hall string, wake func()) *Yard {
-	return &Yard{hall: hall, by: map[string]*Entry{}, work: map[string]farWork{}, wake: wake}
+//	y := runner.NewYard("north1", desk.Wake)
+func NewYard(me string, wake func()) *Yard {
+	return &Yard{me: me, by: map[string]*Entry{}, work: map[string]farWork{}, wake: wake}
 }
 
 // The heads of the keys under which runners and routers' work stand on the board.
@@ -128,6 +128,7 @@
 		e.news, e.heard, e.told = n, time.Now(), time.Now()
 		e.mu.Unlock()
 		y.wake()
+	case r.Key == WorkHead+y.me: // our own word, come round: we know better
 	case strings.HasPrefix(r.Key, WorkHead):
 		var w node.Work
 		if _, err := w.UnmarshalMsg(r.Body); err != nil {
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -249,11 +249,22 @@
 }
 
 func (o *operator) put(mark int, match uint64, id string) put {
-	p := put{mark: mark, begun: time.Now()}
+	p := o.write(&core.Write{Id: id, Match: match, Any: match == 0, Raw: sheet(mark)})
+	p.mark = mark
+	return p
+}
+
+// raw puts a whole layout.
+func (o *operator) raw(lay []byte, id string) put {
+	return o.write(&core.Write{Id: id, Any: true, Raw: lay})
+}
+
+func (o *operator) write(in *core.Write) put {
+	p := put{begun: time.Now()}
 	ctx, end := context.WithTimeout(o.f.ctx, 6*time.Second)
 	defer end()
 	var out core.Wrote
-	err := o.cli.Call(ctx, "core.write", &core.Write{Id: id, Match: match, Any: match == 0, Raw: sheet(mark)}, &out, id != "")
+	err := o.cli.Call(ctx, "core.write", in, &out, in.Id != "")
 	p.end = time.Now()
 	switch {
 	case err == nil:
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -68,16 +69,24 @@
 	}
 }
 
-// Cut stops all that goes from one address to the other; Heal lets it through again. What is
+// Cut stops all that goes from one address's machine to the other's; Heal lets it through again. What is
 // written meanwhile arrives late, as TCP has it.
 //
 //	w.Cut(a, b); w.Cut(b, a)
 func (w *World) Cut(from, to string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cuts[[2]string{from, to}] = true
+	w.cuts[[2]string{host(from), host(to)}] = true
 }
 
+// host is the machine of an address: a cut concerns all its ports.
+func host(addr string) string {
+	h, _, _ := strings.Cut(addr, ":")
+	return h
+}
+
+func (w *World) cut(from, to string) bool { return w.cuts[[2]string{host(from), host(to)}] }
+
 // Heal ends every cut.
 //
 //	w.Heal()
@@ -168,7 +177,7 @@
 			m.w.mu.Unlock()
 			return nil, ErrRefused
 		}
-		if m.w.cuts[[2]string{m.addr, addr}] || m.w.cuts[[2]string{addr, m.addr}] {
+		if m.w.cut(m.addr, addr) || m.w.cut(addr, m.addr) {
 			m.w.mu.Unlock()
 			wait = 50 * time.Millisecond
 			continue
@@ -206,16 +215,17 @@
 
 // con is one end of a connection. What arrives stands in its own queue.
 type con struct {
-	w    *World
-	m    *machine
-	to   string
-	far  *con
-	in   []piece
-	last time.Time
-	more chan struct{}
-	gone chan struct{}
-	down bool
-	eof  bool
+	w     *World
+	m     *machine
+	to    string
+	far   *con
+	in    []piece
+	last  time.Time
+	more  chan struct{}
+	until time.Time // of reading
+	gone  chan struct{}
+	down  bool
+	eof   bool
 }
 
 func (c *con) poke() {
@@ -241,8 +251,12 @@
 			c.w.mu.Unlock()
 			return 0, io.ErrUnexpectedEOF
 		}
+		if !c.until.IsZero() && !time.Now().Before(c.until) {
+			c.w.mu.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		}
 		wait := time.Duration(-1)
-		if len(c.in) > 0 && !c.w.cuts[[2]string{c.to, c.m.addr}] {
+		if len(c.in) > 0 && !c.w.cut(c.to, c.m.addr) {
 			if wait = time.Until(c.in[0].at); wait <= 0 {
 				n := copy(b, c.in[0].data)
 				if c.in[0].data = c.in[0].data[n:]; len(c.in[0].data) == 0 {
@@ -255,18 +269,24 @@
 			c.w.mu.Unlock()
 			return 0, io.EOF
 		}
-		c.w.mu.Unlock()
-		if wait < 0 {
-			select {
-			case <-c.more:
-			case <-c.gone:
+		if !c.until.IsZero() {
+			if d := time.Until(c.until); wait < 0 || d < wait {
+				wait = d
 			}
-			continue
 		}
-		t := time.NewTimer(wait)
+		c.w.mu.Unlock()
+		var ring <-chan time.Time
+		var t *time.Timer
+		if wait >= 0 {
+			t = time.NewTimer(wait)
+			ring = t.C
+		}
 		select {
-		case <-t.C:
+		case <-c.more:
+		case <-ring:
 		case <-c.gone:
+		}
+		if t != nil {
 			t.Stop()
 		}
 	}
@@ -304,6 +324,13 @@
 
 func (c *con) LocalAddr() net.Addr                { return spot(c.m.addr) }
 func (c *con) RemoteAddr() net.Addr               { return spot(c.to) }
-func (c *con) SetDeadline(time.Time) error        { return os.ErrNoDeadline }
-func (c *con) SetReadDeadline(time.Time) error    { return os.ErrNoDeadline }
-func (c *con) SetWriteDeadline(t time.Time) error { return nil }
+func (c *con) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+func (c *con) SetWriteDeadline(t time.Time) error { return nil } // a write never waits
+
+func (c *con) SetReadDeadline(t time.Time) error {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.until = t
+	c.poke()
+	return nil
+}
--- /dev/null
+++ b/internal/sim/router_test.go
@@ -0,0 +1,438 @@
+package sim_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/router"
+	"yarrowridge/internal/runner"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/wire"
+)
+
+// whole is a simulated fleet whose routers are whole, with runners and origins.
+type whole struct {
+	*fleet
+	full    []*fullRouter
+	runners []*simRunner
+	diary   struct {
+		mu  sync.Mutex
+		all []seen
+	}
+}
+
+type seen struct {
+	n      uint64
+	id     string
+	tenant string
+	runner string
+	at     time.Time
+}
+
+type fullRouter struct {
+	name, hall, addr, face string
+	r                      *router.Router
+	crash                  func()
+	up                     bool
+	front                  http.Handler
+}
+
+// simRunner serves in simulated time: a token each step, slower as the batch fills.
+type simRunner struct {
+	w      *whole
+	name   string
+	addr   string
+	hall   string
+	labels map[string]string
+	room   int
+	step   time.Duration
+	slow   float64
+	cold   time.Duration // reading a block of prompt that is not in the cache
+	plain  bool
+
+	mu     sync.Mutex
+	born   int
+	turn   int
+	state  string
+	active int
+	queued int
+	hang   bool
+	mute   bool
+	cache  map[[32]byte]bool
+	hits   int
+	blocks int
+	crash  func()
+	up     bool
+}
+
+// newWhole founds a fleet of five cores, n routers and the runners given, and puts a layout.
+func newWhole(t *testing.T, seed uint64, n int, lay string, runners ...*simRunner) *whole {
+	w := &whole{fleet: newFleet(t, seed, 0)}
+	for i := range n {
+		r := &fullRouter{name: fmt.Sprintf("r%02d", i), hall: w.halls[i%4], addr: fmt.Sprintf("10.0.1.%d:1", i+1), face: fmt.Sprintf("10.0.1.%d:2", i+1)}
+		w.full = append(w.full, r)
+		w.startFull(r)
+	}
+	for i, s := range runners {
+		s.w, s.addr = w, fmt.Sprintf("10.0.3.%d:1", i+1)
+		if s.hall == "" {
+			s.hall = w.halls[i%min(4, n)]
+		}
+		w.runners = append(w.runners, s)
+		s.start()
+	}
+	t.Cleanup(func() {
+		for _, r := range w.full {
+			w.crashFull(r)
+		}
+		for _, s := range w.runners {
+			s.stop()
+		}
+	})
+	w.within(5*time.Second, "founding", func() bool { return w.primary() != nil })
+	w.within(5*time.Second, "the roll is known", func() bool {
+		for _, r := range w.full {
+			if len(r.r.Hub.Nodes()) < n {
+				return false
+			}
+		}
+		return true
+	})
+	w.put(lay)
+	return w
+}
+
+// put puts a layout and waits until every router that is up obeys it.
+func (w *whole) put(lay string) uint64 {
+	w.t.Helper()
+	o := w.operator()
+	p := o.raw([]byte(lay), "")
+	if p.code != 200 {
+		w.t.Fatalf("layout answered %d", p.code)
+	}
+	w.within(2*time.Second, "routers obey, and know the runners", func() bool {
+		for _, r := range w.full {
+			if !r.up {
+				continue
+			}
+			l := r.r.Hub.Layout()
+			if l == nil || l.Seq < p.seq || r.r.Hub.Ready() != "" || len(r.r.Yard.List()) < len(w.runners) {
+				return false
+			}
+		}
+		return true
+	})
+	return p.seq
+}
+
+func (w *whole) startFull(r *fullRouter) {
+	n, crash := w.w.Net(r.addr)
+	ctx, end := context.WithCancel(w.ctx)
+	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: w.log.With("at", r.name), Net: n}
+	r.r = router.New(ec, r.addr, r.face, []string{w.founder[0], w.founder[1], "10.0.1.1:1"}, func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return n.Dial(ctx, addr)
+	})
+	l, err := n.Listen(r.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	beats := http.HandlerFunc((&runner.Face{Hub: r.r.Hub, KeyHash: func() string { return "" }}).Beat)
+	lb, err := n.Listen(r.face)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: beats, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	go srv.Serve(lb)
+	r.front, r.up = r.r.Front, true
+	r.crash = func() { end(); crash(); srv.Close() }
+	go wire.Serve(ctx, l, r.r.Hub.Hand)
+	r.r.Start()
+}
+
+func (w *whole) crashFull(r *fullRouter) {
+	if r.up {
+		r.up = false
+		r.crash()
+	}
+}
+
+func (s *simRunner) start() {
+	n, crash := s.w.w.Net(s.addr)
+	l, err := n.Listen(s.addr)
+	if err != nil {
+		s.w.t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(s.w.ctx)
+	s.mu.Lock()
+	s.born++
+	s.state, s.up, s.active, s.queued = "ready", true, 0, 0
+	s.cache = map[[32]byte]bool{}
+	s.mu.Unlock()
+	srv := &http.Server{Handler: s, BaseContext: func(net.Listener) context.Context { return ctx }, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	go srv.Serve(l)
+	s.crash = func() { end(); crash(); srv.Close() }
+	cli := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.Dial(ctx, addr) }}}
+	go func() {
+		defer cli.CloseIdleConnections()
+		for at := 0; ctx.Err() == nil; {
+			s.mu.Lock()
+			mute := s.mute
+			s.mu.Unlock()
+			if !mute && !s.beat(ctx, cli, at) {
+				at++
+				env.Wait(ctx, 50*time.Millisecond)
+				continue
+			}
+			env.Wait(ctx, time.Second)
+		}
+	}()
+}
+
+func (s *simRunner) stop() {
+	s.mu.Lock()
+	up := s.up
+	s.up = false
+	s.mu.Unlock()
+	if up {
+		s.crash()
+	}
+}
+
+// beat tells a router of the own hall, or in need another, how this runner stands.
+func (s *simRunner) beat(ctx context.Context, cli *http.Client, at int) bool {
+	var to []string
+	for _, r := range s.w.full {
+		if r.hall == s.hall {
+			to = append([]string{r.face}, to...)
+		} else {
+			to = append(to, r.face)
+		}
+	}
+	s.mu.Lock()
+	s.turn++
+	raw, _ := json.Marshal(map[string]any{"name": s.name, "addr": s.addr, "born": strconv.Itoa(s.born), "turn": s.turn, "labels": s.labels,
+		"state": s.state, "room": s.room, "max_length": 16384, "queued_tokens": s.queued})
+	s.mu.Unlock()
+	ctx, end := context.WithTimeout(ctx, time.Second)
+	defer end()
+	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+to[at%len(to)]+"/v1/runners/beat", bytes.NewReader(raw))
+	ans, err := cli.Do(req)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, ans.Body)
+	ans.Body.Close()
+	return ans.StatusCode == 200
+}
+
+func (s *simRunner) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	n, _ := strconv.ParseUint(r.Header.Get("X-N"), 10, 64)
+	s.w.diary.mu.Lock()
+	s.w.diary.all = append(s.w.diary.all, seen{n, r.Header.Get(runner.QueryHead), r.Header.Get(runner.TenantHead), s.name, time.Now()})
+	s.w.diary.mu.Unlock()
+	if err != nil {
+		return
+	}
+	tokens := int(gjson.GetBytes(body, "max_tokens").Int())
+	s.mu.Lock()
+	hang := s.hang
+	s.active++
+	s.queued += tokens
+	miss := 0
+	text := gjson.GetBytes(body, "prompt").Str
+	h := sha256.New()
+	for from := 0; from+256 <= len(text); from += 256 {
+		io.WriteString(h, text[from:from+256])
+		var key [32]byte
+		copy(key[:], h.Sum(nil))
+		s.blocks++
+		if s.cache[key] {
+			s.hits++
+		} else {
+			miss++
+			s.cache[key] = true
+		}
+	}
+	s.mu.Unlock()
+	left := tokens
+	defer func() {
+		s.mu.Lock()
+		s.active--
+		s.queued -= left
+		s.mu.Unlock()
+	}()
+	if hang {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	env.Wait(r.Context(), time.Duration(miss)*s.cold)
+	stream := gjson.GetBytes(body, "stream").Bool()
+	if stream {
+		rw.Header().Set("Content-Type", "text/event-stream")
+	}
+	steps := max(tokens, 1)
+	for i := range steps {
+		s.mu.Lock()
+		d := s.step + time.Duration(s.slow*float64(s.active-1)*float64(s.step))
+		s.mu.Unlock()
+		if !env.Wait(r.Context(), d) {
+			panic(http.ErrAbortHandler)
+		}
+		if tokens > 0 {
+			s.mu.Lock()
+			s.queued--
+			s.mu.Unlock()
+			left--
+		}
+		if stream {
+			fmt.Fprintf(rw, "data: {\"i\":%d,\"n\":%d}\n\n", i, n)
+			http.NewResponseController(rw).Flush()
+		}
+	}
+	if stream {
+		io.WriteString(rw, "data: [DONE]\n\n")
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(rw, `{"n":%d,"usage":{"completion_tokens":%d}}`, n, tokens)
+}
+
+// ask is one query of an origin.
+type ask struct {
+	n      uint64
+	tenant string
+	path   string
+	method string
+	key    string
+	body   map[string]any
+	raw    []byte
+	head   map[string]string
+}
+
+// got is its answer.
+type got struct {
+	ask
+	status int
+	code   string
+	run    string
+	retry  string
+	id     string
+	body   []byte
+	begun  time.Time
+	took   time.Duration
+}
+
+// send puts a query to a router's face, as its origin would.
+func (w *whole) send(ctx context.Context, r *fullRouter, a ask) (g got) {
+	g = got{ask: a, begun: time.Now()}
+	raw := a.raw
+	if raw == nil && a.body != nil {
+		raw, _ = json.Marshal(a.body)
+	}
+	if a.method == "" {
+		a.method = "POST"
+	}
+	req := httptest.NewRequestWithContext(ctx, a.method, a.path, bytes.NewReader(raw))
+	if a.method == "GET" {
+		req.Body = http.NoBody
+	}
+	req.Header.Set("Authorization", "Bearer demo-"+a.tenant)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-N", strconv.FormatUint(a.n, 10))
+	if a.key != "" {
+		req.Header.Set("Idempotency-Key", a.key)
+	}
+	for k, v := range a.head {
+		req.Header.Set(k, v)
+	}
+	rec := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if e := recover(); e != nil && e != http.ErrAbortHandler {
+				panic(e)
+			}
+		}()
+		r.front.ServeHTTP(rec, req)
+	}()
+	g.took = time.Since(g.begun)
+	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.QueryHead)
+	g.code, g.run = gjson.GetBytes(g.body, "error.code").Str, gjson.GetBytes(g.body, "error.run").Str
+	return g
+}
+
+// saw counts how often runners saw a query of an origin.
+func (w *whole) saw(n uint64) int {
+	w.diary.mu.Lock()
+	defer w.diary.mu.Unlock()
+	k := 0
+	for _, s := range w.diary.all {
+		if s.n == n {
+			k++
+		}
+	}
+	return k
+}
+
+func prompt(tokens int) map[string]any {
+	return map[string]any{"model": "m", "prompt": "hello", "max_tokens": tokens}
+}
+
+func key(tenant string) string { return layout.HashKey("demo-" + tenant) }
+
+// plainLay is a layout with one pool of model runners and one of an ordinary application.
+func plainLay(more string) string {
+	return `{"services":{"model":{},"app":{}},
+	"pools":{"m":{"select":"app=model","service":"model"},"a":{"select":"app=orders","service":"app"}},
+	"lanes":{"ask":{"rank":3,"patience_ms":20000,"tenants":["*"]},"hot":{"rank":1,"patience_ms":20000,"tenants":["*"]},
+	 "notes":{"rank":2,"tenants":["*"],"once":true},"orders":{"rank":1,"patience_ms":5000,"tenants":["*"],"once":true,"plain":true}},
+	"mappings":[{"path":"/ask","lane":"ask","pool":"m"},{"path":"/hot","lane":"hot","pool":"m"},{"path":"/notes","lane":"notes","pool":"m"},{"path":"/orders","lane":"orders","pool":"a"}],
+	"tenants":{"rich":{"funded":true,"keys":["` + key("rich") + `"]},"poor":{"keys":["` + key("poor") + `"]}` + more + `}}`
+}
+
+func model(room int, step time.Duration) *simRunner {
+	return &simRunner{name: "m", labels: map[string]string{"app": "model", "model": "m"}, room: room, step: step}
+}
+
+func orders() *simRunner {
+	return &simRunner{name: "o", labels: map[string]string{"app": "orders"}, room: 100, step: 5 * time.Millisecond, plain: true}
+}
+
+var _ = sim.ErrFull
+
+// Every stream counts once in every router's account of a runner, its own router's included.
+func TestStreamsCountOnce(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 3, plainLay(""), model(64, 100*time.Millisecond))
+		for i := range 6 {
+			go w.send(w.ctx, w.full[i%3], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: prompt(100)})
+		}
+		time.Sleep(3 * time.Second)
+		for _, r := range w.full {
+			e := r.r.Yard.List()[0]
+			if n, _ := e.Load(); n != 6 {
+				t.Errorf("%s counts %d streams on the runner, there are 6", r.name, n)
+			}
+			// Whole answers settle at their end, so all that was asked is still ahead.
+			if q, _ := e.Feed(); q != 600 {
+				t.Errorf("%s counts %g tokens ahead, there are 600", r.name, q)
+			}
+		}
+	})
+}
