A late beat no longer undoes a runner's word of leaving; promises over whole routers

Cause: a beat that arrived after a later word got a turn above it, so a 'ready' long under way set a leaving runner back into service. Ruled out: a lost spread (the told router's neighbour had taken the word before it was answered). After: a beat with a turn keeps it; an older one is not newer news.

With it come simulated runs of whole routers: storms over queries, a hall cut off for 10 minutes, withdrawn keys, stuck and leaving runners, every bounce.

--- a/internal/runner/face.go
+++ b/internal/runner/face.go
@@ -146,7 +146,11 @@
 		if was.Born != n.Born {
 			rec.Gen++
 		} else {
-			rec.Turn = max(turn, old.Turn+1)
+			// A beat without a turn counts as the newest. One with a turn keeps it: a beat that was
+			// long under way must not undo a later word.
+			if turn == 0 {
+				rec.Turn = old.Turn + 1
+			}
 			fresh = was.State != n.State
 		}
 	}
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -90,6 +90,7 @@
 	for _, r := range f.routers {
 		rest = append(rest, r.addr)
 	}
+	rest = append(rest, f.more...)
 	switch f.rnd.IntN(11) {
 	case 0, 1:
 		f.crashCore(c)
@@ -127,9 +128,11 @@
 	case 8:
 		c.disk.Full(true)
 	case 9:
-		r := f.routers[f.rnd.IntN(len(f.routers))]
-		f.crashRouter(r)
-		f.startRouter(r)
+		if len(f.routers) > 0 {
+			r := f.routers[f.rnd.IntN(len(f.routers))]
+			f.crashRouter(r)
+			f.startRouter(r)
+		}
 	case 10:
 		f.settle()
 	}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -51,6 +51,7 @@
 	end     context.CancelFunc
 	lost    time.Duration
 	founder []string
+	more    []string // addresses that a fault may cut off from a core, besides cores and routers
 }
 
 type coreProc struct {
--- /dev/null
+++ b/internal/sim/promise_test.go
@@ -0,0 +1,465 @@
+package sim_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/runner"
+)
+
+var cutFor = flag.Duration("cut", 10*time.Minute, "how long a hall is cut off, in simulated time")
+
+// ledger is all outcomes that origins had.
+type ledger struct {
+	mu  sync.Mutex
+	all []got
+}
+
+func (l *ledger) add(g got) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, g)
+}
+
+func (l *ledger) list() []got {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]got{}, l.all...)
+}
+
+// honest holds outcomes against what runners saw: once-only queries ran once at most, what was said
+// not to have run did not, answers belong to their queries, and none came twice to a runner.
+func (w *whole) honest(l *ledger) {
+	w.diary.mu.Lock()
+	defer w.diary.mu.Unlock()
+	ids, ran := map[string]int{}, map[uint64]int{}
+	for _, s := range w.diary.all {
+		ids[s.id]++
+		ran[s.n]++
+	}
+	for id, n := range ids {
+		if n > 1 {
+			w.t.Errorf("query %s came to runners %d times", id, n)
+		}
+	}
+	once := map[uint64]bool{}
+	for _, g := range l.all {
+		if g.key != "" {
+			once[g.n] = true
+		}
+		if g.run == "not run" && ids[g.id] > 0 {
+			w.t.Errorf("query %s (%d) was said not to have run (%s), but it did", g.id, g.n, g.code)
+		}
+		if g.status == 200 && g.code == "" && !bytes.Contains(g.body, []byte(fmt.Sprintf(`"n":%d`, g.n))) {
+			w.t.Errorf("query %d was answered %s", g.n, g.body)
+		}
+		if (g.status == 503 || g.status == 429) && g.retry == "" {
+			w.t.Errorf("query %d was bounced with %s and no Retry-After", g.n, g.code)
+		}
+	}
+	for n := range once {
+		if ran[n] > 1 {
+			w.t.Errorf("query %d may run once and ran %d times", n, ran[n])
+		}
+	}
+}
+
+// rolling is the most that runners saw of a tenant in any window.
+func (w *whole) rolling(tenant string, window time.Duration) int {
+	w.diary.mu.Lock()
+	defer w.diary.mu.Unlock()
+	most := 0
+	var at []time.Time
+	for _, s := range w.diary.all {
+		if s.tenant != tenant {
+			continue
+		}
+		at = append(at, s.at)
+		for at[len(at)-1].Sub(at[0]) >= window {
+			at = at[1:]
+		}
+		most = max(most, len(at))
+	}
+	return most
+}
+
+// Everything at once: cores, routers and runners crash, hang and are cut off while origins ask and
+// ask again elsewhere. Once-only stays once-only, "not run" stays true, answers stay whole.
+func TestQueryStorm(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 6, plainLay(`,"metered":{"funded":true,"keys":["`+key("metered")+`"],"quota":{"units":30,"window_s":5}}`),
+			model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), orders(), orders())
+		l := &ledger{}
+		stop := time.Now().Add(40 * time.Second)
+		var all sync.WaitGroup
+		for i := range 12 {
+			all.Go(func() {
+				for k := uint64(1); time.Now().Before(stop); k++ {
+					a := ask{n: uint64(i)*10000 + k, tenant: "rich", path: "/ask", body: prompt(5)}
+					switch (uint64(i) + k) % 4 {
+					case 0:
+						a.path, a.key = "/orders", fmt.Sprintf("k%d", a.n)
+					case 1:
+						a.path, a.key = "/notes", fmt.Sprintf("k%d", a.n)
+					case 2:
+						a.tenant = "metered"
+					}
+					a.body["nonce"] = a.n
+					for try := range 4 {
+						r := w.full[(i+int(k)+try)%len(w.full)]
+						if !r.up {
+							continue
+						}
+						ctx, end := context.WithTimeout(w.ctx, 15*time.Second)
+						g := w.send(ctx, r, a)
+						end()
+						if !r.up {
+							g = got{ask: a} // its router died: the origin heard nothing
+						}
+						l.add(g)
+						if g.status == 200 || a.key == "" && g.run != "not run" {
+							break
+						}
+						env50(w.ctx)
+					}
+				}
+			})
+		}
+		for time.Now().Before(stop) {
+			switch r := w.full[w.rnd.IntN(len(w.full))]; w.rnd.IntN(6) {
+			case 0:
+				w.crashFull(r)
+				env50(w.ctx)
+				w.startFull(r)
+			case 1:
+				s := w.runners[w.rnd.IntN(len(w.runners))]
+				s.stop()
+				env50(w.ctx)
+				s.start()
+			case 2:
+				s := w.runners[w.rnd.IntN(len(w.runners))]
+				w.w.Split([]string{r.addr}, []string{s.addr})
+			case 3:
+				w.w.Heal()
+			default:
+				w.fault()
+			}
+			time.Sleep(time.Duration(200+w.rnd.IntN(1500)) * time.Millisecond)
+		}
+		w.settle()
+		all.Wait()
+		w.honest(l)
+		if n := w.rolling("metered", 5*time.Second); n > 30 {
+			t.Errorf("%d queries in a window of a quota of 30", n)
+		}
+		sum := map[string]int{}
+		for _, g := range l.list() {
+			sum[fmt.Sprint(g.status, g.code)]++
+		}
+		t.Logf("outcomes %v", sum)
+		if sum["200"] < 200 {
+			t.Errorf("only %d queries were answered", sum["200"])
+		}
+		// And after all of it, service: every router answers a once-only query soon.
+		for i, r := range w.full {
+			w.within(12*time.Second, r.name+" serves", func() bool {
+				machines++
+				n := uint64(900000 + machines)
+				return w.send(w.ctx, r, ask{n: n, tenant: "rich", path: "/orders", key: fmt.Sprintf("end%d-%d", i, n), body: map[string]any{"n": n}}).status == 200
+			})
+		}
+	})
+}
+
+func env50(ctx context.Context) { time.Sleep(50 * time.Millisecond) }
+
+// A hall is cut off for long: it serves on with its last layout, marked stale, spends its own share
+// of quotas, bounces keyed once-only queries as not run, and upon rejoining obeys the newest layout.
+func TestCutHall(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		quota := func(n int) string {
+			return fmt.Sprintf(`,"metered":{"funded":true,"keys":["%s"],"quota":{"units":%d,"window_s":10}}`, key("metered"), n)
+		}
+		w := newWhole(t, seed, 8, plainLay(quota(40)), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), orders(), orders())
+		time.Sleep(3 * time.Second)
+		var in, out []string
+		inside := map[string]bool{"east": true}
+		for _, c := range w.cores {
+			if inside[c.hall] {
+				in = append(in, c.addr)
+			} else {
+				out = append(out, c.addr)
+			}
+		}
+		for _, r := range w.full {
+			if inside[r.hall] {
+				in = append(in, r.addr)
+			} else {
+				out = append(out, r.addr)
+			}
+		}
+		for _, s := range w.runners {
+			if inside[s.hall] {
+				in = append(in, s.addr)
+			} else {
+				out = append(out, s.addr)
+			}
+		}
+		l := &ledger{}
+		n := uint64(0)
+		round := func(path, tenant string, keyed bool) map[string]int {
+			sum := map[string]int{}
+			var all sync.WaitGroup
+			var mu sync.Mutex
+			for _, r := range w.full {
+				n++
+				a := ask{n: n, tenant: tenant, path: path, body: prompt(2)}
+				if keyed {
+					a.key = fmt.Sprintf("k%d", n)
+				}
+				all.Go(func() {
+					g := w.send(w.ctx, r, a)
+					l.add(g)
+					mu.Lock()
+					defer mu.Unlock()
+					where := "out "
+					if inside[r.hall] {
+						where = "in "
+					}
+					sum[where+fmt.Sprint(g.status)+g.code]++
+				})
+			}
+			all.Wait()
+			return sum
+		}
+		w.w.Split(in, out)
+		time.Sleep(8 * time.Second) // silent runners are found out, a primary inside is replaced
+		until := time.Now().Add(*cutFor)
+		for time.Now().Before(until) {
+			if s := round("/ask", "rich", false); s["in 200"] != 2 || s["out 200"] != 6 {
+				t.Fatalf("unkeyed queries during the cut: %v", s)
+			}
+			if s := round("/notes", "rich", true); s["in 503no-core"] != 2 || s["out 200"] != 6 {
+				t.Fatalf("keyed once-only queries during the cut: %v", s)
+			}
+			for range 10 {
+				round("/ask", "metered", false)
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(time.Duration(w.rnd.IntN(50)) * time.Second)
+		}
+		for _, r := range w.full {
+			if r.r.Hub.Stale() != inside[r.hall] {
+				t.Errorf("%s: stale %v", r.name, r.r.Hub.Stale())
+			}
+		}
+		o := w.operator()
+		p := o.raw([]byte(plainLay(quota(20))), "")
+		if p.code != 200 {
+			t.Fatalf("the greater part took no layout: %d", p.code)
+		}
+		w.w.Heal()
+		w.within(2*time.Second, "all obey the newest layout", func() bool {
+			for _, r := range w.full {
+				if r.r.Hub.Layout().Seq < p.seq || r.r.Hub.Stale() {
+					return false
+				}
+			}
+			return true
+		})
+		if got := w.rolling("metered", 10*time.Second); got > 40 {
+			t.Errorf("%d queries in a window of a quota of 40", got)
+		}
+		time.Sleep(10 * time.Second)
+		mark := len(w.diary.all)
+		for range 30 {
+			round("/ask", "metered", false)
+			time.Sleep(500 * time.Millisecond)
+		}
+		w.diary.all = w.diary.all[mark:]
+		if got := w.rolling("metered", 10*time.Second); got > 20 || got < 10 {
+			t.Errorf("after rejoining %d queries in a window of a quota of 20", got)
+		}
+		w.honest(l)
+	})
+}
+
+// A withdrawn key bounces at once on whatever connection, and its running streams end explicitly.
+func TestWithdrawnKey(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 4, plainLay(`,"gone":{"funded":true,"keys":["`+key("gone")+`"]}`), model(8, 100*time.Millisecond))
+		done := make(chan got, 1)
+		body := prompt(300)
+		body["stream"] = true
+		go func() {
+			done <- w.send(w.ctx, w.full[1], ask{n: 1, tenant: "gone", path: "/ask", body: body})
+		}()
+		time.Sleep(3 * time.Second)
+		w.put(plainLay(""))
+		acked := time.Now()
+		for i, r := range w.full {
+			if g := w.send(w.ctx, r, ask{n: uint64(10 + i), tenant: "gone", path: "/ask", body: prompt(1)}); g.status != 401 {
+				t.Errorf("%s answered a withdrawn key with %d", r.name, g.status)
+			}
+		}
+		g := <-done
+		if took := time.Since(acked); took > 2*time.Second {
+			t.Errorf("the stream ran on for %s", took)
+		}
+		if !strings.Contains(string(g.body), "event: trouble") || !strings.Contains(string(g.body), "key-withdrawn") || strings.Contains(string(g.body), "[DONE]") {
+			t.Errorf("the stream ended with %q", tail(g.body))
+		}
+	})
+}
+
+func tail(b []byte) string { return string(b[max(0, len(b)-200):]) }
+
+// A runner that beats but answers nothing is found out by its answers, and does not come back into
+// standing by its beats alone.
+func TestStuckRunner(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		a, b := model(8, 10*time.Millisecond), model(8, 10*time.Millisecond)
+		a.name, b.name = "a", "b"
+		w := newWhole(t, seed, 2, plainLay(""), a, b)
+		a.mu.Lock()
+		a.hang = true
+		a.mu.Unlock()
+		flips, was := 0, ""
+		for i := range 600 {
+			i := i
+			go w.send(w.ctx, w.full[i%2], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": fmt.Sprint(i)}})
+			time.Sleep(100 * time.Millisecond)
+			for _, e := range w.full[0].r.Yard.List() {
+				if e.Addr == a.addr {
+					if why := e.Standing(); why != was {
+						was = why
+						flips++
+					}
+				}
+			}
+		}
+		late := 0
+		w.diary.mu.Lock()
+		for _, s := range w.diary.all {
+			if s.runner == "a" && s.n > 200 {
+				late++
+			}
+		}
+		total := len(w.diary.all)
+		w.diary.mu.Unlock()
+		t.Logf("%d of %d queries went to the stuck runner after 20 s; its standing changed %d times in 60 s", late, total, flips)
+		if late > 8 {
+			t.Errorf("%d queries went to a runner that had answered nothing for 20 s", late)
+		}
+		if flips > 8 {
+			t.Errorf("standing changed %d times", flips)
+		}
+		if total < 500 {
+			t.Errorf("only %d queries reached a runner", total)
+		}
+	})
+}
+
+// A leaving runner's word, told to a router that dies at once, binds every other within 2 s.
+func TestLeavingWord(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		a, b := model(8, 5*time.Millisecond), model(8, 5*time.Millisecond)
+		a.name, b.name = "a", "b"
+		w := newWhole(t, seed, 6, plainLay(""), a, b)
+		told := w.full[w.rnd.IntN(len(w.full))]
+		face := &runner.Face{Hub: told.r.Hub, KeyHash: func() string { return "" }}
+		a.mu.Lock()
+		a.state, a.mute = "leaving", true
+		raw := fmt.Sprintf(`{"name":"a","addr":%q,"born":"1","turn":%d,"state":"leaving","room":8,"labels":{"app":"model","model":"m"}}`, a.addr, a.turn+1)
+		a.mu.Unlock()
+		if code := post(face.Beat, raw); code != 200 {
+			t.Fatalf("the word was answered %d", code)
+		}
+		w.crashFull(told)
+		at := time.Now()
+		time.Sleep(2 * time.Second)
+		for i := range 60 {
+			for _, r := range w.full {
+				if r.up {
+					n := uint64(i*10 + 1000)
+					go w.send(w.ctx, r, ask{n: n, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 1, "prompt": fmt.Sprint(i)}})
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, s := range w.diary.all {
+			if s.runner == "a" && s.at.Sub(at) > 2*time.Second {
+				t.Fatalf("the leaving runner got a query after %s", s.at.Sub(at))
+			}
+		}
+		if len(w.diary.all) < 100 {
+			t.Errorf("only %d queries reached a runner", len(w.diary.all))
+		}
+	})
+}
+
+// Every bad query gets its own answer, and none of them reaches a runner.
+func TestBounces(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 1, strings.Replace(plainLay(""), `{"services"`, `{"limits":{"body_bytes":2000},"services"`, 1), model(8, 5*time.Millisecond))
+		big := map[string]any{"model": "m", "max_tokens": 1, "prompt": strings.Repeat("x", 3000)}
+		for i, c := range []struct {
+			ask  ask
+			code int
+			name string
+		}{
+			{ask{tenant: "nobody", path: "/ask", body: prompt(1)}, 401, "unknown-key"},
+			{ask{tenant: "rich", path: "/nowhere", body: prompt(1)}, 404, "unknown-path"},
+			{ask{tenant: "rich", path: "/ask", method: "GET"}, 405, "no-mapping"},
+			{ask{tenant: "rich", path: "/ask", body: big}, 413, "body-too-large"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":`)}, 400, "bad-json"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`[]`)}, 400, "bad-json"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","prompt":"a","max_tokens":1,"max_tokens":9}`)}, 400, "bad-prompt"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"prompt":"a","max_tokens":1}`)}, 400, "bad-prompt"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","max_tokens":1}`)}, 400, "bad-prompt"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","prompt":"a","max_tokens":1,"stream":"yes"}`)}, 400, "bad-prompt"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","prompt":"a"}`)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", body: prompt(0)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", body: prompt(-5)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", body: prompt(1 << 40)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","prompt":"a","max_tokens":1.5}`)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", raw: []byte(`{"model":"m","prompt":"a","max_tokens":1e99}`)}, 400, "bad-max-tokens"},
+			{ask{tenant: "rich", path: "/ask", body: prompt(1), head: map[string]string{"Content-Type": "text/plain"}}, 415, "bad-type"},
+			{ask{tenant: "rich", path: "/ask", body: prompt(1), head: map[string]string{"Content-Encoding": "gzip"}}, 415, "bad-encoding"},
+			{ask{tenant: "rich", path: "/notes", body: prompt(1), key: strings.Repeat("k", 300)}, 400, "bad-key"},
+			{ask{tenant: "poor", path: "/ask", body: prompt(5000)}, 402, "no-funds"},
+			{ask{tenant: "poor", path: "/ask", body: map[string]any{"model": "other", "prompt": "a", "max_tokens": 5000}}, 503, "no-runner"},
+			{ask{tenant: "rich", path: "/v1/streams/none", method: "GET"}, 404, "no-stream"},
+			{ask{tenant: "rich", path: "/v1/streams/none?after=x", method: "GET"}, 400, "bad-piece"},
+		} {
+			c.ask.n = uint64(i + 1)
+			g := w.send(w.ctx, w.full[0], c.ask)
+			if g.status != c.code || g.code != c.name {
+				t.Errorf("%s %s %.60s: answered %d %s, expected %d %s", c.ask.method, c.ask.path, c.ask.raw, g.status, g.code, c.code, c.name)
+			}
+			if g.code != "no-stream" && g.run != "not run" {
+				t.Errorf("%s: said %q", g.code, g.run)
+			}
+			if n := w.saw(c.ask.n); n != 0 {
+				t.Errorf("%s: a runner saw it", g.code)
+			}
+		}
+		g := w.send(w.ctx, w.full[0], ask{n: 99, tenant: "poor", path: "/ask", body: prompt(5000)})
+		if !strings.Contains(gjson.GetBytes(g.body, "error.message").Str, "4096 tokens") {
+			t.Errorf("the refusal does not state the allowance: %s", g.body)
+		}
+		// Lowered with the origin's leave: that one field and nothing else, and it is said.
+		raw := []byte("{\"prompt\":\"a\" , \"max_tokens\" : 5000,\n\"allow_downgrade\":true,\"model\":\"m\"}")
+		if g := w.send(w.ctx, w.full[0], ask{n: 100, tenant: "poor", path: "/ask", raw: raw}); g.status != 200 || !bytes.Contains(g.body, []byte(`"completion_tokens":4096`)) {
+			t.Errorf("lowered: %d %s", g.status, g.body)
+		}
+	})
+}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -87,6 +87,7 @@
 	for i := range n {
 		r := &fullRouter{name: fmt.Sprintf("r%02d", i), hall: w.halls[i%4], addr: fmt.Sprintf("10.0.1.%d:1", i+1), face: fmt.Sprintf("10.0.1.%d:2", i+1)}
 		w.full = append(w.full, r)
+		w.more = append(w.more, r.addr)
 		w.startFull(r)
 	}
 	for i, s := range runners {
@@ -436,3 +437,10 @@
 		}
 	})
 }
+
+// post hands a body to a handler and tells the status.
+func post(h http.HandlerFunc, raw string) int {
+	rec := httptest.NewRecorder()
+	h(rec, httptest.NewRequest("POST", "/", bytes.NewReader([]byte(raw))))
+	return rec.Code
+}
