--- a/internal/origin/second.go
+++ b/internal/origin/second.go
@@ -54,6 +54,15 @@
 	t.first = append(t.first, time.Now())
 }
 
+// Firsts is how many first tries the last ten seconds saw.
+//
+//	n := s.Firsts("model")
+func (s *Second) Firsts(svc string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.of(svc).first)
+}
+
 // May tells whether a second try may be made now, and counts it. part is what this router has of
 // the fleet's spare tries.
 //
--- /dev/null
+++ b/internal/sim/load_test.go
@@ -0,0 +1,381 @@
+package sim_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	dto "github.com/prometheus/client_model/go"
+)
+
+// Runners that refuse every connection, under a crowd: second tries stay under a fifth of the first
+// ones and the fleet's small allowance in any ten seconds, counted over all routers together.
+func TestSecondTries(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		var all []*simRunner
+		for range 4 {
+			all = append(all, model(50, 5*time.Millisecond))
+		}
+		w := newWhole(t, seed, 6, plainLay(""), all...)
+		// The runners' listeners are gone, their beats go on: every dial is refused.
+		for _, s := range all {
+			s.deaf()
+		}
+		type count struct{ first, again float64 }
+		var log []count
+		read := func() (c count) {
+			for _, r := range w.full {
+				c.again += testutil.ToFloat64(r.r.Meter.Seconds.WithLabelValues("model", "yes"))
+				c.first += float64(r.r.Front.Again.Firsts("model"))
+			}
+			return c
+		}
+		stop := time.Now().Add(40 * time.Second)
+		for i := uint64(1); time.Now().Before(stop); i++ {
+			go w.send(w.ctx, w.full[i%6], ask{n: i, tenant: "rich", path: "/ask", body: prompt(1)})
+			time.Sleep(time.Duration(w.rnd.IntN(10)) * time.Millisecond)
+			if i%100 == 0 {
+				log = append(log, read())
+			}
+		}
+		last := read()
+		if last.again == 0 {
+			t.Error("no second try was made at all: nothing was shown")
+		}
+		worst := 0.0
+		for _, c := range log { // the first-try counts are those of the last ten seconds
+			worst = math.Max(worst, c.again)
+		}
+		t.Logf("%g second tries in 40 s, %g first tries in the last ten", last.again, last.first)
+		if most := 4*(0.2*last.first*1.5+4) + 4; last.again > most {
+			t.Errorf("%g second tries in 40 s, at most %g expected", last.again, most)
+		}
+	})
+}
+
+// A crowd of ten times the capacity: the first rank keeps its goodput, all runners stay busy, the
+// queue stays bounded, and every bounce comes with its Retry-After as soon as it is certain.
+func TestCrowd(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		// Two runners of 4 streams, 50 ms a token, 4 tokens: 40 queries a second.
+		lay := strings.Replace(plainLay(""), `{"services"`, `{"limits":{"queue":60},"services"`, 1)
+		lay = strings.ReplaceAll(lay, `"patience_ms":20000`, `"patience_ms":2000`)
+		w := newWhole(t, seed, 2, lay, model(4, 50*time.Millisecond), model(4, 50*time.Millisecond))
+		l := &ledger{}
+		var all sync.WaitGroup
+		n := uint64(0)
+		begun := time.Now()
+		stop := begun.Add(20 * time.Second)
+		most := 0
+		for time.Now().Before(stop) {
+			n++
+			a := ask{n: n, tenant: "rich", path: "/ask", body: prompt(4)}
+			if n%20 == 0 { // 20 a second of the first rank, half of the capacity
+				a.path = "/hot"
+			}
+			r := w.full[n%2]
+			if n%20 == 0 {
+				r = w.full[n/20%2]
+			}
+			all.Go(func() { l.add(w.send(w.ctx, r, a)) })
+			for _, r := range w.full {
+				q, _ := r.r.Desk.Waiting()
+				most = max(most, q)
+			}
+			time.Sleep(2500 * time.Microsecond)
+		}
+		all.Wait()
+		hot, hotDone, done := 0, 0, 0
+		slow := time.Duration(0)
+		for _, g := range l.list() {
+			if g.path == "/hot" {
+				hot++
+			}
+			if g.status == 200 {
+				done++
+				if g.path == "/hot" {
+					hotDone++
+				}
+			} else {
+				slow = max(slow, g.took)
+			}
+		}
+		full := 40 * 20
+		t.Logf("%d of a capacity of %d done (%.2f), first rank %d of %d, longest queue %d, slowest bounce %s",
+			done, full, float64(done)/float64(full), hotDone, hot, most, slow)
+		if float64(done) < 0.9*float64(full) {
+			t.Errorf("goodput %d of a capacity of %d", done, full)
+		}
+		if float64(hotDone) < 0.98*float64(hot) {
+			t.Errorf("first rank: %d of %d done", hotDone, hot)
+		}
+		if most > 60 {
+			t.Errorf("%d queries waited where 60 may", most)
+		}
+		if slow > 2100*time.Millisecond {
+			t.Errorf("a bounce took %s, patience is 2 s", slow)
+		}
+		w.honest(l)
+	})
+}
+
+// From acknowledgement to the last router, also when the primary dies with its answer: within 2 s,
+// for 14, 50 and 200 routers. The log gives the time and the messages a layout costs.
+func TestReach(t *testing.T) {
+	for _, n := range []int{14, 50, 200} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				f := newFleet(t, seed, n)
+				f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+				f.within(10*time.Second, "all on the roll", func() bool {
+					for _, r := range f.routers {
+						if len(r.hub.Nodes()) < n {
+							return false
+						}
+					}
+					return true
+				})
+				time.Sleep(3 * time.Second)
+				reach := func(p put) time.Duration {
+					if p.code != 200 {
+						t.Fatalf("write answered %d", p.code)
+					}
+					return f.within(2*time.Second, "all routers obey", func() bool {
+						for _, r := range f.routers {
+							if lay := r.hub.Layout(); lay == nil || lay.Seq < p.seq {
+								return false
+							}
+						}
+						return true
+					})
+				}
+				o := f.operator()
+				idle := f.w.Calls
+				time.Sleep(2 * time.Second)
+				idle = f.w.Calls - idle
+				before := f.w.Calls
+				at := time.Now()
+				calm := reach(o.put(1, 0, ""))
+				calls := f.w.Calls - before
+				share := int(time.Since(at).Seconds() / 2 * float64(idle))
+				p := o.put(2, 0, "")
+				f.crashCore(f.primary())
+				dead := reach(p)
+				t.Logf("%d routers: %s; primary dead with its answer: %s; %d messages, some %d of them beats (%d a second when idle)", n, calm, dead, calls, share, idle/2)
+			})
+		})
+	}
+}
+
+// A layout near the largest size goes through, one beyond it does not.
+func TestLargeLayout(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 6)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		var ten []string
+		for i := 0; len(strings.Join(ten, ",")) < 1<<20-400; i += 100 {
+			var b strings.Builder
+			for j := range 100 {
+				if j > 0 {
+					b.WriteByte(',')
+				}
+				fmt.Fprintf(&b, `"t%d":{"keys":["%064x"],"funded":true}`, i+j, i+j+1)
+			}
+			if len(strings.Join(ten, ","))+b.Len() > 1<<20-400 {
+				break
+			}
+			ten = append(ten, b.String())
+		}
+		lay := `{"tenants":{` + strings.Join(ten, ",") + `}}`
+		o := f.operator()
+		p := o.raw([]byte(lay), "")
+		if p.code != 200 {
+			t.Fatalf("a layout of %d bytes was answered %d", len(lay), p.code)
+		}
+		f.within(2*time.Second, "all obey", func() bool {
+			for _, r := range f.routers {
+				if l := r.hub.Layout(); l == nil || l.Seq < p.seq {
+					return false
+				}
+			}
+			return true
+		})
+		if q := o.raw([]byte(lay+strings.Repeat(" ", 1<<20)), ""); q.code != 413 {
+			t.Errorf("too large a layout was answered %d", q.code)
+		}
+	})
+}
+
+// A damaged version on a core's disk: the core says so, counts as blank, and the fleet loses nothing.
+func TestDamagedDisk(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 2)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		o := f.operator()
+		b := &book{}
+		for i := range 5 {
+			b.add(o.put(i+1, 0, ""))
+		}
+		p := f.primary()
+		was := p.srv.Peek().Me
+		f.crashCore(p)
+		bad := ""
+		for _, n := range p.disk.Names() {
+			if strings.HasPrefix(n, "v-") && (bad == "" || f.rnd.IntN(2) == 0) {
+				bad = n
+			}
+		}
+		if !p.disk.Spoil(bad) {
+			t.Fatal("nothing to spoil")
+		}
+		f.startCore(p)
+		if p.srv.Peek().Me == was {
+			t.Error("a core with a damaged state kept its identity")
+		}
+		f.within(15*time.Second, "five members again, the damaged one as a new process", func() bool {
+			q := f.primary()
+			return q != nil && len(q.srv.Peek().View.Members) == 5 && q.srv.Peek().View.Has(p.srv.Peek().Me)
+		})
+		b.add(o.put(9, 0, ""))
+		f.check(b)
+		kept := false
+		for _, n := range p.disk.Names() {
+			kept = kept || n == "bad-"+bad
+		}
+		if !kept {
+			t.Errorf("%s was not set aside: %v", bad, p.disk.Names())
+		}
+	})
+}
+
+// Prefixes: how much of the prompts runners find in their caches, and how even the load is, against
+// least-loaded and plain rendezvous placement on the same traffic. The log gives the figures.
+func TestPrefixHits(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		var all []*simRunner
+		for range 8 {
+			s := model(16, 5*time.Millisecond)
+			s.slow, s.cold = 0.1, 10*time.Millisecond
+			all = append(all, s)
+		}
+		w := newWhole(t, seed, 4, plainLay(""), all...)
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		var wg sync.WaitGroup
+		l := &ledger{}
+		for i := range uint64(2000) {
+			doc := rnd.IntN(40)
+			if rnd.IntN(3) == 0 {
+				doc = 0 // one key takes a third of the traffic
+			}
+			text := strings.Repeat(fmt.Sprintf("sheet %d line; ", doc), 200) + fmt.Sprint(" question ", i)
+			wg.Go(func() {
+				l.add(w.send(w.ctx, w.full[i%4], ask{n: i + 1, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": text}}))
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		hits, blocks, least, most := 0, 0, math.MaxInt, 0
+		for _, s := range w.runners {
+			hits, blocks = hits+s.hits, blocks+s.blocks
+			least, most = min(least, s.blocks), max(most, s.blocks)
+		}
+		rate := float64(hits) / float64(blocks)
+		t.Logf("prefix hits %.3f of blocks, busiest runner %.2f of the mean", rate, float64(most)*float64(len(w.runners))/float64(blocks))
+		if rate < 0.85 {
+			t.Errorf("hits %.3f", rate)
+		}
+		if f := float64(most) * 8 / float64(blocks); f > 3.2 {
+			t.Errorf("the busiest runner took %.2f of the mean", f)
+		}
+		w.honest(l)
+	})
+}
+
+// waits is the sum of all waits that a router has estimated.
+func waits(r *fullRouter) float64 {
+	var m dto.Metric
+	if err := r.r.Meter.Wait.Write(&m); err != nil {
+		return 0
+	}
+	return m.Histogram.GetSampleSum()
+}
+
+// The allowance's estimate against the wait then seen, for new runners, full batches, prefix hits
+// and other routers' streams. The log gives the ratio of estimate to wait; the bounds are wide, they
+// catch an estimate that has come loose altogether.
+func TestEstimate(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		for _, c := range []struct {
+			name    string
+			routers int
+			warm    bool
+			shared  bool
+		}{{"new runners", 1, false, false}, {"measured, one router", 1, true, false}, {"measured, four routers", 4, true, false}, {"measured, shared prefixes", 4, true, true}} {
+			a, b := model(4, 50*time.Millisecond), model(4, 50*time.Millisecond)
+			a.slow, b.slow = 0.2, 0.2
+			a.cold, b.cold = 200*time.Millisecond, 200*time.Millisecond
+			lay := strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":600000`)
+			w := newWhole(t, seed, c.routers, lay, a, b)
+			text := func(i int) string {
+				if c.shared {
+					return strings.Repeat("shared ", 200)
+				}
+				return strings.Repeat(fmt.Sprintf("own %d ", i), 200)
+			}
+			n := uint64(0)
+			put := func(wg *sync.WaitGroup, i int) {
+				n++
+				no := n
+				wg.Go(func() {
+					w.send(w.ctx, w.full[i%c.routers], ask{n: no, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 40, "prompt": text(int(no))}})
+				})
+			}
+			if c.warm {
+				var wg sync.WaitGroup
+				for i := range 16 {
+					put(&wg, i)
+				}
+				wg.Wait()
+				time.Sleep(time.Second)
+			}
+			var wg sync.WaitGroup
+			for i := range 60 {
+				put(&wg, i)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			// One more: its estimate at arrival, and its dispatch as seen.
+			n++
+			before := waits(w.full[0])
+			g := w.send(w.ctx, w.full[0], ask{n: n, tenant: "poor", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 41, "prompt": text(int(n))}})
+			if g.status != 200 {
+				t.Fatalf("%s: %d %s", c.name, g.status, g.body)
+			}
+			est := time.Duration((waits(w.full[0]) - before) * float64(time.Second))
+			var at time.Time
+			for _, s := range w.diary.all {
+				if s.n == n {
+					at = s.at
+				}
+			}
+			wait := at.Sub(g.begun)
+			wg.Wait()
+			ratio := est.Seconds() / wait.Seconds()
+			t.Logf("%s: estimated %.1f s, waited %.1f s, ratio %.2f", c.name, est.Seconds(), wait.Seconds(), ratio)
+			if ratio < 0.2 || ratio > 8 {
+				t.Errorf("%s: the estimate is off by a factor of %.2f", c.name, ratio)
+			}
+			for _, r := range w.full {
+				w.crashFull(r)
+			}
+			for _, s := range w.runners {
+				s.stop()
+			}
+			w.stop()
+		}
+	})
+}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -22,7 +22,6 @@
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/router"
 	"yarrowridge/internal/runner"
-	"yarrowridge/internal/sim"
 	"yarrowridge/internal/wire"
 )
 
@@ -78,6 +77,7 @@
 	hits   int
 	blocks int
 	crash  func()
+	ear    net.Listener
 	up     bool
 }
 
@@ -181,6 +181,7 @@
 	}
 	ctx, end := context.WithCancel(s.w.ctx)
 	s.mu.Lock()
+	s.ear = l
 	s.born++
 	s.state, s.up, s.active, s.queued = "ready", true, 0, 0
 	s.cache = map[[32]byte]bool{}
@@ -205,6 +206,9 @@
 	}()
 }
 
+// deaf closes the listener; beats go on from the same address.
+func (s *simRunner) deaf() { s.ear.Close() }
+
 func (s *simRunner) stop() {
 	s.mu.Lock()
 	up := s.up
@@ -415,8 +419,6 @@
 	return &simRunner{name: "o", labels: map[string]string{"app": "orders"}, room: 100, step: 5 * time.Millisecond, plain: true}
 }
 
-var _ = sim.ErrFull
-
 // Every stream counts once in every router's account of a runner, its own router's included.
 func TestStreamsCountOnce(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
