Routers that fill a runner together keep to equal parts of its room near its limit

Change: a router counts as using a runner for 2 s after its streams were last told of; past half of the room each keeps to its equal part.

--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -270,7 +270,7 @@
 func (d *Desk) pick(w *Wait, could []*runner.Entry) *runner.Entry {
 	var all []One
 	for _, e := range could {
-		if w.Skip[e.Idx] || e.Standing() != "" {
+		if w.Skip[e.Idx] || e.Standing() != "" || !e.Roomy() {
 			continue
 		}
 		n, room := e.Load()
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -19,6 +19,7 @@
 	Stuck   = 10 * time.Second // queries under way and no byte for so long: stuck
 	barLow  = time.Second
 	barHigh = 16 * time.Second
+	busyFor = 2 * time.Second // a router that had streams on a runner so lately counts as using it
 	workOld = 3 * time.Second // a router's news of its work older than this is left out
 )
 
@@ -43,6 +44,7 @@
 	meter   meter
 	far     node.Load // what other routers say they have sent
 	farRate float64
+	farBusy int // other routers that lately had streams on it
 }
 
 // meter measures a runner's whole output a second from our own streams: tokens over busy time,
@@ -79,6 +81,7 @@
 	all  []*Entry
 	by   map[string]*Entry
 	work map[string]farWork
+	busy map[[2]string]time.Time // router and runner: when streams were last told of
 	wake func()
 }
 
@@ -91,7 +94,7 @@
 //
 //	y := runner.NewYard("north1", desk.Wake)
 func NewYard(me string, wake func()) *Yard {
-	return &Yard{me: me, by: map[string]*Entry{}, work: map[string]farWork{}, wake: wake}
+	return &Yard{me: me, by: map[string]*Entry{}, work: map[string]farWork{}, busy: map[[2]string]time.Time{}, wake: wake}
 }
 
 // The heads of the keys under which runners and routers' work stand on the board.
@@ -148,7 +151,7 @@
 	y.mu.Lock()
 	sum := map[string]node.Load{}
 	rate := map[string]float64{}
-	n := map[string]int{}
+	n, busy := map[string]int{}, map[string]int{}
 	for k, w := range y.work {
 		if time.Since(w.at) > workOld {
 			delete(y.work, k)
@@ -159,12 +162,22 @@
 			s.Streams += l.Streams
 			s.Tokens += l.Tokens
 			sum[a] = s
+			if l.Streams > 0 {
+				y.busy[[2]string{k, a}] = w.at
+			}
 			if l.Rate > 0 {
 				rate[a] += l.Rate
 				n[a]++
 			}
 		}
 	}
+	for k, at := range y.busy {
+		if time.Since(at) > busyFor {
+			delete(y.busy, k)
+		} else {
+			busy[k[1]]++
+		}
+	}
 	all := make([]*Entry, 0, len(y.by))
 	for _, e := range y.by {
 		all = append(all, e)
@@ -174,7 +187,7 @@
 	for _, e := range all {
 		e.mu.Lock()
 		e.meter.step(now, e.streams, e.far.Streams)
-		e.far = sum[e.Addr]
+		e.far, e.farBusy = sum[e.Addr], busy[e.Addr]
 		e.farRate = 0
 		if n[e.Addr] > 0 {
 			e.farRate = rate[e.Addr] / float64(n[e.Addr])
@@ -304,6 +317,15 @@
 	return e.streams + e.far.Streams, e.news.Room
 }
 
+// Roomy tells whether the runner has room for one more query of ours.
+//
+//	if e.Roomy() { ... }
+func (e *Entry) Roomy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.roomy()
+}
+
 // Feed tells the output ahead on the runner and its measured rate. Each stream counts once: our
 // own by our own count, others' by their routers' news. The runner's late report, less what it
 // should have worked off since, only raises the sum where the news know too little.
@@ -333,6 +355,18 @@
 	return e.news.Hall
 }
 
+// roomy tells whether there is room for one more of our streams. News of the others' streams is
+// late, so routers that fill a runner together would overfill it: near its limit each keeps to
+// an equal part.
+func (e *Entry) roomy() bool {
+	room, n := e.news.Room, e.streams+e.far.Streams
+	if room <= 0 {
+		return true
+	}
+	part := (room + e.farBusy) / (1 + e.farBusy)
+	return n < room && (e.streams < part || 2*n < room)
+}
+
 // Seat takes a place on the runner for one query, if it may have one now.
 //
 //	if e.Seat(512) { defer e.Leave(...) }
@@ -340,7 +374,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.standing(now) != "" || e.news.Room > 0 && e.streams+e.far.Streams >= e.news.Room {
+	if e.standing(now) != "" || !e.roomy() {
 		return false
 	}
 	if e.fails > 0 {
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -106,6 +106,12 @@
 			}
 		}
 		full := 40 * 20
+		for _, s := range w.runners {
+			t.Logf("%s: at most %d of a room of %d at once, %d came over it", s.addr, s.peak, s.room, s.over)
+			if s.over > 40 {
+				t.Errorf("%s: %d queries came while its room was full", s.addr, s.over)
+			}
+		}
 		t.Logf("%d of a capacity of %d done (%.2f), first rank %d of %d, longest queue %d, slowest bounce %s",
 			done, full, float64(done)/float64(full), hotDone, hot, most, slow)
 		if float64(done) < 0.9*float64(full) {
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -70,6 +70,8 @@
 	turn   int
 	state  string
 	active int
+	peak   int // the most that were active at once
+	over   int // queries that came while the room was full
 	queued int
 	hang   bool
 	mute   bool
@@ -259,6 +261,10 @@
 	s.mu.Lock()
 	hang := s.hang
 	s.active++
+	s.peak = max(s.peak, s.active)
+	if s.active > s.room {
+		s.over++
+	}
 	s.queued += tokens
 	miss := 0
 	text := gjson.GetBytes(body, "prompt").Str
