Allowance: count as ahead only what goes ahead, where tenants take turns

Cause: the source reads one first-in-first-out queue; ours gives tenants of a rank turns, and each router drains its own queue. All waiting output was counted as ahead, though a newcomer of a tenant with nothing waiting goes second. Ruled out: other routers' queues as the main part (one router alone was off by 13.5). Change: in its own rank a newcomer counts all of its tenant's waiting output and of each other tenant only the queries that take turns before it; other routers' queues count up to an equal drain.

--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -301,7 +301,11 @@
 				feeds = append(feeds, allow.Feed{Queued: queued, Rate: rate})
 			}
 		}
-		waiting := float64(y.f.Desk.Ahead(y.kind, y.lane.Rank) + y.f.Yard.Waiting(y.kind))
+		// Routers that queue for the same runners drain alike, so beside each token ahead here
+		// others go ahead elsewhere, as far as there are any.
+		ahead := y.f.Desk.Ahead(y.kind, y.lane.Rank, y.ten)
+		far, routers := y.f.Yard.Waiting(y.kind)
+		waiting := float64(ahead + min(far, ahead*routers))
 		ask := allow.Ask{Funded: y.tn.Funded, Tokens: y.tokens, Lower: gjson.GetBytes(y.body, "allow_downgrade").Bool()}
 		v := allow.Decide(y.lay.Allowance, ask, feeds, waiting)
 		y.wait = v.Wait
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -91,17 +91,23 @@
 	return d.n, out
 }
 
-// Ahead tells the tokens waiting for a kind that would go before a newcomer of the rank.
+// Ahead tells the tokens waiting for a kind that would go before a newcomer: all of higher ranks,
+// in its own rank all of its tenant's and, since tenants take turns, as many queries of each other
+// tenant as it must itself wait turns.
 //
-//	n := desk.Ahead("fit/lumen", 3)
-func (d *Desk) Ahead(kind string, rank int) int {
+//	n := desk.Ahead("fit/lumen", 3, ten)
+func (d *Desk) Ahead(kind string, rank, ten int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sum := 0
 	for _, l := range d.all {
-		if l.kind == kind && l.rank <= rank {
-			for _, q := range l.tens {
-				for _, w := range q {
+		if l.kind != kind || l.rank > rank {
+			continue
+		}
+		turns := len(l.tens[ten]) + 1
+		for who, q := range l.tens {
+			for i, w := range q {
+				if l.rank < rank || who == ten || i < turns {
 					sum += w.Tokens
 				}
 			}
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -196,19 +196,20 @@
 	}
 }
 
-// Waiting is what other routers hold in their queues for a kind of work, in output tokens.
+// Waiting is what other routers hold in their queues for a kind of work, in output tokens, and how
+// many of them hold any.
 //
-//	n := yard.Waiting("fit/lumen")
-func (y *Yard) Waiting(kind string) int {
+//	sum, routers := yard.Waiting("fit/lumen")
+func (y *Yard) Waiting(kind string) (sum, routers int) {
 	y.mu.RLock()
 	defer y.mu.RUnlock()
-	n := 0
 	for _, w := range y.work {
-		if time.Since(w.at) <= workOld {
-			n += w.work.Queued[kind]
+		if n := w.work.Queued[kind]; n > 0 && time.Since(w.at) <= workOld {
+			sum += n
+			routers++
 		}
 	}
-	return n
+	return sum, routers
 }
 
 // Own tells our own work, for the other routers.
