--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -338,6 +338,9 @@
 			go w.send(w.ctx, w.full[i%2], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": fmt.Sprint(i)}})
 			time.Sleep(100 * time.Millisecond)
 			for _, e := range w.full[0].r.Yard.List() {
+				if e.Addr == a.addr && i == 300 && e.Standing() == "" {
+					t.Error("after 30 s of silence the runner is in good standing")
+				}
 				if e.Addr == a.addr {
 					if why := e.Standing(); why != was {
 						was = why
