No wall clock decides which run of a router is the later

Cause: a router's birth, taken from the wall clock, was the generation of its news; started again after its clock was set back, its news were older than its former run's and nobody took them. Ruled out: its lease (it was on the roll and ready). Change: births are random, and news go above whatever an earlier run left on the board.

--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -25,7 +25,7 @@
 	context.Context
 	Name string       // this process's name
 	Hall string       // the hall it stands in
-	Born uint64       // this run of the process; a restart has another
+	Born uint64       // this run of the process; a restart has another, drawn at random
 	Log  *slog.Logger // already prefixed for the part
 	Net  wire.Net     // how to dial and listen
 }
--- a/internal/env/proc.go
+++ b/internal/env/proc.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"yarrowridge/internal/wire"
 )
@@ -95,7 +95,7 @@
 		close(stop)
 	}()
 	p := &Proc{Set: set, low: low, Stop: stop, cancel: cancel,
-		Ctx: Ctx{Context: ctx, Name: set["name"], Hall: set["hall"], Born: uint64(time.Now().UnixNano()),
+		Ctx: Ctx{Context: ctx, Name: set["name"], Hall: set["hall"], Born: rand.Uint64(),
 			Log: NewLog(out, low), Net: wire.TCP{}}}
 	p.now.Store(&set)
 	go Loop(ctx, hup, 0, func(os.Signal) { p.reload(prog, items, args) }, nil)
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -189,7 +189,8 @@
 
 // tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
 func (r *Router) tell() func() {
-	turn, last, still := uint64(0), "", 0
+	gen, turn, last, still := uint64(1), uint64(0), "", 0
+	key := runner.WorkHead + r.ctx.Name
 	return func() {
 		r.Yard.Tally()
 		r.Yard.Forget(time.Minute)
@@ -205,7 +206,12 @@
 			return
 		}
 		turn, last, still = turn+1, now, 0
-		r.Hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: runner.WorkHead + r.ctx.Name, Gen: r.ctx.Born, Turn: turn, Body: raw}}})
+		// Word of an earlier run of ours comes back from the others; ours goes above it. No clock
+		// is asked which run is the later.
+		if old, _, ok := r.Hub.Board.Get(key); ok && (old.Gen > gen || old.Gen == gen && old.Turn >= turn) {
+			gen = old.Gen + 1
+		}
+		r.Hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: key, Gen: gen, Turn: turn, Body: raw}}})
 	}
 }
 
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -46,6 +46,7 @@
 
 type fullRouter struct {
 	name, hall, addr, face string
+	born                   uint64     // of the next run; 0: by the clock
 	mu                     sync.Mutex // guards what follows
 	r                      *router.Router
 	crash                  func()
@@ -157,7 +158,11 @@
 func (w *whole) startFull(r *fullRouter) {
 	n, crash := w.w.Net(r.addr)
 	ctx, end := context.WithCancel(w.ctx)
-	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: w.log.With("at", r.name), Net: n}
+	born := uint64(time.Now().UnixNano())
+	if r.born > 0 {
+		born = r.born
+	}
+	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: born, Log: w.log.With("at", r.name), Net: n}
 	run := router.New(ec, r.addr, r.face, []string{w.founder[0], w.founder[1], "10.0.1.1:1"}, func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return n.Dial(ctx, addr)
 	})
@@ -480,6 +485,29 @@
 	})
 }
 
+// A router that starts again after its machine's clock was set back is heard as before: its streams
+// count at the others, its lease and its quota go on.
+func TestClockSetBack(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 3, plainLay(`,"metered":{"funded":true,"keys":["`+key("metered")+`"],"quota":{"units":30,"window_s":5}}`), model(64, 100*time.Millisecond))
+		r := w.full[1]
+		w.crashFull(r)
+		r.born = 7 // the clock says 1970
+		w.startFull(r)
+		w.within(5*time.Second, "it is ready", func() bool { return r.r.Hub.Ready() == "" && len(r.r.Yard.List()) == 1 })
+		time.Sleep(7 * time.Second)
+		for i := range 4 {
+			go w.send(w.ctx, r, ask{n: uint64(i + 1), tenant: "metered", path: "/ask", body: prompt(100)})
+		}
+		time.Sleep(3 * time.Second)
+		for _, o := range w.full {
+			if n, _ := o.r.Yard.List()[0].Load(); n != 4 {
+				t.Errorf("%s counts %d streams on the runner, there are 4", o.name, n)
+			}
+		}
+	})
+}
+
 // post hands a body to a handler and tells the status.
 func post(h http.HandlerFunc, raw string) int {
 	rec := httptest.NewRecorder()
