--- a/internal/drill/check.go
+++ b/internal/drill/check.go
@@ -39,6 +39,8 @@
 		ran[n]++
 		tries[id]++
 		switch {
+		case n == 0:
+			say("fidelity", "runner %s saw a query that no origin sent", s.Runner)
 		case !ok:
 			continue // its origin has not been answered yet
 		case s.Path != o.Path || !bytes.Equal(s.Body, o.Body):
@@ -48,9 +50,6 @@
 		case s.Head.Get("Authorization") != "":
 			say("fidelity", "runner %s saw the key of query %d", s.Runner, n)
 		}
-		if n == 0 {
-			say("fidelity", "runner %s saw a query that no origin sent", s.Runner)
-		}
 	}
 	for n, times := range ran {
 		if o, ok := asked[n]; ok && kinds[o.Kind].Once && times > 1 {
