--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -86,10 +86,10 @@
 	}
 }
 
-// Spoil flips a bit of a file, as a bad sector would.
+// Spoil flips a bit of a file's byte, as a bad sector would.
 //
-//	ok := d.Spoil("v-0000000000000001")
-func (d *Disk) Spoil(name string) bool {
+//	ok := d.Spoil("v-0000000000000001", 17)
+func (d *Disk) Spoil(name string, at int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := d.files[name]
@@ -97,7 +97,7 @@
 		return false
 	}
 	next := append([]byte{}, f...)
-	next[len(next)/2] ^= 4
+	next[at%len(next)] ^= 1
 	d.files[name] = next
 	return true
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -54,7 +54,13 @@
 				}
 				model, seq = next, seq+1
 			case 3:
-				if err := s.Rebase(); err != nil {
+				if rapid.Bool().Draw(t, "foreign") { // a copy of another's state replaces all
+					seq++
+					model = map[string]string{"c/1": "copied"}
+					if err := s.Add(store.Batch{Seq: seq, Base: true, Puts: []store.Put{{Key: "c/1", Val: []byte("copied")}}}); err != nil {
+						t.Fatal(err)
+					}
+				} else if err := s.Rebase(); err != nil {
 					t.Fatal(err)
 				}
 			case 4:
@@ -101,7 +107,7 @@
 		which := rapid.IntRange(0, len(names)-1).Draw(t, "which")
 		h := disk.Use()
 		if rapid.Bool().Draw(t, "spoil") {
-			disk.Spoil(names[which])
+			disk.Spoil(names[which], rapid.IntRange(0, 200).Draw(t, "at"))
 		} else if which < len(names)-1 { // a missing last version can't be told from one never written
 			if err := h.Remove(names[which]); err != nil {
 				t.Fatal(err)
