--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,81 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/wire"
+)
+
+// BenchmarkClaims takes durable claims from five cores with real folders over TCP, by 64 at once.
+// The batches per claim tell what grouping the syncs saves.
+func BenchmarkClaims(b *testing.B) {
+	ctx, end := context.WithCancel(b.Context())
+	defer end()
+	var addrs []string
+	var ears []net.Listener
+	for range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		ears, addrs = append(ears, l), append(addrs, l.Addr().String())
+	}
+	var all []*Server
+	for i, l := range ears {
+		disk, err := store.OpenFolder(fmt.Sprintf("%s/%d", b.TempDir(), i))
+		if err != nil {
+			b.Fatal(err)
+		}
+		ec := env.Ctx{Context: ctx, Name: addrs[i], Hall: fmt.Sprint(i), Born: rand.Uint64(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
+		s, err := Open(ec, Set{Addr: addrs[i], Founders: addrs, Seeds: addrs}, disk)
+		if err != nil {
+			b.Fatal(err)
+		}
+		all = append(all, s)
+		go wire.Serve(ctx, l, s.Hand)
+		go s.Run()
+	}
+	c := NewClient(env.Ctx{Context: ctx, Net: wire.TCP{}}, wire.NewCaller(wire.TCP{}), addrs)
+	up, stop := context.WithTimeout(ctx, 20*time.Second)
+	defer stop()
+	if err := c.Call(up, "core.layout", &Want{}, &Sheet{}, true); err != nil {
+		b.Fatal(err)
+	}
+	var n atomic.Uint64
+	lead := all[0]
+	for _, s := range all {
+		if s.Peek().Ready {
+			lead = s
+		}
+	}
+	before := lead.Peek().Stored
+	b.SetParallelism(64)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			k := n.Add(1)
+			var out Took
+			in := Take{Key: fmt.Sprintf("t/%d", k), Claim: Claim{Sum: "s", Id: fmt.Sprint(k), Node: "n"}}
+			one, end := context.WithTimeout(ctx, 10*time.Second)
+			err := c.Call(one, "core.take", &in, &out, true)
+			end()
+			if err != nil || !out.Got {
+				b.Errorf("claim %d: %v %+v", k, err, out)
+				return
+			}
+		}
+	})
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(lead.Peek().Stored-before)/float64(b.N), "batches/claim")
+}
--- /dev/null
+++ b/internal/drill/bench_test.go
@@ -0,0 +1,56 @@
+package drill
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sort"
+	"testing"
+	"time"
+)
+
+// BenchmarkHop asks a plain back end directly and through a router in turn, and gives the medians.
+func BenchmarkHop(b *testing.B) {
+	f, err := NewFleet(Tokachi(), bin, b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Stop()
+	ctx, end := context.WithTimeout(b.Context(), 60*time.Second)
+	defer end()
+	for _, s := range f.Apps {
+		s.Step = 0
+	}
+	if err := f.Start(ctx); err != nil {
+		b.Fatal(err)
+	}
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	ask := func(to string) time.Duration {
+		req, _ := http.NewRequest("GET", "http://"+to+"/v1/status/1", nil)
+		req.Header.Set("Authorization", "Bearer "+Key("desk-a"))
+		begun := time.Now()
+		ans, err := cli.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, ans.Body)
+		ans.Body.Close()
+		if ans.StatusCode != 200 {
+			b.Fatalf("status %d", ans.StatusCode)
+		}
+		return time.Since(begun)
+	}
+	var near, far []time.Duration
+	for b.Loop() {
+		near = append(near, ask(f.Apps[0].Addr))
+		far = append(far, ask(f.Routers[0].Origin))
+	}
+	mid := func(d []time.Duration) float64 {
+		sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
+		return float64(d[len(d)/2].Microseconds())
+	}
+	n, r := mid(near), mid(far)
+	b.ReportMetric(n, "direct-us")
+	b.ReportMetric(r, "router-us")
+	b.ReportMetric(r-n, "cost-us")
+}
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -26,6 +26,7 @@
 	"yarrowridge/internal/query"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
+	"yarrowridge/internal/trail"
 )
 
 // Answers are held whole before a success is written, so they are bounded.
@@ -48,6 +49,7 @@
 	Again   *Second
 	Claims  *Claims
 	Streams *node.Streams
+	Trail   *trail.Trail
 }
 
 // Bounce is a "no" to an origin: what code, at which step, and whether the query ran.
@@ -106,6 +108,7 @@
 		code = y.end(err)
 		f.Log.Add(y.q, code)
 	}
+	f.Trail.Add(y.q, code)
 	f.Meter.Queries.WithLabelValues(y.q.Lane, code).Inc()
 	if y.torn {
 		// The frame of a stream that ended in trouble is never closed as if it were complete.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -110,6 +110,20 @@
 	Steps  []Step `json:"steps"`
 }
 
+// Record is the query's way so far, with the code it ended in.
+//
+//	r := q.Record("patience-out")
+func (q *Query) Record(code string) Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return Record{q.Id, q.Tenant, q.Lane, code, append([]Step(nil), q.steps...)}
+}
+
+// Begun is when the query began to be read.
+//
+//	at := q.Begun()
+func (q *Query) Begun() time.Time { return q.begun }
+
 // Log keeps the records of the last troubled or bounced queries.
 type Log struct {
 	mu   sync.Mutex
@@ -126,9 +140,7 @@
 //
 //	l.Add(q, "patience-out")
 func (l *Log) Add(q *Query, code string) {
-	q.mu.Lock()
-	r := Record{q.Id, q.Tenant, q.Lane, code, append([]Step(nil), q.steps...)}
-	q.mu.Unlock()
+	r := q.Record(code)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.ring) < cap(l.ring) {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// mend makes two boards alike by digests, and tells the bytes that went between them.
+func mend(a, b *Board) int {
+	sum := a.Sum("a")
+	diff := b.Diff(sum)
+	bytes := sum.Msgsize() + diff.Msgsize()
+	if len(diff.Range) == 0 {
+		return bytes
+	}
+	fix := a.Fix("a", diff)
+	b.Take(fix.Recs)
+	back := Tell{Recs: b.Pick(fix.Want)}
+	a.Take(back.Recs)
+	return bytes + fix.Msgsize() + back.Msgsize()
+}
+
+// Two copies that went apart in any way are alike after one exchange, each key at its newest.
+func TestMendAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewBoard(nil), NewBoard(nil)
+		model := map[string]Rec{}
+		for range rapid.IntRange(0, 60).Draw(t, "records") {
+			r := Rec{Key: fmt.Sprintf("k%d", rapid.IntRange(0, 20).Draw(t, "key")), Gen: rapid.Uint64Range(1, 3).Draw(t, "gen"), Turn: rapid.Uint64Range(1, 5).Draw(t, "turn")}
+			r.Body = []byte(fmt.Sprintf("%s %d %d", r.Key, r.Gen, r.Turn)) // one writer a key and turn
+			if old, ok := model[r.Key]; !ok || Newer(r, old) {
+				model[r.Key] = r
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "where") {
+			case 0:
+				a.Take([]Rec{r})
+			case 1:
+				b.Take([]Rec{r})
+			default:
+				a.Take([]Rec{r})
+				b.Take([]Rec{r})
+			}
+		}
+		mend(a, b)
+		for _, x := range []*Board{a, b} {
+			n := 0
+			x.Each("", func(Rec, time.Duration) { n++ })
+			if n != len(model) {
+				t.Fatalf("%d records, %d expected", n, len(model))
+			}
+			for k, want := range model {
+				if got, _, _ := x.Get(k); string(got.Body) != string(want.Body) {
+					t.Fatalf("%s is %q, %q expected", k, got.Body, want.Body)
+				}
+			}
+		}
+		if d := b.Diff(a.Sum("a")); len(d.Range) != 0 {
+			t.Fatalf("ranges %v still differ", d.Range)
+		}
+	})
+}
+
+// What a mend costs against handing over a full copy, for 200 records of 400 bytes.
+func TestMendCost(t *testing.T) {
+	const all = 200
+	for _, lost := range []int{0, 1, 5, 20, 200} {
+		a, b := NewBoard(nil), NewBoard(nil)
+		full := Tell{}
+		for i := range all {
+			r := Rec{Key: fmt.Sprintf("runner/10.0.0.%d:1", i), Gen: 1, Turn: 7, Body: make([]byte, 400)}
+			full.Recs = append(full.Recs, r)
+			a.Take([]Rec{r})
+			if i >= lost {
+				b.Take([]Rec{r})
+			}
+		}
+		cost := mend(a, b)
+		t.Logf("%d of %d records behind: %d bytes, a full copy %d (%.2f)", lost, all, cost, full.Msgsize(), float64(cost)/float64(full.Msgsize()))
+		if lost <= 5 && cost > full.Msgsize()/4 {
+			t.Errorf("a mend of %d records cost %d bytes", lost, cost)
+		}
+	}
+}
+
+// The tree reaches every node from the first of any hall, over live edges known to both ends.
+func TestTreeReachesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Seat
+		for i := range rapid.IntRange(1, 60).Draw(t, "nodes") {
+			all = append(all, Seat{Name: fmt.Sprintf("n%02d", i), Hall: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "hall")})
+		}
+		seen := map[string]bool{all[0].Name: true}
+		for work := []string{all[0].Name}; len(work) > 0; work = work[1:] {
+			near := Near(work[0], all)
+			if len(near) > Fan+4 {
+				t.Fatalf("%s has %d neighbours", work[0], len(near))
+			}
+			for _, s := range near {
+				back := false
+				for _, o := range Near(s.Name, all) {
+					back = back || o.Name == work[0]
+				}
+				if !back {
+					t.Fatalf("%s knows %s, not the other way", work[0], s.Name)
+				}
+				if !seen[s.Name] {
+					seen[s.Name] = true
+					work = append(work, s.Name)
+				}
+			}
+		}
+		if len(seen) != len(all) {
+			t.Fatalf("%d of %d reached", len(seen), len(all))
+		}
+	})
+}
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -21,6 +21,7 @@
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
+	"yarrowridge/internal/trail"
 	"yarrowridge/internal/web"
 	"yarrowridge/internal/wire"
 )
@@ -38,6 +39,7 @@
 	{Name: "seeds", Kind: env.List, Must: true, Help: "addresses of three other processes of the fleet"},
 	{Name: "drain", Kind: env.Span, Def: "30s", Help: "how long a stop waits for queries under way"},
 	{Name: "notice", Kind: env.Span, Def: "500ms", Help: "how long a stop goes on serving all after /ready has turned"},
+	{Name: "trace", Kind: env.Text, Help: "file to which each query's trace is appended; none: no traces"},
 	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
 }
 
@@ -106,6 +108,12 @@
 func run(p *env.Proc) error {
 	ctx := p.Ctx
 	r := New(ctx, p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), nil)
+	tr, err := trail.Open(p.Set["trace"], ctx.Name)
+	if err != nil {
+		return err
+	}
+	defer tr.Close()
+	r.Front.Trail = tr
 	l, err := ctx.Net.Listen(p.Set["addr"])
 	if err != nil {
 		return err
