A batch stays small enough for one frame to the backup

Cause: up to 256 operations were synced as one batch however large; twelve layouts of 1 MiB made a frame over the 8 MiB bound, the backup dropped the connection and was let go as silent. Ruled out: the size of one layout (TestLargeLayout was green). Change: no operation joins a batch that has passed 1 MiB.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -786,20 +786,6 @@
 		close(first.done)
 		return
 	}
-	batch := []*job{first}
-	for len(batch) < most {
-		select {
-		case j := <-s.box:
-			if j.ctl != nil {
-				defer s.work(j)
-				break
-			}
-			batch = append(batch, j)
-			continue
-		default:
-		}
-		break
-	}
 	s.mu.Lock()
 	ready, epoch := s.ready, s.epoch
 	s.mu.Unlock()
@@ -807,7 +793,7 @@
 	tx := &Tx{st: s.st.Load(), over: map[string]*store.Put{}}
 	ok := ready && v.Epoch == epoch && s.stands(v)
 	var live []*job
-	for _, j := range batch {
+	for j, n := first, 0; j != nil; n++ {
 		switch {
 		case !j.state.CompareAndSwap(0, 1):
 		case !ok:
@@ -819,6 +805,17 @@
 			}
 			live = append(live, j)
 		}
+		j = nil
+		if n < most && tx.size() < chunk {
+			select {
+			case j = <-s.box:
+				if j.ctl != nil {
+					defer s.work(j)
+					j = nil
+				}
+			default:
+			}
+		}
 	}
 	err := s.commit(v, tx)
 	for _, j := range live {
@@ -830,6 +827,15 @@
 	}
 }
 
+// size is how many bytes the batch would put: it has to fit one frame to the backup.
+func (t *Tx) size() int {
+	n := 0
+	for _, p := range t.puts {
+		n += len(p.Key) + len(p.Val)
+	}
+	return n
+}
+
 // undo strikes the puts a failed job made.
 func (t *Tx) undo(mark int) {
 	t.puts = t.puts[:mark]
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -220,6 +220,34 @@
 	})
 }
 
+// Many operators put layouts near the largest size at once: each is answered, and none of it costs
+// the primary its backup.
+func TestLargeStorm(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 2)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		epoch := f.primary().srv.Peek().View.Epoch
+		codes := make(chan int, 12)
+		for i := range 12 {
+			o := f.operator()
+			go func() {
+				lay := fmt.Sprintf(`{"limits":{"queue":%d}%s}`, i+1, strings.Repeat(" ", 1<<20-100))
+				codes <- o.raw([]byte(lay), fmt.Sprintf("big%d", i)).code
+			}()
+		}
+		sum := map[int]int{}
+		for range 12 {
+			sum[<-codes]++
+		}
+		if sum[200] != 12 {
+			t.Errorf("twelve large layouts were answered %v", sum)
+		}
+		if e := f.primary().srv.Peek().View.Epoch; e != epoch {
+			t.Errorf("the view went from epoch %d to %d", epoch, e)
+		}
+	})
+}
+
 // A damaged version on a core's disk: the core says so, counts as blank, and the fleet loses nothing.
 func TestDamagedDisk(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
