--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -5,7 +5,10 @@
 	"yarrowridge/internal/view"
 )
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Hold asks the backup to keep a batch.
 type Hold struct {
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -9,88 +9,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Beat) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			err = z.Node.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Node")
-				return
-			}
-		case "r":
-			z.Roll, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Roll")
-				return
-			}
-		case "l":
-			z.Leave, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Leave")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "n"
-	err = en.Append(0x83, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = z.Node.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Node")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Roll)
-	if err != nil {
-		err = msgp.WrapError(err, "Roll")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Leave)
-	if err != nil {
-		err = msgp.WrapError(err, "Leave")
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
@@ -122,6 +45,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -166,185 +93,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			z.Sum, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "n":
-			z.Node, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Node")
-				return
-			}
-		case "b":
-			z.Born, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Born")
-				return
-			}
-		case "s":
-			z.State, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		case "c":
-			z.Status, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Status")
-				return
-			}
-		case "k":
-			z.Kind, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "a":
-			z.Answer, err = dc.ReadBytes(z.Answer)
-			if err != nil {
-				err = msgp.WrapError(err, "Answer")
-				return
-			}
-		case "w":
-			z.Kept, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Kept")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Claim) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
-	// write "h"
-	err = en.Append(0x89, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Sum)
-	if err != nil {
-		err = msgp.WrapError(err, "Sum")
-		return
-	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Node)
-	if err != nil {
-		err = msgp.WrapError(err, "Node")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Born)
-	if err != nil {
-		err = msgp.WrapError(err, "Born")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Status)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
-		return
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Kind)
-	if err != nil {
-		err = msgp.WrapError(err, "Kind")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Answer)
-	if err != nil {
-		err = msgp.WrapError(err, "Answer")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Kept)
-	if err != nil {
-		err = msgp.WrapError(err, "Kept")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -389,6 +137,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -440,11 +192,27 @@
 				return
 			}
 		case "a":
-			z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Answer")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Answer == nil || uint32(cap(z.Answer)) < zb0002 {
+				z.Answer = make([]byte, zb0002)
+			} else {
+				z.Answer = z.Answer[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Answer, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "w":
 			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -469,280 +237,121 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Copy) DecodeMsg(dc *msgp.Reader) (err error) {
+// MarshalMsg implements msgp.Marshaler
+func (z *Copy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "v"
+	o = append(o, 0x87, 0xa1, 0x76)
+	o, err = z.View.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "View")
+		return
+	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Turn)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Last)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Seq)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Puts)))
+	for za0001 := range z.Puts {
+		o, err = z.Puts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Puts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Copy) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
 		case "v":
-			err = z.View.DecodeMsg(dc)
+			bts, err = z.View.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "View")
 				return
 			}
 		case "f":
-			z.From, err = dc.ReadString()
+			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "From")
 				return
 			}
 		case "t":
-			z.Turn, err = dc.ReadUint64()
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Turn")
 				return
 			}
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Part")
 				return
 			}
 		case "l":
-			z.Last, err = dc.ReadBool()
+			z.Last, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Last")
 				return
 			}
 		case "s":
-			z.Seq, err = dc.ReadUint64()
+			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
 		case "b":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Puts")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Puts) >= int(zb0002) {
 				z.Puts = (z.Puts)[:zb0002]
 			} else {
 				z.Puts = make([]store.Put, zb0002)
 			}
 			for za0001 := range z.Puts {
-				err = z.Puts[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Puts", za0001)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Copy) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "v"
-	err = en.Append(0x87, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Turn)
-	if err != nil {
-		err = msgp.WrapError(err, "Turn")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Last)
-	if err != nil {
-		err = msgp.WrapError(err, "Last")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Puts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Puts")
-		return
-	}
-	for za0001 := range z.Puts {
-		err = z.Puts[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Puts", za0001)
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Copy) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "v"
-	o = append(o, 0x87, 0xa1, 0x76)
-	o, err = z.View.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Turn)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Last)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Puts)))
-	for za0001 := range z.Puts {
-		o, err = z.Puts[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Puts", za0001)
-			return
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Copy) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			bts, err = z.View.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "t":
-			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "l":
-			z.Last, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Last")
-				return
-			}
-		case "s":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Puts")
-				return
-			}
-			if cap(z.Puts) >= int(zb0002) {
-				z.Puts = (z.Puts)[:zb0002]
-			} else {
-				z.Puts = make([]store.Put, zb0002)
-			}
-			for za0001 := range z.Puts {
-				bts, err = z.Puts[za0001].UnmarshalMsg(bts)
+				bts, err = z.Puts[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Puts", za0001)
 					return
@@ -769,46 +378,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Done) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Done) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Done) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -828,6 +397,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -854,73 +427,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Flaw) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Path, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Path")
-				return
-			}
-		case "t":
-			z.Text, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Text")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Flaw) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "p"
-	err = en.Append(0x82, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Path)
-	if err != nil {
-		err = msgp.WrapError(err, "Path")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Text)
-	if err != nil {
-		err = msgp.WrapError(err, "Text")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Flaw) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -944,6 +450,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -982,57 +492,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Held) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Held) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "i"
-	err = en.Append(0x81, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Held) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1053,118 +512,39 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Held) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Hold) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "b":
-			err = z.Batch.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Batch")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Hold) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "v"
-	err = en.Append(0x83, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = z.Batch.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Batch")
-		return
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Id")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Held) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id)
 	return
 }
 
@@ -1202,6 +582,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1246,57 +630,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Join) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "w":
-			err = z.Who.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Who")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Join) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "w"
-	err = en.Append(0x81, 0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = z.Who.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Who")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Join) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1321,6 +654,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1353,73 +690,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Mark) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "h":
-			z.Sum, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Mark) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "s"
-	err = en.Append(0x82, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Sum)
-	if err != nil {
-		err = msgp.WrapError(err, "Sum")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1443,6 +713,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1481,121 +755,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Move) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "t":
-			z.Tenant, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Tenant")
-				return
-			}
-		case "n":
-			z.Holder, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Holder")
-				return
-			}
-		case "k":
-			z.Turn, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		case "u":
-			z.Units, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Units")
-				return
-			}
-		case "g":
-			z.Give, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Give")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Move) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "t"
-	err = en.Append(0x85, 0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Holder)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Turn)
-	if err != nil {
-		err = msgp.WrapError(err, "Turn")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Units)
-	if err != nil {
-		err = msgp.WrapError(err, "Units")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Give)
-	if err != nil {
-		err = msgp.WrapError(err, "Give")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Move) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1628,6 +787,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1645,109 +808,42 @@
 		case "n":
 			z.Holder, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Holder")
-				return
-			}
-		case "k":
-			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		case "u":
-			z.Units, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Units")
-				return
-			}
-		case "g":
-			z.Give, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Give")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Move) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Moved) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			z.Have, err = dc.ReadInt()
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "k":
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "Turn")
 				return
 			}
 		case "u":
-			z.Under, err = dc.ReadInt()
+			z.Units, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Under")
+				err = msgp.WrapError(err, "Units")
+				return
+			}
+		case "g":
+			z.Give, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Give")
 				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z Moved) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "h"
-	err = en.Append(0x82, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Have)
-	if err != nil {
-		err = msgp.WrapError(err, "Have")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Under)
-	if err != nil {
-		err = msgp.WrapError(err, "Under")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Move) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -1774,6 +870,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1812,153 +912,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Node) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "h":
-			z.Hall, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Hall")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "f":
-			z.Face, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Face")
-				return
-			}
-		case "b":
-			z.Born, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Born")
-				return
-			}
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "r":
-			z.Ready, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Ready")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Node) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "n"
-	err = en.Append(0x87, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Hall)
-	if err != nil {
-		err = msgp.WrapError(err, "Hall")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Face)
-	if err != nil {
-		err = msgp.WrapError(err, "Face")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Born)
-	if err != nil {
-		err = msgp.WrapError(err, "Born")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Ready)
-	if err != nil {
-		err = msgp.WrapError(err, "Ready")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1997,6 +950,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2065,46 +1022,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Peek) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Peek) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Peek) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2124,112 +1041,33 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Peek) Msgsize() (s int) {
-	s = 1
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Settle) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
 	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "f":
-			z.Free, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Free")
-				return
-			}
-		case "c":
-			err = z.Claim.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Settle) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Free)
-	if err != nil {
-		err = msgp.WrapError(err, "Free")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Claim.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Claim")
-		return
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Peek) Msgsize() (s int) {
+	s = 1
 	return
 }
 
@@ -2263,6 +1101,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2307,105 +1149,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Share) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "t":
-			z.Tenant, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Tenant")
-				return
-			}
-		case "h":
-			z.Holder, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Holder")
-				return
-			}
-		case "u":
-			z.Units, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Units")
-				return
-			}
-		case "c":
-			z.Cool, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Cool")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Share) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "t"
-	err = en.Append(0x84, 0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Holder)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Units)
-	if err != nil {
-		err = msgp.WrapError(err, "Units")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Cool)
-	if err != nil {
-		err = msgp.WrapError(err, "Cool")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Share) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2435,6 +1178,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2485,73 +1232,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Sheet) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "r":
-			z.Raw, err = dc.ReadBytes(z.Raw)
-			if err != nil {
-				err = msgp.WrapError(err, "Raw")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Sheet) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "s"
-	err = en.Append(0x82, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Raw)
-	if err != nil {
-		err = msgp.WrapError(err, "Raw")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Sheet) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2575,296 +1255,61 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "r":
-			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
-			if err != nil {
-				err = msgp.WrapError(err, "Raw")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Sheet) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Raw)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *State) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "m":
-			z.Me, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Me")
-				return
-			}
-		case "r":
-			z.Ready, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Ready")
-				return
-			}
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "t":
-			z.Stored, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Stored")
-				return
-			}
-		case "n":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0002) {
-				z.Nodes = (z.Nodes)[:zb0002]
-			} else {
-				z.Nodes = make([]Node, zb0002)
-			}
-			for za0001 := range z.Nodes {
-				err = z.Nodes[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0001)
-					return
-				}
-			}
-		case "h":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Shares")
-				return
-			}
-			if cap(z.Shares) >= int(zb0003) {
-				z.Shares = (z.Shares)[:zb0003]
-			} else {
-				z.Shares = make([]Share, zb0003)
-			}
-			for za0002 := range z.Shares {
-				err = z.Shares[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Shares", za0002)
-					return
-				}
-			}
-		case "p":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Spares")
+				err = msgp.WrapError(err, "Seq")
 				return
 			}
-			if cap(z.Spares) >= int(zb0004) {
-				z.Spares = (z.Spares)[:zb0004]
-			} else {
-				z.Spares = make([]view.Member, zb0004)
-			}
-			for za0003 := range z.Spares {
-				err = z.Spares[za0003].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Spares", za0003)
-					return
-				}
-			}
-		case "k":
-			z.Sick, err = dc.ReadBool()
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sick")
+				err = msgp.WrapError(err, "Raw")
 				return
 			}
-		case "c":
-			z.Claims, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Claims")
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Raw == nil || uint32(cap(z.Raw)) < zb0002 {
+				z.Raw = make([]byte, zb0002)
+			} else {
+				z.Raw = z.Raw[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
 				return
 			}
+			copy(z.Raw, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
-	// write "v"
-	err = en.Append(0x8a, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Me)
-	if err != nil {
-		err = msgp.WrapError(err, "Me")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Ready)
-	if err != nil {
-		err = msgp.WrapError(err, "Ready")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stored)
-	if err != nil {
-		err = msgp.WrapError(err, "Stored")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Nodes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
-		return
-	}
-	for za0001 := range z.Nodes {
-		err = z.Nodes[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0001)
-			return
-		}
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Shares)))
-	if err != nil {
-		err = msgp.WrapError(err, "Shares")
-		return
-	}
-	for za0002 := range z.Shares {
-		err = z.Shares[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Shares", za0002)
-			return
-		}
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Spares)))
-	if err != nil {
-		err = msgp.WrapError(err, "Spares")
-		return
-	}
-	for za0003 := range z.Spares {
-		err = z.Spares[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Spares", za0003)
-			return
-		}
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Sick)
-	if err != nil {
-		err = msgp.WrapError(err, "Sick")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Claims)
-	if err != nil {
-		err = msgp.WrapError(err, "Claims")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Sheet) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Raw)
 	return
 }
 
@@ -2940,6 +1385,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2985,6 +1434,10 @@
 				err = msgp.WrapError(err, "Nodes")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Nodes) >= int(zb0002) {
 				z.Nodes = (z.Nodes)[:zb0002]
 			} else {
@@ -3004,6 +1457,10 @@
 				err = msgp.WrapError(err, "Shares")
 				return
 			}
+			if zb0003 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Shares) >= int(zb0003) {
 				z.Shares = (z.Shares)[:zb0003]
 			} else {
@@ -3023,6 +1480,10 @@
 				err = msgp.WrapError(err, "Spares")
 				return
 			}
+			if zb0004 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spares) >= int(zb0004) {
 				z.Spares = (z.Spares)[:zb0004]
 			} else {
@@ -3077,73 +1538,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Take) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "c":
-			err = z.Claim.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Take) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "k"
-	err = en.Append(0x82, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Claim.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Claim")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Take) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3171,212 +1565,45 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "c":
-			bts, err = z.Claim.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Take) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + z.Claim.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Told) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "r":
-			z.Roll, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Roll")
-				return
-			}
-		case "n":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0002) {
-				z.Nodes = (z.Nodes)[:zb0002]
-			} else {
-				z.Nodes = make([]Node, zb0002)
-			}
-			for za0001 := range z.Nodes {
-				err = z.Nodes[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0001)
-					return
-				}
-			}
-		case "w":
-			z.Whole, err = dc.ReadBool()
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Whole")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-		case "h":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "c":
+			bts, err = z.Claim.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Short")
+				err = msgp.WrapError(err, "Claim")
 				return
 			}
-			if cap(z.Short) >= int(zb0003) {
-				z.Short = (z.Short)[:zb0003]
-			} else {
-				z.Short = make([]string, zb0003)
-			}
-			for za0002 := range z.Short {
-				z.Short[za0002], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Short", za0002)
-					return
-				}
-			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Told) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "v"
-	err = en.Append(0x86, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Roll)
-	if err != nil {
-		err = msgp.WrapError(err, "Roll")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Nodes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
-		return
-	}
-	for za0001 := range z.Nodes {
-		err = z.Nodes[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0001)
-			return
-		}
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Whole)
-	if err != nil {
-		err = msgp.WrapError(err, "Whole")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Short)))
-	if err != nil {
-		err = msgp.WrapError(err, "Short")
-		return
-	}
-	for za0002 := range z.Short {
-		err = en.WriteString(z.Short[za0002])
-		if err != nil {
-			err = msgp.WrapError(err, "Short", za0002)
-			return
-		}
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Take) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + z.Claim.Msgsize()
 	return
 }
 
@@ -3429,6 +1656,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3462,6 +1693,10 @@
 				err = msgp.WrapError(err, "Nodes")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Nodes) >= int(zb0002) {
 				z.Nodes = (z.Nodes)[:zb0002]
 			} else {
@@ -3487,6 +1722,10 @@
 				err = msgp.WrapError(err, "Short")
 				return
 			}
+			if zb0003 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Short) >= int(zb0003) {
 				z.Short = (z.Short)[:zb0003]
 			} else {
@@ -3524,105 +1763,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Took) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "g":
-			z.Got, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Got")
-				return
-			}
-		case "x":
-			z.Clash, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Clash")
-				return
-			}
-		case "l":
-			z.Live, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Live")
-				return
-			}
-		case "c":
-			err = z.Claim.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Took) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "g"
-	err = en.Append(0x84, 0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Got)
-	if err != nil {
-		err = msgp.WrapError(err, "Got")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Clash)
-	if err != nil {
-		err = msgp.WrapError(err, "Clash")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Live)
-	if err != nil {
-		err = msgp.WrapError(err, "Live")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Claim.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Claim")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Took) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3647,128 +1787,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Took) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "g":
-			z.Got, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Got")
-				return
-			}
-		case "x":
-			z.Clash, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Clash")
-				return
-			}
-		case "l":
-			z.Live, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Live")
-				return
-			}
-		case "c":
-			bts, err = z.Claim.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Took) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Claim.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Want) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Want) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "s"
-	err = en.Append(0x81, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Want) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "s"
-	o = append(o, 0x81, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Seq)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Want) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Took) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3777,6 +1796,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3785,10 +1808,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+		case "g":
+			z.Got, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Got")
+				return
+			}
+		case "x":
+			z.Clash, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clash")
+				return
+			}
+		case "l":
+			z.Live, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Live")
+				return
+			}
+		case "c":
+			bts, err = z.Claim.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claim")
 				return
 			}
 		default:
@@ -3804,123 +1845,64 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Want) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size
+func (z *Took) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Claim.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Want) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "s"
+	o = append(o, 0x81, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Seq)
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Write) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Want) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "m":
-			z.Match, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Match")
-				return
-			}
-		case "a":
-			z.Any, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Any")
-				return
-			}
-		case "p":
-			z.Patch, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Patch")
-				return
-			}
-		case "r":
-			z.Raw, err = dc.ReadBytes(z.Raw)
+		case "s":
+			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Raw")
+				err = msgp.WrapError(err, "Seq")
 				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Write) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Match)
-	if err != nil {
-		err = msgp.WrapError(err, "Match")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Any)
-	if err != nil {
-		err = msgp.WrapError(err, "Any")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Patch)
-	if err != nil {
-		err = msgp.WrapError(err, "Patch")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Raw)
-	if err != nil {
-		err = msgp.WrapError(err, "Raw")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Want) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size
 	return
 }
 
@@ -3956,6 +1938,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3989,190 +1975,42 @@
 				return
 			}
 		case "r":
-			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Raw")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Write) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Raw)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Wrote) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "c":
-			z.Code, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Code")
-				return
-			}
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "f":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Flaws")
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Flaws) >= int(zb0002) {
-				z.Flaws = (z.Flaws)[:zb0002]
+			if z.Raw == nil || uint32(cap(z.Raw)) < zb0002 {
+				z.Raw = make([]byte, zb0002)
 			} else {
-				z.Flaws = make([]Flaw, zb0002)
-			}
-			for za0001 := range z.Flaws {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Flaws", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Flaws", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						z.Flaws[za0001].Path, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Flaws", za0001, "Path")
-							return
-						}
-					case "t":
-						z.Flaws[za0001].Text, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Flaws", za0001, "Text")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Flaws", za0001)
-							return
-						}
-					}
-				}
+				z.Raw = z.Raw[:zb0002]
 			}
-		case "a":
-			z.Again, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Again")
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
 				return
 			}
+			copy(z.Raw, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Wrote) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "c"
-	err = en.Append(0x84, 0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Code)
-	if err != nil {
-		err = msgp.WrapError(err, "Code")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Flaws)))
-	if err != nil {
-		err = msgp.WrapError(err, "Flaws")
-		return
-	}
-	for za0001 := range z.Flaws {
-		// map header, size 2
-		// write "p"
-		err = en.Append(0x82, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Flaws[za0001].Path)
-		if err != nil {
-			err = msgp.WrapError(err, "Flaws", za0001, "Path")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Flaws[za0001].Text)
-		if err != nil {
-			err = msgp.WrapError(err, "Flaws", za0001, "Text")
-			return
-		}
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Again)
-	if err != nil {
-		err = msgp.WrapError(err, "Again")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Write) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Raw)
 	return
 }
 
@@ -4214,6 +2052,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4241,6 +2083,10 @@
 				err = msgp.WrapError(err, "Flaws")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Flaws) >= int(zb0002) {
 				z.Flaws = (z.Flaws)[:zb0002]
 			} else {
@@ -4253,6 +2099,10 @@
 					err = msgp.WrapError(err, "Flaws", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/node/msgs.go
+++ b/internal/node/msgs.go
@@ -2,7 +2,10 @@
 
 import "yarrowridge/internal/core"
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Load is what one router has sent to one runner and not yet seen end.
 type Load struct {
--- a/internal/node/msgs_gen.go
+++ b/internal/node/msgs_gen.go
@@ -8,45 +8,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Ask) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Ask) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z Ask) MarshalMsg(b []byte) (o []byte, err error) {
@@ -67,6 +33,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -93,89 +63,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Load) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Streams, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Streams")
-				return
-			}
-		case "t":
-			z.Tokens, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		case "r":
-			z.Rate, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "Rate")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Streams)
-	if err != nil {
-		err = msgp.WrapError(err, "Streams")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Tokens)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.Rate)
-	if err != nil {
-		err = msgp.WrapError(err, "Rate")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -202,6 +89,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -246,77 +137,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Roll) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0002) {
-				z.Nodes = (z.Nodes)[:zb0002]
-			} else {
-				z.Nodes = make([]core.Node, zb0002)
-			}
-			for za0001 := range z.Nodes {
-				err = z.Nodes[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0001)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Roll) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "n"
-	err = en.Append(0x81, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Nodes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
-		return
-	}
-	for za0001 := range z.Nodes {
-		err = z.Nodes[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0001)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Roll) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -344,6 +164,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -359,6 +183,10 @@
 				err = msgp.WrapError(err, "Nodes")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Nodes) >= int(zb0002) {
 				z.Nodes = (z.Nodes)[:zb0002]
 			} else {
@@ -392,126 +220,125 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *StreamAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "i"
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Id)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.After)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
 		case "i":
-			z.Id, err = dc.ReadString()
+			z.Id, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Id")
 				return
 			}
 		case "t":
-			z.Tenant, err = dc.ReadString()
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
 		case "a":
-			z.After, err = dc.ReadInt()
+			z.After, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "After")
 				return
 			}
 		case "w":
-			z.WaitMs, err = dc.ReadInt()
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *StreamAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "i"
-	err = en.Append(0x84, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.After)
-	if err != nil {
-		err = msgp.WrapError(err, "After")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.WaitMs)
-	if err != nil {
-		err = msgp.WrapError(err, "WaitMs")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamAsk) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StreamAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamCopy) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 8
 	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
+	o = append(o, 0x88, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Id)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendString(o, z.Tenant)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Owner)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt(o, z.After)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt(o, z.WaitMs)
+	o = msgp.AppendString(o, z.Addr)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.From)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
+	for za0001 := range z.Pieces {
+		o = msgp.AppendBytes(o, z.Pieces[za0001])
+	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.End)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.Lost)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StreamCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -520,6 +347,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -540,287 +371,10 @@
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
-		case "a":
-			z.After, bts, err = msgp.ReadIntBytes(bts)
+		case "o":
+			z.Owner, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "After")
-				return
-			}
-		case "w":
-			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "WaitMs")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StreamAsk) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.IntSize + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *StreamCopy) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "t":
-			z.Tenant, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Tenant")
-				return
-			}
-		case "o":
-			z.Owner, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Owner")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "p":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Pieces")
-				return
-			}
-			if cap(z.Pieces) >= int(zb0002) {
-				z.Pieces = (z.Pieces)[:zb0002]
-			} else {
-				z.Pieces = make([][]byte, zb0002)
-			}
-			for za0001 := range z.Pieces {
-				z.Pieces[za0001], err = dc.ReadBytes(z.Pieces[za0001])
-				if err != nil {
-					err = msgp.WrapError(err, "Pieces", za0001)
-					return
-				}
-			}
-		case "e":
-			z.End, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "End")
-				return
-			}
-		case "l":
-			z.Lost, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Lost")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *StreamCopy) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "i"
-	err = en.Append(0x88, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Owner)
-	if err != nil {
-		err = msgp.WrapError(err, "Owner")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Pieces)))
-	if err != nil {
-		err = msgp.WrapError(err, "Pieces")
-		return
-	}
-	for za0001 := range z.Pieces {
-		err = en.WriteBytes(z.Pieces[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Pieces", za0001)
-			return
-		}
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.End)
-	if err != nil {
-		err = msgp.WrapError(err, "End")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Lost)
-	if err != nil {
-		err = msgp.WrapError(err, "Lost")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *StreamCopy) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "i"
-	o = append(o, 0x88, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Id)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Tenant)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendString(o, z.Owner)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt(o, z.From)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
-	for za0001 := range z.Pieces {
-		o = msgp.AppendBytes(o, z.Pieces[za0001])
-	}
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendBool(o, z.End)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.Lost)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamCopy) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "t":
-			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tenant")
-				return
-			}
-		case "o":
-			z.Owner, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Owner")
+				err = msgp.WrapError(err, "Owner")
 				return
 			}
 		case "a":
@@ -842,17 +396,37 @@
 				err = msgp.WrapError(err, "Pieces")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pieces) >= int(zb0002) {
 				z.Pieces = (z.Pieces)[:zb0002]
 			} else {
 				z.Pieces = make([][]byte, zb0002)
 			}
 			for za0001 := range z.Pieces {
-				z.Pieces[za0001], bts, err = msgp.ReadBytesBytes(bts, z.Pieces[za0001])
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadBytesHeader(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Pieces", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Pieces[za0001] == nil || uint32(cap(z.Pieces[za0001])) < zb0003 {
+					z.Pieces[za0001] = make([]byte, zb0003)
+				} else {
+					z.Pieces[za0001] = z.Pieces[za0001][:zb0003]
+				}
+				if uint32(len(bts)) < zb0003 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Pieces[za0001], bts[:zb0003])
+				bts = bts[zb0003:]
 			}
 		case "e":
 			z.End, bts, err = msgp.ReadBoolBytes(bts)
@@ -888,125 +462,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *StreamTold) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			z.Have, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Have")
-				return
-			}
-		case "p":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Pieces")
-				return
-			}
-			if cap(z.Pieces) >= int(zb0002) {
-				z.Pieces = (z.Pieces)[:zb0002]
-			} else {
-				z.Pieces = make([][]byte, zb0002)
-			}
-			for za0001 := range z.Pieces {
-				z.Pieces[za0001], err = dc.ReadBytes(z.Pieces[za0001])
-				if err != nil {
-					err = msgp.WrapError(err, "Pieces", za0001)
-					return
-				}
-			}
-		case "e":
-			z.End, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "End")
-				return
-			}
-		case "l":
-			z.Lost, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Lost")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *StreamTold) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "h"
-	err = en.Append(0x84, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Have)
-	if err != nil {
-		err = msgp.WrapError(err, "Have")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Pieces)))
-	if err != nil {
-		err = msgp.WrapError(err, "Pieces")
-		return
-	}
-	for za0001 := range z.Pieces {
-		err = en.WriteBytes(z.Pieces[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Pieces", za0001)
-			return
-		}
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.End)
-	if err != nil {
-		err = msgp.WrapError(err, "End")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Lost)
-	if err != nil {
-		err = msgp.WrapError(err, "Lost")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamTold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1039,6 +494,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1060,17 +519,37 @@
 				err = msgp.WrapError(err, "Pieces")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pieces) >= int(zb0002) {
 				z.Pieces = (z.Pieces)[:zb0002]
 			} else {
 				z.Pieces = make([][]byte, zb0002)
 			}
 			for za0001 := range z.Pieces {
-				z.Pieces[za0001], bts, err = msgp.ReadBytesBytes(bts, z.Pieces[za0001])
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadBytesHeader(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Pieces", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Pieces[za0001] == nil || uint32(cap(z.Pieces[za0001])) < zb0003 {
+					z.Pieces[za0001] = make([]byte, zb0003)
+				} else {
+					z.Pieces[za0001] = z.Pieces[za0001][:zb0003]
+				}
+				if uint32(len(bts)) < zb0003 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Pieces[za0001], bts[:zb0003])
+				bts = bts[zb0003:]
 			}
 		case "e":
 			z.End, bts, err = msgp.ReadBoolBytes(bts)
@@ -1106,202 +585,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Work) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Runners")
-				return
-			}
-			if z.Runners == nil {
-				z.Runners = make(map[string]Load, zb0002)
-			} else if len(z.Runners) > 0 {
-				clear(z.Runners)
-			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Runners")
-					return
-				}
-				var za0002 Load
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Runners", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Runners", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						za0002.Streams, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Runners", za0001, "Streams")
-							return
-						}
-					case "t":
-						za0002.Tokens, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Runners", za0001, "Tokens")
-							return
-						}
-					case "r":
-						za0002.Rate, err = dc.ReadFloat64()
-						if err != nil {
-							err = msgp.WrapError(err, "Runners", za0001, "Rate")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Runners", za0001)
-							return
-						}
-					}
-				}
-				z.Runners[za0001] = za0002
-			}
-		case "q":
-			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-			if z.Queued == nil {
-				z.Queued = make(map[string]int, zb0004)
-			} else if len(z.Queued) > 0 {
-				clear(z.Queued)
-			}
-			for zb0004 > 0 {
-				zb0004--
-				var za0003 string
-				za0003, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Queued")
-					return
-				}
-				var za0004 int
-				za0004, err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Queued", za0003)
-					return
-				}
-				z.Queued[za0003] = za0004
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Work) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Runners)))
-	if err != nil {
-		err = msgp.WrapError(err, "Runners")
-		return
-	}
-	for za0001, za0002 := range z.Runners {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Runners")
-			return
-		}
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(za0002.Streams)
-		if err != nil {
-			err = msgp.WrapError(err, "Runners", za0001, "Streams")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(za0002.Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "Runners", za0001, "Tokens")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteFloat64(za0002.Rate)
-		if err != nil {
-			err = msgp.WrapError(err, "Runners", za0001, "Rate")
-			return
-		}
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Queued)))
-	if err != nil {
-		err = msgp.WrapError(err, "Queued")
-		return
-	}
-	for za0003, za0004 := range z.Queued {
-		err = en.WriteString(za0003)
-		if err != nil {
-			err = msgp.WrapError(err, "Queued")
-			return
-		}
-		err = en.WriteInt(za0004)
-		if err != nil {
-			err = msgp.WrapError(err, "Queued", za0003)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Work) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1342,6 +625,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1357,6 +644,10 @@
 				err = msgp.WrapError(err, "Runners")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Runners == nil {
 				z.Runners = make(map[string]Load, zb0002)
 			} else if len(z.Runners) > 0 {
@@ -1377,6 +668,10 @@
 					err = msgp.WrapError(err, "Runners", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1420,6 +715,10 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+			if zb0004 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Queued == nil {
 				z.Queued = make(map[string]int, zb0004)
 			} else if len(z.Queued) > 0 {
--- a/internal/relay/msgs.go
+++ b/internal/relay/msgs.go
@@ -1,6 +1,9 @@
 package relay
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Rec is one piece of news. Of two with one key the one with the higher (Gen, Turn) is newer.
 type Rec struct {
--- a/internal/relay/msgs_gen.go
+++ b/internal/relay/msgs_gen.go
@@ -6,173 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Diff) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Range")
-				return
-			}
-			if cap(z.Range) >= int(zb0002) {
-				z.Range = (z.Range)[:zb0002]
-			} else {
-				z.Range = make([]int, zb0002)
-			}
-			for za0001 := range z.Range {
-				z.Range[za0001], err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Range", za0001)
-					return
-				}
-			}
-		case "n":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Names")
-				return
-			}
-			if cap(z.Names) >= int(zb0003) {
-				z.Names = (z.Names)[:zb0003]
-			} else {
-				z.Names = make([]Name, zb0003)
-			}
-			for za0002 := range z.Names {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Names", za0002)
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Names", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "k":
-						z.Names[za0002].Key, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Names", za0002, "Key")
-							return
-						}
-					case "g":
-						z.Names[za0002].Gen, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Names", za0002, "Gen")
-							return
-						}
-					case "t":
-						z.Names[za0002].Turn, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Names", za0002, "Turn")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Names", za0002)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Diff) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Range)))
-	if err != nil {
-		err = msgp.WrapError(err, "Range")
-		return
-	}
-	for za0001 := range z.Range {
-		err = en.WriteInt(z.Range[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Range", za0001)
-			return
-		}
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Names)))
-	if err != nil {
-		err = msgp.WrapError(err, "Names")
-		return
-	}
-	for za0002 := range z.Names {
-		// map header, size 3
-		// write "k"
-		err = en.Append(0x83, 0xa1, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Names[za0002].Key)
-		if err != nil {
-			err = msgp.WrapError(err, "Names", za0002, "Key")
-			return
-		}
-		// write "g"
-		err = en.Append(0xa1, 0x67)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Names[za0002].Gen)
-		if err != nil {
-			err = msgp.WrapError(err, "Names", za0002, "Gen")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Names[za0002].Turn)
-		if err != nil {
-			err = msgp.WrapError(err, "Names", za0002, "Turn")
-			return
-		}
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Diff) MarshalMsg(b []byte) (o []byte, err error) {
@@ -212,6 +50,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -227,6 +69,10 @@
 				err = msgp.WrapError(err, "Range")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Range) >= int(zb0002) {
 				z.Range = (z.Range)[:zb0002]
 			} else {
@@ -246,6 +92,10 @@
 				err = msgp.WrapError(err, "Names")
 				return
 			}
+			if zb0003 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Names) >= int(zb0003) {
 				z.Names = (z.Names)[:zb0003]
 			} else {
@@ -258,6 +108,10 @@
 					err = msgp.WrapError(err, "Names", za0002)
 					return
 				}
+				if zb0004 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -314,129 +168,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Fix) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Recs")
-				return
-			}
-			if cap(z.Recs) >= int(zb0002) {
-				z.Recs = (z.Recs)[:zb0002]
-			} else {
-				z.Recs = make([]Rec, zb0002)
-			}
-			for za0001 := range z.Recs {
-				err = z.Recs[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Recs", za0001)
-					return
-				}
-			}
-		case "w":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Want")
-				return
-			}
-			if cap(z.Want) >= int(zb0003) {
-				z.Want = (z.Want)[:zb0003]
-			} else {
-				z.Want = make([]string, zb0003)
-			}
-			for za0002 := range z.Want {
-				z.Want[za0002], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Want", za0002)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Fix) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "f"
-	err = en.Append(0x83, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Recs)))
-	if err != nil {
-		err = msgp.WrapError(err, "Recs")
-		return
-	}
-	for za0001 := range z.Recs {
-		err = z.Recs[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Recs", za0001)
-			return
-		}
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Want)))
-	if err != nil {
-		err = msgp.WrapError(err, "Want")
-		return
-	}
-	for za0002 := range z.Want {
-		err = en.WriteString(z.Want[za0002])
-		if err != nil {
-			err = msgp.WrapError(err, "Want", za0002)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Fix) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -473,6 +204,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -494,6 +229,10 @@
 				err = msgp.WrapError(err, "Recs")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Recs) >= int(zb0002) {
 				z.Recs = (z.Recs)[:zb0002]
 			} else {
@@ -513,6 +252,10 @@
 				err = msgp.WrapError(err, "Want")
 				return
 			}
+			if zb0003 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Want) >= int(zb0003) {
 				z.Want = (z.Want)[:zb0003]
 			} else {
@@ -521,114 +264,31 @@
 			for za0002 := range z.Want {
 				z.Want[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Want", za0002)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Fix) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Recs {
-		s += z.Recs[za0001].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Want {
-		s += msgp.StringPrefixSize + len(z.Want[za0002])
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Name) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "g":
-			z.Gen, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Gen")
-				return
-			}
-		case "t":
-			z.Turn, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
+					err = msgp.WrapError(err, "Want", za0002)
+					return
+				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z Name) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Gen)
-	if err != nil {
-		err = msgp.WrapError(err, "Gen")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Fix) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Recs {
+		s += z.Recs[za0001].Msgsize()
 	}
-	err = en.WriteUint64(z.Turn)
-	if err != nil {
-		err = msgp.WrapError(err, "Turn")
-		return
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Want {
+		s += msgp.StringPrefixSize + len(z.Want[za0002])
 	}
 	return
 }
@@ -659,6 +319,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -703,105 +367,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Rec) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "g":
-			z.Gen, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Gen")
-				return
-			}
-		case "t":
-			z.Turn, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Rec) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Gen)
-	if err != nil {
-		err = msgp.WrapError(err, "Gen")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Turn)
-	if err != nil {
-		err = msgp.WrapError(err, "Turn")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Rec) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -831,6 +396,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -858,113 +427,42 @@
 				return
 			}
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Rec) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Sum) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "d":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Dig")
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Dig) >= int(zb0002) {
-				z.Dig = (z.Dig)[:zb0002]
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
 			} else {
-				z.Dig = make([]uint64, zb0002)
+				z.Body = z.Body[:zb0002]
 			}
-			for za0001 := range z.Dig {
-				z.Dig[za0001], err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Dig", za0001)
-					return
-				}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
 			}
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Sum) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "f"
-	err = en.Append(0x82, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Dig)))
-	if err != nil {
-		err = msgp.WrapError(err, "Dig")
-		return
-	}
-	for za0001 := range z.Dig {
-		err = en.WriteUint64(z.Dig[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "Dig", za0001)
-			return
-		}
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Rec) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
@@ -994,6 +492,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1015,6 +517,10 @@
 				err = msgp.WrapError(err, "Dig")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Dig) >= int(zb0002) {
 				z.Dig = (z.Dig)[:zb0002]
 			} else {
@@ -1045,93 +551,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Tell) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Recs")
-				return
-			}
-			if cap(z.Recs) >= int(zb0002) {
-				z.Recs = (z.Recs)[:zb0002]
-			} else {
-				z.Recs = make([]Rec, zb0002)
-			}
-			for za0001 := range z.Recs {
-				err = z.Recs[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Recs", za0001)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Tell) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "f"
-	err = en.Append(0x82, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Recs)))
-	if err != nil {
-		err = msgp.WrapError(err, "Recs")
-		return
-	}
-	for za0001 := range z.Recs {
-		err = z.Recs[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Recs", za0001)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Tell) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1162,6 +581,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1183,6 +606,10 @@
 				err = msgp.WrapError(err, "Recs")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Recs) >= int(zb0002) {
 				z.Recs = (z.Recs)[:zb0002]
 			} else {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -117,3 +117,16 @@
 		}
 	})
 }
+
+// A length that the bytes don't bear out is refused before room is made for it.
+func TestFalseLength(t *testing.T) {
+	raw := []byte{0x82, 0xa1, 'f', 0xa1, 'x', 0xa1, 'r', 0xdd, 0xff, 0xff, 0xff, 0xf0} // a list of four thousand million
+	if n := testing.AllocsPerRun(1, func() {
+		var tell Tell
+		if _, err := tell.UnmarshalMsg(raw); err == nil {
+			t.Error("read")
+		}
+	}); n > 20 {
+		t.Errorf("%g allocations", n)
+	}
+}
--- a/internal/runner/msgs.go
+++ b/internal/runner/msgs.go
@@ -1,6 +1,9 @@
 package runner
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // News is a runner as it told of itself, handed on between routers.
 type News struct {
--- a/internal/runner/msgs_gen.go
+++ b/internal/runner/msgs_gen.go
@@ -6,234 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *News) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "b":
-			z.Born, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Born")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Labels")
-				return
-			}
-			if z.Labels == nil {
-				z.Labels = make(map[string]string, zb0002)
-			} else if len(z.Labels) > 0 {
-				clear(z.Labels)
-			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Labels")
-					return
-				}
-				var za0002 string
-				za0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Labels", za0001)
-					return
-				}
-				z.Labels[za0001] = za0002
-			}
-		case "s":
-			z.State, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		case "r":
-			z.Room, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Room")
-				return
-			}
-		case "m":
-			z.Most, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Most")
-				return
-			}
-		case "f":
-			z.Fill, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "Fill")
-				return
-			}
-		case "q":
-			z.Queued, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "h":
-			z.Hall, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Hall")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *News) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
-	// write "n"
-	err = en.Append(0x8a, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Born)
-	if err != nil {
-		err = msgp.WrapError(err, "Born")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Labels)))
-	if err != nil {
-		err = msgp.WrapError(err, "Labels")
-		return
-	}
-	for za0001, za0002 := range z.Labels {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Labels")
-			return
-		}
-		err = en.WriteString(za0002)
-		if err != nil {
-			err = msgp.WrapError(err, "Labels", za0001)
-			return
-		}
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Room)
-	if err != nil {
-		err = msgp.WrapError(err, "Room")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Most)
-	if err != nil {
-		err = msgp.WrapError(err, "Most")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.Fill)
-	if err != nil {
-		err = msgp.WrapError(err, "Fill")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Queued")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Hall)
-	if err != nil {
-		err = msgp.WrapError(err, "Hall")
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
@@ -286,6 +63,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -319,6 +100,10 @@
 				err = msgp.WrapError(err, "Labels")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Labels == nil {
 				z.Labels = make(map[string]string, zb0002)
 			} else if len(z.Labels) > 0 {
--- a/internal/share/msgs.go
+++ b/internal/share/msgs.go
@@ -1,6 +1,9 @@
 package share
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Hold is what one holder has of a tenant's units, and the last turn that changed it.
 type Hold struct {
--- a/internal/share/msgs_gen.go
+++ b/internal/share/msgs_gen.go
@@ -6,72 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Hold) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "u":
-			z.Units, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Units")
-				return
-			}
-		case "t":
-			z.Turn, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Hold) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "u"
-	err = en.Append(0x82, 0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Units)
-	if err != nil {
-		err = msgp.WrapError(err, "Units")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Turn)
-	if err != nil {
-		err = msgp.WrapError(err, "Turn")
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z Hold) MarshalMsg(b []byte) (o []byte, err error) {
@@ -96,6 +35,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -134,186 +77,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Pot) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
-			if z.Held == nil {
-				z.Held = make(map[string]Hold, zb0002)
-			} else if len(z.Held) > 0 {
-				clear(z.Held)
-			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				var za0002 Hold
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Held", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "u":
-						za0002.Units, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001, "Units")
-							return
-						}
-					case "t":
-						za0002.Turn, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001, "Turn")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Held", za0001)
-							return
-						}
-					}
-				}
-				z.Held[za0001] = za0002
-			}
-		case "c":
-			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Cool")
-				return
-			}
-			if z.Cool == nil {
-				z.Cool = make(map[string]int, zb0004)
-			} else if len(z.Cool) > 0 {
-				clear(z.Cool)
-			}
-			for zb0004 > 0 {
-				zb0004--
-				var za0003 string
-				za0003, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Cool")
-					return
-				}
-				var za0004 int
-				za0004, err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Cool", za0003)
-					return
-				}
-				z.Cool[za0003] = za0004
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Pot) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "h"
-	err = en.Append(0x82, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Held)))
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
-	}
-	for za0001, za0002 := range z.Held {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Held")
-			return
-		}
-		// map header, size 2
-		// write "u"
-		err = en.Append(0x82, 0xa1, 0x75)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(za0002.Units)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", za0001, "Units")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(za0002.Turn)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", za0001, "Turn")
-			return
-		}
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Cool)))
-	if err != nil {
-		err = msgp.WrapError(err, "Cool")
-		return
-	}
-	for za0003, za0004 := range z.Cool {
-		err = en.WriteString(za0003)
-		if err != nil {
-			err = msgp.WrapError(err, "Cool")
-			return
-		}
-		err = en.WriteInt(za0004)
-		if err != nil {
-			err = msgp.WrapError(err, "Cool", za0003)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Pot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -351,6 +114,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -366,6 +133,10 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Held == nil {
 				z.Held = make(map[string]Hold, zb0002)
 			} else if len(z.Held) > 0 {
@@ -386,6 +157,10 @@
 					err = msgp.WrapError(err, "Held", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -423,6 +198,10 @@
 				err = msgp.WrapError(err, "Cool")
 				return
 			}
+			if zb0004 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Cool == nil {
 				z.Cool = make(map[string]int, zb0004)
 			} else if len(z.Cool) > 0 {
--- a/internal/store/msgs.go
+++ b/internal/store/msgs.go
@@ -1,6 +1,9 @@
 package store
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A base may hold very many puts; the checksum vouches for the file.
+//msgp:limit arrays:100000000 maps:100000000
 
 // Put is one change: a key gets a value, or goes (Gone).
 type Put struct {
--- a/internal/store/msgs_gen.go
+++ b/internal/store/msgs_gen.go
@@ -6,169 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Batch) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Seq, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "b":
-			z.Base, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Base")
-				return
-			}
-		case "p":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Puts")
-				return
-			}
-			if cap(z.Puts) >= int(zb0002) {
-				z.Puts = (z.Puts)[:zb0002]
-			} else {
-				z.Puts = make([]Put, zb0002)
-			}
-			for za0001 := range z.Puts {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Puts", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Puts", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "k":
-						z.Puts[za0001].Key, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Puts", za0001, "Key")
-							return
-						}
-					case "v":
-						z.Puts[za0001].Val, err = dc.ReadBytes(z.Puts[za0001].Val)
-						if err != nil {
-							err = msgp.WrapError(err, "Puts", za0001, "Val")
-							return
-						}
-					case "g":
-						z.Puts[za0001].Gone, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Puts", za0001, "Gone")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Puts", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Batch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Base)
-	if err != nil {
-		err = msgp.WrapError(err, "Base")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Puts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Puts")
-		return
-	}
-	for za0001 := range z.Puts {
-		// map header, size 3
-		// write "k"
-		err = en.Append(0x83, 0xa1, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Puts[za0001].Key)
-		if err != nil {
-			err = msgp.WrapError(err, "Puts", za0001, "Key")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Puts[za0001].Val)
-		if err != nil {
-			err = msgp.WrapError(err, "Puts", za0001, "Val")
-			return
-		}
-		// write "g"
-		err = en.Append(0xa1, 0x67)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Puts[za0001].Gone)
-		if err != nil {
-			err = msgp.WrapError(err, "Puts", za0001, "Gone")
-			return
-		}
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 100000000
+	z78411aa4limitMaps   = 100000000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
@@ -208,6 +50,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -235,6 +81,10 @@
 				err = msgp.WrapError(err, "Puts")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Puts) >= int(zb0002) {
 				z.Puts = (z.Puts)[:zb0002]
 			} else {
@@ -247,6 +97,10 @@
 					err = msgp.WrapError(err, "Puts", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -262,11 +116,27 @@
 							return
 						}
 					case "v":
-						z.Puts[za0001].Val, bts, err = msgp.ReadBytesBytes(bts, z.Puts[za0001].Val)
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Puts", za0001, "Val")
 							return
 						}
+						if zb0004 > z78411aa4limitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Puts[za0001].Val == nil || uint32(cap(z.Puts[za0001].Val)) < zb0004 {
+							z.Puts[za0001].Val = make([]byte, zb0004)
+						} else {
+							z.Puts[za0001].Val = z.Puts[za0001].Val[:zb0004]
+						}
+						if uint32(len(bts)) < zb0004 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Puts[za0001].Val, bts[:zb0004])
+						bts = bts[zb0004:]
 					case "g":
 						z.Puts[za0001].Gone, bts, err = msgp.ReadBoolBytes(bts)
 						if err != nil {
@@ -303,89 +173,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Put) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "v":
-			z.Val, err = dc.ReadBytes(z.Val)
-			if err != nil {
-				err = msgp.WrapError(err, "Val")
-				return
-			}
-		case "g":
-			z.Gone, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Gone")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Put) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Val)
-	if err != nil {
-		err = msgp.WrapError(err, "Val")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Gone)
-	if err != nil {
-		err = msgp.WrapError(err, "Gone")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Put) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -412,6 +199,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -427,11 +218,27 @@
 				return
 			}
 		case "v":
-			z.Val, bts, err = msgp.ReadBytesBytes(bts, z.Val)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Val")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Val == nil || uint32(cap(z.Val)) < zb0002 {
+				z.Val = make([]byte, zb0002)
+			} else {
+				z.Val = z.Val[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Val, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "g":
 			z.Gone, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
--- a/internal/view/msgs.go
+++ b/internal/view/msgs.go
@@ -1,6 +1,9 @@
 package view
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Member is one core process: a random identity kept on its disk, and where it listens.
 type Member struct {
--- a/internal/view/msgs_gen.go
+++ b/internal/view/msgs_gen.go
@@ -6,45 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Ask) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Ask) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z Ask) MarshalMsg(b []byte) (o []byte, err error) {
@@ -65,6 +31,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -91,73 +61,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Ballot) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.N, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "N")
-				return
-			}
-		case "w":
-			z.Who, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Who")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Ballot) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.N)
-	if err != nil {
-		err = msgp.WrapError(err, "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Who")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Ballot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -181,6 +84,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -219,211 +126,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Book) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Vow")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Vow")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Vow.N, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Vow", "N")
-						return
-					}
-				case "w":
-					z.Vow.Who, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Vow", "Who")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Vow")
-						return
-					}
-				}
-			}
-		case "a":
-			var zb0003 uint32
-			zb0003, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Acc")
-				return
-			}
-			for zb0003 > 0 {
-				zb0003--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Acc")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Acc.N, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc", "N")
-						return
-					}
-				case "w":
-					z.Acc.Who, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc", "Who")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc")
-						return
-					}
-				}
-			}
-		case "n":
-			err = z.Next.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Next")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Book) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Vow.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Vow", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Vow.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Vow", "Who")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Acc.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Acc", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Acc.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Acc", "Who")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = z.Next.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Book) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -476,6 +178,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -503,6 +209,10 @@
 				err = msgp.WrapError(err, "Vow")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -538,6 +248,10 @@
 				err = msgp.WrapError(err, "Acc")
 				return
 			}
+			if zb0003 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -590,105 +304,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Grant) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Ok, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Ok")
-				return
-			}
-		case "p":
-			z.Vow, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Vow")
-				return
-			}
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Grant) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "o"
-	err = en.Append(0x84, 0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Ok)
-	if err != nil {
-		err = msgp.WrapError(err, "Ok")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Vow)
-	if err != nil {
-		err = msgp.WrapError(err, "Vow")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -722,6 +337,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -772,57 +391,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Learn) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Learn) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "v"
-	err = en.Append(0x81, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Learn) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -847,6 +415,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -879,89 +451,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "h":
-			z.Hall, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Hall")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Hall)
-	if err != nil {
-		err = msgp.WrapError(err, "Hall")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -988,6 +477,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1032,59 +525,97 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Pick) DecodeMsg(dc *msgp.Reader) (err error) {
+// MarshalMsg implements msgp.Marshaler
+func (z *Pick) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "c"
+	o = append(o, 0x83, 0xa1, 0x63)
+	o, err = z.Cur.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Cur")
+		return
+	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Ballot.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Ballot.Who)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o, err = z.Next.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pick) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
 		case "c":
-			err = z.Cur.DecodeMsg(dc)
+			bts, err = z.Cur.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Cur")
 				return
 			}
 		case "b":
 			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Ballot")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
-				field, err = dc.ReadMapKeyPtr()
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Ballot")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "n":
-					z.Ballot.N, err = dc.ReadUint64()
+					z.Ballot.N, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Ballot", "N")
 						return
 					}
 				case "w":
-					z.Ballot.Who, err = dc.ReadString()
+					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Ballot", "Who")
 						return
 					}
 				default:
-					err = dc.Skip()
+					bts, err = msgp.Skip(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Ballot")
 						return
@@ -1092,112 +623,64 @@
 				}
 			}
 		case "n":
-			err = z.Next.DecodeMsg(dc)
+			bts, err = z.Next.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Next")
 				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Pick) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "c"
-	err = en.Append(0x83, 0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Cur.EncodeMsg(en)
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pick) Msgsize() (s int) {
+	s = 1 + 2 + z.Cur.Msgsize() + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + z.Next.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Prep) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o, err = z.Cur.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Cur")
 		return
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Ballot.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Ballot.Who)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Prep) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Ballot.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Ballot.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Who")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = z.Next.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Pick) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
-	o, err = z.Cur.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Cur")
-		return
-	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Ballot.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Ballot.Who)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o, err = z.Next.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Pick) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
 		return
 	}
 	for zb0001 > 0 {
@@ -1221,222 +704,8 @@
 				err = msgp.WrapError(err, "Ballot")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Ballot")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Ballot.N, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "N")
-						return
-					}
-				case "w":
-					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "Who")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot")
-						return
-					}
-				}
-			}
-		case "n":
-			bts, err = z.Next.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Next")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Pick) Msgsize() (s int) {
-	s = 1 + 2 + z.Cur.Msgsize() + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + z.Next.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Prep) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "c":
-			err = z.Cur.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Cur")
-				return
-			}
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Ballot")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Ballot.N, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "N")
-						return
-					}
-				case "w":
-					z.Ballot.Who, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "Who")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot")
-						return
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Prep) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "c"
-	err = en.Append(0x82, 0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Cur.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Cur")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Ballot.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Ballot.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Who")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Prep) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "c"
-	o = append(o, 0x82, 0xa1, 0x63)
-	o, err = z.Cur.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Cur")
-		return
-	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Ballot.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Ballot.Who)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Prep) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "c":
-			bts, err = z.Cur.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Cur")
-				return
-			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
 				return
 			}
 			for zb0002 > 0 {
@@ -1485,57 +754,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Renew) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Renew) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "v"
-	err = en.Append(0x81, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1560,6 +778,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1592,121 +814,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Told) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "h":
-			z.Hall, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Hall")
-				return
-			}
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "c":
-			z.Acc, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Acc")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Told) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "i"
-	err = en.Append(0x85, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Hall)
-	if err != nil {
-		err = msgp.WrapError(err, "Hall")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Acc)
-	if err != nil {
-		err = msgp.WrapError(err, "Acc")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1743,6 +850,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1763,219 +874,39 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
-		case "h":
-			z.Hall, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hall")
-				return
-			}
-		case "v":
-			bts, err = z.View.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "c":
-			z.Acc, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Acc")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Told) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *View) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "e":
-			z.Epoch, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
-				return
-			}
-		case "m":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Members[za0001].Id, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Id")
-							return
-						}
-					case "a":
-						z.Members[za0001].Addr, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Addr")
-							return
-						}
-					case "h":
-						z.Members[za0001].Hall, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001, "Hall")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "p":
-			z.Prime, err = dc.ReadString()
+		case "h":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Prime")
+				err = msgp.WrapError(err, "Hall")
 				return
 			}
-		case "b":
-			z.Back, err = dc.ReadString()
+		case "v":
+			bts, err = z.View.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Back")
+				err = msgp.WrapError(err, "View")
+				return
+			}
+		case "c":
+			z.Acc, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Acc")
 				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *View) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "e"
-	err = en.Append(0x84, 0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Epoch)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	for za0001 := range z.Members {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0001].Id)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Id")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0001].Addr)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Addr")
-			return
-		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0001].Hall)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Hall")
-			return
-		}
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Prime)
-	if err != nil {
-		err = msgp.WrapError(err, "Prime")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Back)
-	if err != nil {
-		err = msgp.WrapError(err, "Back")
-		return
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Told) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
@@ -2020,6 +951,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2041,6 +976,10 @@
 				err = msgp.WrapError(err, "Members")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Members) >= int(zb0002) {
 				z.Members = (z.Members)[:zb0002]
 			} else {
@@ -2053,6 +992,10 @@
 					err = msgp.WrapError(err, "Members", za0001)
 					return
 				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2122,243 +1065,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Vow) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Ok, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Ok")
-				return
-			}
-		case "l":
-			z.Leased, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Leased")
-				return
-			}
-		case "s":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Seen")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Seen")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Seen.N, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Seen", "N")
-						return
-					}
-				case "w":
-					z.Seen.Who, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Seen", "Who")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Seen")
-						return
-					}
-				}
-			}
-		case "a":
-			var zb0003 uint32
-			zb0003, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Acc")
-				return
-			}
-			for zb0003 > 0 {
-				zb0003--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Acc")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Acc.N, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc", "N")
-						return
-					}
-				case "w":
-					z.Acc.Who, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc", "Who")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Acc")
-						return
-					}
-				}
-			}
-		case "n":
-			err = z.Next.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Next")
-				return
-			}
-		case "v":
-			err = z.View.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "View")
-				return
-			}
-		case "i":
-			z.Id, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Vow) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "o"
-	err = en.Append(0x87, 0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Ok)
-	if err != nil {
-		err = msgp.WrapError(err, "Ok")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Leased)
-	if err != nil {
-		err = msgp.WrapError(err, "Leased")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Seen.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Seen", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Seen.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Seen", "Who")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Acc.N)
-	if err != nil {
-		err = msgp.WrapError(err, "Acc", "N")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Acc.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Acc", "Who")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = z.Next.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.View.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Vow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2417,6 +1123,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2444,6 +1154,10 @@
 				err = msgp.WrapError(err, "Seen")
 				return
 			}
+			if zb0002 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2479,6 +1193,10 @@
 				err = msgp.WrapError(err, "Acc")
 				return
 			}
+			if zb0003 > z78411aa4limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/wire/msgs.go
+++ b/internal/wire/msgs.go
@@ -1,6 +1,9 @@
 package wire
 
-//go:generate go tool msgp -tests=false
+//go:generate go tool msgp -tests=false -io=false
+
+// A length read from the wire is believed up to this only.
+//msgp:limit arrays:10000000 maps:200000
 
 // Frame is what goes over the wire between our own processes: one call or one answer.
 // Fmt is the message format of the sender; neighbours one format apart still talk.
--- a/internal/wire/msgs_gen.go
+++ b/internal/wire/msgs_gen.go
@@ -6,120 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Frame) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Fmt, err = dc.ReadUint8()
-			if err != nil {
-				err = msgp.WrapError(err, "Fmt")
-				return
-			}
-		case "i":
-			z.Id, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Id")
-				return
-			}
-		case "k":
-			z.Kind, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "e":
-			z.Err, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Err")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Frame) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "f"
-	err = en.Append(0x85, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(z.Fmt)
-	if err != nil {
-		err = msgp.WrapError(err, "Fmt")
-		return
-	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Id)
-	if err != nil {
-		err = msgp.WrapError(err, "Id")
-		return
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Kind)
-	if err != nil {
-		err = msgp.WrapError(err, "Kind")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Err)
-	if err != nil {
-		err = msgp.WrapError(err, "Err")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	return
-}
+// Size limits for msgp deserialization
+const (
+	z78411aa4limitArrays = 10000000
+	z78411aa4limitMaps   = 200000
+)
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
@@ -153,6 +44,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -186,11 +81,27 @@
 				return
 			}
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
+			} else {
+				z.Body = z.Body[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
