--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -117,12 +117,13 @@
 		s.trouble(err)
 		return nil, wire.Fault{Code: DiskBad}
 	}
-	if st.Due() {
-		if err := st.Rebase(); err != nil {
+	go func() { // the primary need not wait for it
+		s.keep.Lock()
+		defer s.keep.Unlock()
+		if err := st.Tidy(); err != nil {
 			s.trouble(err)
-			return nil, wire.Fault{Code: DiskBad}
 		}
-	}
+	}()
 	return &Held{Id: s.vot.Id()}, nil
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -825,6 +825,11 @@
 			j.done <- j.err
 		}
 	}
+	if err == nil && len(tx.puts) > 0 {
+		if err := tx.st.Tidy(); err != nil {
+			s.trouble(err)
+		}
+	}
 }
 
 // size is how many bytes the batch would put: it has to fit one frame to the backup.
@@ -891,11 +896,6 @@
 		return doubt
 	}
 	s.published(tx)
-	if st.Due() {
-		if err := st.Rebase(); err != nil {
-			s.trouble(err)
-		}
-	}
 	return nil
 }
 
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -22,8 +22,10 @@
 	now   *Handle
 	slow  time.Duration
 	full  bool
+	keep  bool // files can't be removed
 	stall chan struct{}
 	Syncs int
+	Bytes int // written in all
 }
 
 // NewDisk makes an empty disk.
@@ -63,6 +65,15 @@
 	d.full = on
 }
 
+// Keep has every removal fail, as a crash just before it would leave things.
+//
+//	d.Keep(true)
+func (d *Disk) Keep(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.keep = on
+}
+
 // Stall has every write wait until Flow.
 //
 //	d.Stall()
@@ -141,6 +152,7 @@
 		return ErrFull
 	}
 	d.Syncs++
+	d.Bytes += len(data)
 	delete(d.files, name+".aside")
 	d.files[name] = append([]byte{}, data...)
 	return nil
@@ -166,6 +178,9 @@
 	if h.d.now != h {
 		return ErrDead
 	}
+	if h.d.keep {
+		return ErrDead
+	}
 	delete(h.d.files, name)
 	return nil
 }
--- a/internal/store/msgs.go
+++ b/internal/store/msgs.go
@@ -12,9 +12,11 @@
 	Gone bool   `msg:"g"`
 }
 
-// Batch is one version: all puts that were synced together. A Base batch holds the whole state.
+// Batch is one version: all puts that were synced together. A Base batch holds the whole state;
+// a folded one holds the puts of all versions from From on.
 type Batch struct {
 	Seq  uint64 `msg:"s"`
+	From uint64 `msg:"f"`
 	Base bool   `msg:"b"`
 	Puts []Put  `msg:"p"`
 }
--- a/internal/store/msgs_gen.go
+++ b/internal/store/msgs_gen.go
@@ -15,10 +15,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	o = append(o, 0x84, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Seq)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint64(o, z.From)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBool(o, z.Base)
@@ -68,6 +71,12 @@
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
+		case "f":
+			z.From, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		case "b":
 			z.Base, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -166,7 +175,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Batch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Puts {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Puts[za0001].Key) + 2 + msgp.BytesPrefixSize + len(z.Puts[za0001].Val) + 2 + msgp.BoolSize
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -63,14 +63,16 @@
 
 // Store is the state held on one disk.
 type Store struct {
-	disk Disk
-	mu   sync.RWMutex
-	seq  uint64
-	base uint64
-	all  map[string][]byte
-	size int // bytes written since the base
-	sync env.Gate
-	shut bool
+	disk  Disk
+	mu    sync.RWMutex
+	seq   uint64
+	all   map[string][]byte
+	fold  uint64 // the newest version that lies in a fold or base
+	size  int    // bytes put since the base
+	whole int    // bytes of the base
+	loose []Put  // put since the fold
+	sync  env.Gate
+	shut  bool
 }
 
 func name(seq uint64) string { return fmt.Sprintf("v-%016x", seq) }
@@ -115,14 +117,31 @@
 	if len(got) == 0 {
 		return s, nil
 	}
-	if from < 0 && got[0].Seq != 1 {
+	if from < 0 && got[0].Seq != 1 && got[0].From != 1 {
 		return nil, eris.Wrap(ErrBroken, "no base version")
 	}
 	if from < 0 {
 		from = 0
 	}
-	for i, b := range got[from:] {
-		if i > 0 && b.Seq != s.seq+1 {
+	got = got[from:]
+	// A fold stands for the versions before it; where its writing was cut short they still lie there.
+	for i, b := range got {
+		if b.From == 0 {
+			continue
+		}
+		for j := i - 1; j >= 0 && got[j].Seq >= b.From && !got[j].Base; j-- {
+			got[j].Seq = 0
+		}
+	}
+	for i, b := range got {
+		first := max(b.From, 1)
+		if b.From == 0 {
+			first = b.Seq
+		}
+		switch {
+		case b.Seq == 0:
+			continue
+		case i > 0 && first != s.seq+1:
 			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.seq+1)
 		}
 		s.take(b)
@@ -135,7 +154,12 @@
 	defer s.mu.Unlock()
 	if b.Base {
 		s.all = map[string][]byte{}
-		s.base, s.size = b.Seq, 0
+		s.size = 0
+	}
+	if b.Base || b.From > 0 {
+		s.fold, s.loose = b.Seq, nil
+	} else {
+		s.loose = append(s.loose, b.Puts...)
 	}
 	for _, p := range b.Puts {
 		s.size += len(p.Key) + len(p.Val)
@@ -145,6 +169,9 @@
 			s.all[p.Key] = p.Val
 		}
 	}
+	if b.Base {
+		s.whole, s.size = s.size, 0
+	}
 	s.seq = b.Seq
 }
 
@@ -252,16 +279,52 @@
 	return nil
 }
 
-// Due tells whether enough has piled up since the last base to write a new one.
+// Tidy keeps the files few: every foldAt versions are folded into one file, and once as much has
+// been put since the last base as the base holds, a new one is written. So what is written stays
+// within a few times what is put, however much is kept. It may take a while: call it after answering.
 //
-//	if s.Due() { err = s.Rebase() }
-func (s *Store) Due() bool {
+//	err := s.Tidy()
+func (s *Store) Tidy() error {
 	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.seq-s.base > 4096 || s.size > 32<<20
+	base, fold := s.size > max(8<<20, s.whole), s.seq-s.fold >= foldAt
+	s.mu.RUnlock()
+	switch {
+	case base:
+		return s.Rebase()
+	case fold:
+		return s.Fold()
+	}
+	return nil
 }
 
+const foldAt = 512
+
 // Rebase writes the state as a base in place of the newest version and drops what is older.
 //
 //	err := s.Rebase()
 func (s *Store) Rebase() error { return s.Add(s.Whole()) }
+
+// Fold writes the versions since the last fold or base as one, in place of the newest of them.
+//
+//	err := s.Fold()
+func (s *Store) Fold() error {
+	s.sync.Lock()
+	defer s.sync.Unlock()
+	s.mu.RLock()
+	b := Batch{Seq: s.seq, From: s.fold + 1, Puts: s.loose}
+	s.mu.RUnlock()
+	if s.shut || b.From >= b.Seq {
+		return nil
+	}
+	raw, err := b.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.fold, s.loose = b.Seq, nil
+	s.mu.Unlock()
+	return s.drop(func(n string) bool { return n >= name(b.From) && n < name(b.Seq) })
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"maps"
@@ -35,7 +36,7 @@
 		model, seq := map[string]string{}, uint64(0)
 		keys := []string{"a", "b", "c/1", "c/2"}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1, 2:
 				b := store.Batch{Seq: seq + 1}
 				next := maps.Clone(model)
@@ -60,7 +61,11 @@
 					if err := s.Add(store.Batch{Seq: seq, Base: true, Puts: []store.Put{{Key: "c/1", Val: []byte("copied")}}}); err != nil {
 						t.Fatal(err)
 					}
-				} else if err := s.Rebase(); err != nil {
+				} else if rapid.Bool().Draw(t, "base") {
+					if err := s.Rebase(); err != nil {
+						t.Fatal(err)
+					}
+				} else if err := s.Fold(); err != nil {
 					t.Fatal(err)
 				}
 			case 4:
@@ -76,6 +81,15 @@
 				}
 			case 6:
 				s = open()
+			case 7: // the process ends when the new file is there and the old ones still are
+				disk.Keep(true)
+				if rapid.Bool().Draw(t, "base") {
+					s.Rebase()
+				} else {
+					s.Fold()
+				}
+				disk.Keep(false)
+				s = open()
 			}
 			if s.Seq() != seq {
 				t.Fatalf("sequence %d, %d expected", s.Seq(), seq)
@@ -158,3 +172,41 @@
 		t.Errorf("read back sequence %d, k %v", again.Seq(), v)
 	}
 }
+
+// What keeping an hour of claims costs: bytes written for each byte put, and files that lie about.
+func TestWriteCost(t *testing.T) {
+	disk := sim.NewDisk()
+	s, err := store.Open(disk.Use(), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	val := make([]byte, 200)
+	put, files := 0, 0
+	for i := range 60000 {
+		p := store.Put{Key: fmt.Sprintf("claim/tenant/%d", i), Val: val}
+		put += len(p.Key) + len(p.Val)
+		if err := s.Add(store.Batch{Seq: uint64(i + 1), Puts: []store.Put{p}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Tidy(); err != nil {
+			t.Fatal(err)
+		}
+		if i%1000 == 999 {
+			files = max(files, len(disk.Names()))
+		}
+	}
+	cost := float64(disk.Bytes) / float64(put)
+	t.Logf("60,000 claims: %.1f bytes written for each put, %d files at the most", cost, files)
+	if cost > 5 || files > 2000 {
+		t.Errorf("%.1f bytes written for each put, %d files", cost, files)
+	}
+	again, err := store.Open(disk.Use(), quiet)
+	if err != nil || again.Seq() != 60000 {
+		t.Fatalf("opened anew: %v", err)
+	}
+	n := 0
+	again.Each("claim/", func(string, []byte) { n++ })
+	if n != 60000 {
+		t.Errorf("%d claims read back", n)
+	}
+}
