Second tries are earned, not counted back: the bound holds when traffic falls away

Cause: a second try was allowed against the first tries of the ten seconds before it; when runners were barred and traffic fell, those left the window before the second tries did. Ruled out: parts that add up to more than the fleet's spare (Part splits it exactly). Change: each first try earns a share of a second one, kept up to the router's part of the fleet's allowance; so any span holds at most the share of its own first tries and the allowance. The default allowance is 20 for the fleet, since a router with no part could make none.

--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -281,7 +281,7 @@
 		svc[k] = len(l.Services)
 		l.Services = append(l.Services, Service{Name: k,
 			Share: p.frac(at+".second_share", v.Get("second_share"), 0, 0.19, 0.1),
-			Spare: p.num(at+".second_spare", v.Get("second_spare"), 0, 20, 4)})
+			Spare: p.num(at+".second_spare", v.Get("second_spare"), 0, 100, 20)})
 	})
 	pools := map[string]int{}
 	p.object("pools", doc.Get("pools"), nil, func(k, at string, v gjson.Result) {
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -394,14 +394,14 @@
 		}
 		if try == 0 {
 			y.f.Meter.Dispatch.WithLabelValues(y.payer()).Observe(y.q.Age().Seconds())
-			y.f.Again.First(svc.Name)
+			y.f.Again.First(svc, y.f.Hub.Part(svc.Spare))
 		}
 		left, err := y.send(e)
 		if err == nil || left {
 			return err
 		}
 		skip[e.Idx] = true
-		if len(skip) >= len(y.could()) || !y.f.Again.May(svc, y.f.Hub.Part(svc.Spare)) {
+		if len(skip) >= len(y.could()) || !y.f.Again.May(svc) {
 			return &Bounce{Status: 502, Code: "runner-unreached", Retry: time.Second, Text: "The runner could not be reached."}
 		}
 	}
--- a/internal/origin/second.go
+++ b/internal/origin/second.go
@@ -8,8 +8,10 @@
 	"yarrowridge/internal/meter"
 )
 
-// Second bounds second tries: for each service a share of the first tries of the last ten
-// seconds, and this router's part of the fleet's small allowance.
+// Second bounds second tries. Each first try to a service earns a share of a second one; what is
+// earned is kept up to this router's part of the fleet's small allowance and no further. So in any
+// span of time the second tries of all routers are at most that share of the first ones within it,
+// and the allowance, also when traffic has just fallen away.
 type Second struct {
 	mu    sync.Mutex
 	by    map[string]*tries
@@ -17,6 +19,7 @@
 }
 
 type tries struct {
+	have         float64 // second tries that may be made
 	first, again []time.Time
 }
 
@@ -25,7 +28,7 @@
 //	s := origin.NewSecond(m)
 func NewSecond(m *meter.Meter) *Second { return &Second{by: map[string]*tries{}, meter: m} }
 
-// tenSeconds is the span in which second tries are held against first ones.
+// tenSeconds is the span that Counts looks back.
 const tenSeconds = 10 * time.Second
 
 func (s *Second) of(svc string) *tries {
@@ -44,14 +47,15 @@
 	return t
 }
 
-// First counts a first try.
+// First counts a first try. part is what this router has of the fleet's spare tries.
 //
-//	s.First("model")
-func (s *Second) First(svc string) {
+//	s.First(svc, hub.Part(svc.Spare))
+func (s *Second) First(svc layout.Service, part int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.of(svc)
+	t := s.of(svc.Name)
 	t.first = append(t.first, time.Now())
+	t.have = min(float64(part), t.have+svc.Share)
 }
 
 // Counts is how many first and second tries the last ten seconds saw.
@@ -64,22 +68,19 @@
 	return len(t.first), len(t.again)
 }
 
-// May tells whether a second try may be made now, and counts it. part is what this router has of
-// the fleet's spare tries.
+// May tells whether a second try may be made now, and counts it.
 //
-//	if s.May(svc, hub.Part(svc.Spare)) { ... }
-func (s *Second) May(svc layout.Service, part int) bool {
+//	if s.May(svc) { ... }
+func (s *Second) May(svc layout.Service) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.of(svc.Name)
-	ok := len(t.again) < int(svc.Share*float64(len(t.first)))+part
-	if ok {
-		t.again = append(t.again, time.Now())
-	}
 	let := "no"
-	if ok {
+	if t.have >= 1-1e-9 {
+		t.have--
+		t.again = append(t.again, time.Now())
 		let = "yes"
 	}
 	s.meter.Seconds.WithLabelValues(svc.Name, let).Inc()
-	return ok
+	return let == "yes"
 }
