--- a/internal/drill/stream_test.go
+++ b/internal/drill/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,6 +154,29 @@
 		}
 	})
 
+	// go-zero ends a process by itself some seconds after SIGTERM unless told otherwise; a stream
+	// that takes longer than that must still come to its end.
+	t.Run("router stops with a warning", func(t *testing.T) {
+		rd := l.open(t, f.Routers[4], "yard-a", 4, 2500)
+		n, why := rd.next()
+		f.Routers[4].Signal(syscall.SIGTERM)
+		at := time.Now()
+		last := -1
+		for ; why == ""; n, why = rd.next() {
+			if n != last+1 {
+				t.Fatalf("piece %d after %d", n, last)
+			}
+			last = n
+		}
+		if why != "done" || last != 2499 {
+			t.Errorf("ended %q after piece %d, %s after the warning", why, last, time.Since(at).Round(time.Second))
+		}
+		if !f.Routers[4].Wait(10 * time.Second) {
+			t.Error("the router does not stop once its stream has ended")
+		}
+		t.Logf("the stream ran on for %s", time.Since(at).Round(time.Second))
+	})
+
 	t.Run("runner cuts", func(t *testing.T) {
 		for _, m := range f.Models {
 			m.CutAfter(15)
