Bound the queries under way on a router, before their bodies are read

The queue was bounded, but a crowd's bodies were read before it was asked: memory grew with the crowd.

--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -50,6 +51,8 @@
 	Claims  *Claims
 	Streams *node.Streams
 	Trail   *trail.Trail
+
+	open atomic.Int64 // queries under way
 }
 
 // Bounce is a "no" to an origin: what code, at which step, and whether the query ran.
@@ -99,6 +102,8 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	y := &way{f: f, q: query.New(), w: w, r: r}
 	w.Header().Set(runner.QueryHead, y.q.Id)
+	f.open.Add(1)
+	defer f.open.Add(-1)
 	err := y.run()
 	if y.cost > 0 {
 		f.Purses.For(y.tn.Name).Loose(y.cost)
@@ -180,6 +185,10 @@
 		return &Bounce{Status: 503, Code: "not-ready", Text: "This router is not ready: " + why + ".", Retry: time.Second}
 	}
 	y.lay = y.f.Hub.Layout()
+	if int(y.f.open.Load()) > y.lay.Limits.Open {
+		// Before its body is read, so that a crowd costs no memory.
+		return &Bounce{Status: 503, Code: "too-many", Text: "Too many queries are under way.", Retry: time.Second}
+	}
 	most := y.lay.Limits.Body
 	raw, err := io.ReadAll(io.LimitReader(y.r.Body, int64(most)+1))
 	switch {
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -411,6 +411,31 @@
 	})
 }
 
+// Beyond the bound on queries under way, a crowd is bounced before its bodies are read.
+func TestTooMany(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 1, strings.Replace(plainLay(""), `{"services"`, `{"limits":{"open":5},"services"`, 1), model(8, 100*time.Millisecond))
+		l := &ledger{}
+		var all sync.WaitGroup
+		for i := range uint64(20) {
+			all.Go(func() { l.add(w.send(w.ctx, w.full[0], ask{n: i + 1, tenant: "rich", path: "/ask", body: prompt(10)})) })
+			time.Sleep(time.Millisecond)
+		}
+		all.Wait()
+		sum := map[string]int{}
+		for _, g := range l.list() {
+			sum[fmt.Sprint(g.status, g.code)]++
+			if g.code == "too-many" && g.took > 0 {
+				t.Errorf("the bounce took %s", g.took)
+			}
+		}
+		if sum["200"] != 5 || sum["503too-many"] != 15 {
+			t.Errorf("twenty queries where five may be open: %v", sum)
+		}
+		w.honest(l)
+	})
+}
+
 // Every bad query gets its own answer, and none of them reaches a runner.
 func TestBounces(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
