Each waiting query is held against runners by its own length

Cause: a round worked out the runners that serve a kind once, from the first query in line; queries of a kind differ in max_tokens, so a longer one behind a shorter went to a runner that does not serve its length. Ruled out: runners' declared length coming late (it was on the board from the first beat).

--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -20,12 +20,12 @@
 
 // Wait is one query's wait for a runner.
 type Wait struct {
-	Kind   string // pool and model: what can take one of a kind can take them all
+	Kind   string // pool and model
 	Rank   int
 	Ten    int
 	Tokens int
 	Keys   []uint64
-	Could  func() []*runner.Entry // runners that serve the kind
+	Could  func() []*runner.Entry // runners that serve this query
 	Skip   map[int]bool           // runs tried already
 
 	ch   chan *runner.Entry
@@ -255,14 +255,10 @@
 	// just come free would go to a lower rank than the one that was turned away.
 	full := map[int]bool{}
 	for _, l := range append([]*line(nil), d.all...) {
-		var could []*runner.Entry
 		for miss := 0; len(l.turn) > 0 && miss < len(l.turn); {
 			ten := l.turn[0]
 			w := l.tens[ten][0]
-			if could == nil {
-				could = w.Could()
-			}
-			e := d.pick(w, could, full)
+			e := d.pick(w, full)
 			if e == nil {
 				miss++
 				l.turn = append(l.turn[1:], ten)
@@ -276,9 +272,9 @@
 	}
 }
 
-func (d *Desk) pick(w *Wait, could []*runner.Entry, full map[int]bool) *runner.Entry {
+func (d *Desk) pick(w *Wait, full map[int]bool) *runner.Entry {
 	var all []One
-	for _, e := range could {
+	for _, e := range w.Could() {
 		if w.Skip[e.Idx] || full[e.Idx] {
 			continue
 		}
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -411,6 +411,75 @@
 	})
 }
 
+// Queries of one kind differ in length: a runner gets none that is longer than it serves, also from
+// a queue in which shorter ones stand before it.
+func TestLengths(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		short, long := model(2, 20*time.Millisecond), model(2, 20*time.Millisecond)
+		short.most, long.most = 50, 5000
+		lay := strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":600000`)
+		w := newWhole(t, seed, 1, lay, short, long)
+		l := &ledger{}
+		var all sync.WaitGroup
+		for i := range uint64(80) {
+			n := 10
+			if w.chance(2) == 0 {
+				n = 60
+			}
+			who := []string{"rich", "poor"}[w.chance(2)]
+			all.Go(func() { l.add(w.send(w.ctx, w.full[0], ask{n: i + 1, tenant: who, path: "/ask", body: prompt(n)})) })
+		}
+		all.Wait()
+		for _, g := range l.list() {
+			if g.status != 200 {
+				t.Fatalf("%d %s", g.status, g.body)
+			}
+		}
+		if short.long > 0 {
+			t.Errorf("%d queries were too long for the runner that got them", short.long)
+		}
+		w.honest(l)
+	})
+}
+
+// A query that waits obeys the layout in force when it goes, not the one it came under.
+func TestQueuedObeyNewLayout(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		a, b := model(1, 100*time.Millisecond), model(1, 100*time.Millisecond)
+		a.name, b.name = "a", "b"
+		a.labels, b.labels = map[string]string{"app": "model", "model": "m", "set": "a"}, map[string]string{"app": "model", "model": "m", "set": "b"}
+		more := `,"gone":{"funded":true,"keys":["` + key("gone") + `"]}`
+		w := newWhole(t, seed, 2, plainLay(more), a, b)
+		l := &ledger{}
+		var all sync.WaitGroup
+		for i := range uint64(24) {
+			who := []string{"rich", "gone"}[i%2]
+			all.Go(func() { l.add(w.send(w.ctx, w.full[i%2], ask{n: i + 1, tenant: who, path: "/ask", body: prompt(10)})) })
+		}
+		time.Sleep(1500 * time.Millisecond)
+		w.put(strings.Replace(plainLay(""), `"select":"app=model"`, `"select":"app=model, set=b"`, 1))
+		acked := time.Now()
+		all.Wait()
+		for _, s := range w.seen() {
+			if s.runner == "a" && s.at.Sub(acked) > 2*time.Second {
+				t.Errorf("a runner that the layout left out got query %d %s after it", s.n, s.at.Sub(acked))
+			}
+			if s.tenant == "gone" && s.at.Sub(acked) > 2*time.Second {
+				t.Errorf("query %d of a withdrawn key went to a runner %s after it", s.n, s.at.Sub(acked))
+			}
+		}
+		sum := map[string]int{}
+		for _, g := range l.list() {
+			sum[fmt.Sprint(g.tenant, " ", g.status, g.code)]++
+		}
+		t.Logf("outcomes %v", sum)
+		if sum["rich 200"] < 12 || sum["gone 401unknown-key"] == 0 {
+			t.Errorf("outcomes %v", sum)
+		}
+		w.honest(l)
+	})
+}
+
 // Beyond the bound on queries under way, a crowd is bounced before its bodies are read.
 func TestTooMany(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -71,6 +71,7 @@
 	hall   string
 	labels map[string]string
 	room   int
+	most   int // longest output it serves
 	step   time.Duration
 	slow   float64
 	cold   time.Duration // reading a block of prompt that is not in the cache
@@ -79,6 +80,7 @@
 	mu     sync.Mutex
 	born   int
 	turn   int
+	long   int // queries that asked for more than it serves
 	state  string
 	active int
 	peak   int // the most that were active at once
@@ -269,7 +271,7 @@
 	s.mu.Lock()
 	s.turn++
 	raw, _ := json.Marshal(map[string]any{"name": s.name, "addr": s.addr, "born": strconv.Itoa(s.born), "turn": s.turn, "labels": s.labels,
-		"state": s.state, "room": s.room, "max_length": 16384, "queued_tokens": s.queued})
+		"state": s.state, "room": s.room, "max_length": max(s.most, 1), "queued_tokens": s.queued})
 	s.mu.Unlock()
 	ctx, end := context.WithTimeout(ctx, time.Second)
 	defer end()
@@ -295,6 +297,9 @@
 	tokens := int(gjson.GetBytes(body, "max_tokens").Int())
 	s.mu.Lock()
 	hang := s.hang
+	if tokens > max(s.most, 1) {
+		s.long++
+	}
 	s.active++
 	s.peak = max(s.peak, s.active)
 	if s.active > s.room {
@@ -472,7 +477,7 @@
 }
 
 func model(room int, step time.Duration) *simRunner {
-	return &simRunner{name: "m", labels: map[string]string{"app": "model", "model": "m"}, room: room, step: step}
+	return &simRunner{name: "m", most: 16384, labels: map[string]string{"app": "model", "model": "m"}, room: room, step: step}
 }
 
 func orders() *simRunner {
