A waiting query obeys the layout in force when it goes

Cause: a query kept the layout it came under for as long as it waited, so selectors, mappings and keys changed meanwhile were not obeyed. Ruled out: late news (every router had the new sequence). Change: before it goes, a query is held against the layout in force; the selector counts as it is now.

--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -304,6 +304,26 @@
 	return out
 }
 
+// renew holds a waiting query against the layout in force, if that is no longer the one it came
+// under: its key, its mapping, its lane's doors. The pool's selector counts as it is now.
+func (y *way) renew() error {
+	lay := y.f.Hub.Layout()
+	if lay.Seq == y.lay.Seq {
+		return nil
+	}
+	if y.stale() {
+		return &Bounce{Status: 401, Code: "unknown-key", Text: "The key was withdrawn while the query waited."}
+	}
+	y.ten, _ = lay.Tenant(y.secret)
+	y.tn = &lay.Tenants[y.ten]
+	m, _ := lay.Map(y.r.Method, y.r.URL.Path, y.r.Header.Get)
+	if m == nil || lay.Lanes[m.Lane].Name != y.lane.Name || lay.Pools[m.Pool].Name != y.pool.Name || !lay.Lanes[m.Lane].Admits(y.ten) {
+		return &Bounce{Status: 503, Code: "layout-changed", Text: "The layout leads this query elsewhere by now. Ask again.", Retry: time.Second}
+	}
+	y.lane, y.pool = &lay.Lanes[m.Lane], &lay.Pools[m.Pool]
+	return nil
+}
+
 // allowed judges the free output allowance once, and reserves the tenant's quota.
 func (y *way) allowed() error {
 	note := ""
@@ -388,9 +408,12 @@
 		if err := y.q.Go(query.Queued, y.kind); err != nil {
 			return err
 		}
-		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Keys: keys, Could: y.could, Skip: skip}
+		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Keys: keys, Could: y.could, Skip: skip, Check: y.renew}
 		e, err := y.f.Desk.Enter(y.r.Context(), wait, time.Until(until), y.lay.Limits.Queue)
+		var b *Bounce
 		switch {
+		case errors.As(err, &b):
+			return b
 		case errors.Is(err, place.ErrPatience):
 			return &Bounce{Status: 503, Code: "patience-out", Retry: y.again(), Text: "No runner had room within the lane's patience."}
 		case errors.Is(err, place.ErrFull):
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -27,6 +27,7 @@
 	Keys   []uint64
 	Could  func() []*runner.Entry // runners that serve this query
 	Skip   map[int]bool           // runs tried already
+	Check  func() error           // asked again before it goes; an error ends the wait
 
 	ch   chan *runner.Entry
 	over bool // set under the desk's lock: given a runner, or ended
@@ -258,6 +259,16 @@
 		for miss := 0; len(l.turn) > 0 && miss < len(l.turn); {
 			ten := l.turn[0]
 			w := l.tens[ten][0]
+			if w.Check != nil {
+				if err := w.Check(); err != nil {
+					l.turn = append(l.turn[1:], ten)
+					d.cut(w)
+					w.out = err
+					close(w.ch)
+					miss = 0
+					continue
+				}
+			}
 			e := d.pick(w, full)
 			if e == nil {
 				miss++
