Say no to a second router of one name, and to founders that can found nothing

Two routers under one name took the lease from each other with every beat. TestNameTaken: red without the check. The founders' list has to be odd, three at least, without repeats, with the core's own address in it; a core without founders needs seeds. TestSettings holds every kind of wrong setting.

--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -29,11 +29,37 @@
 	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
 }
 
+// founders checks that the list of founders can found anything.
+func founders(set env.Set) env.Trouble {
+	all := set.Addrs("founders")
+	if len(all) == 0 {
+		if len(set.Addrs("seeds")) == 0 {
+			return env.Trouble{`setting "seeds": value "": addresses of living processes expected, since no founders are set`}
+		}
+		return nil
+	}
+	var bad env.Trouble
+	if n := len(all); n < 3 || n%2 == 0 {
+		bad = append(bad, fmt.Sprintf("setting \"founders\": %d addresses: an odd number of at least three expected", n))
+	}
+	seen := map[string]bool{}
+	for _, a := range all {
+		if seen[a] {
+			bad = append(bad, fmt.Sprintf("setting \"founders\": value %q: stands there twice", a))
+		}
+		seen[a] = true
+	}
+	if !seen[set["addr"]] {
+		bad = append(bad, fmt.Sprintf("setting \"founders\": this core's own addr %q expected among them", set["addr"]))
+	}
+	return bad
+}
+
 // Main runs a core and returns its exit code.
 //
 //	os.Exit(control.Main(os.Args[1:], os.Stderr))
 func Main(args []string, out io.Writer) int {
-	p, code := env.Start("core", Items, args, out)
+	p, code := env.Start("core", Items, args, out, founders)
 	if code >= 0 {
 		return code
 	}
--- /dev/null
+++ b/internal/control/main_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"yarrowridge/internal/env"
+)
+
+// Settings that do not hold are told by name, value and what was expected, all at once, and end
+// the program with their own exit code.
+func TestSettings(t *testing.T) {
+	good := []string{"-name", "c1", "-hall", "east", "-addr", "127.0.0.1:7401", "-data", t.TempDir(), "-founders", "127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403"}
+	file := func(raw string) string {
+		path := filepath.Join(t.TempDir(), "env.json")
+		if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		says []string
+	}{
+		{append(good, "-check"), env.ExitOk, []string{"settings hold"}},
+		{[]string{"-version"}, env.ExitOk, []string{env.Version}},
+		{append(good, "-check", "-lost", "soon", "-log", "loud"), env.ExitSet, []string{`"lost": value "soon"`, `"log": value "loud"`}},
+		{append(good, "-check", "stray"), env.ExitSet, []string{`"stray"`}},
+		{append(good, "-check", "-nosuch", "1"), env.ExitSet, []string{"nosuch"}},
+		{append(good, "-check", "-founders", "127.0.0.1:7402,127.0.0.1:7402"), env.ExitSet, []string{"odd number", "twice", "own addr"}},
+		{append(good, "-check", "-founders", ""), env.ExitSet, []string{`"seeds"`}},
+		{append(good, "-check", "-operator-key-hash", "zz"), env.ExitSet, []string{"64 hex digits"}},
+		{append(good, "-check", "-env", file(`{"pox":"1","seeds":7,"hall":"west"}`)), env.ExitSet, []string{`"pox": unknown`, `"seeds": value 7`}},
+		{append(good, "-check", "-env", file(`{`)), env.ExitSet, []string{"valid JSON"}},
+		{append(good, "-check", "-env", "/nowhere/env.json"), env.ExitSet, []string{"/nowhere/env.json"}},
+		{append(good, "-check", "-env", file(`{"seeds":["127.0.0.1:1","127.0.0.1:2"],"lost":"3s"}`)), env.ExitOk, []string{"settings hold"}},
+	} {
+		var out bytes.Buffer
+		if code := Main(c.args, &out); code != c.code {
+			t.Errorf("%v: exit code %d, %d expected: %s", c.args, code, c.code, out.String())
+		}
+		for _, s := range c.says {
+			if !strings.Contains(out.String(), s) {
+				t.Errorf("%v: said %q, which lacks %q", c.args, out.String(), s)
+			}
+		}
+	}
+}
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -189,6 +189,10 @@
 	n := in.Node
 	s.mu.Lock()
 	old := s.nodes[n.Name]
+	if old != nil && old.node.Addr != n.Addr && time.Since(old.at) <= nodeTerm {
+		s.mu.Unlock()
+		return nil, wire.Fault{Code: NameTaken} // a router that moved gets its name once the lease is over
+	}
 	switch {
 	case in.Leave:
 		if old != nil && old.node.Born == n.Born {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -63,6 +63,7 @@
 	InDoubt    = "in-doubt"    // may yet take effect
 	OldEpoch   = "old-epoch"
 	DiskBad    = "disk-trouble"
+	NameTaken  = "name-taken" // another node with this name holds a lease
 )
 
 // Server is one core process.
--- a/internal/env/proc.go
+++ b/internal/env/proc.go
@@ -65,10 +65,18 @@
 func (p *Proc) End() { p.cancel() }
 
 // Start reads settings and sets up log and signals. Where code is not -1 the program ends with it.
+// more are checks of settings against each other.
 //
 //	p, code := env.Start("core", items, args, os.Stderr)
-func Start(prog string, items []Item, args []string, out io.Writer) (*Proc, int) {
+func Start(prog string, items []Item, args []string, out io.Writer, more ...func(Set) Trouble) (*Proc, int) {
 	set, ask, err := Read(prog, items, args)
+	for _, check := range more {
+		if err == nil && !ask.Version {
+			if bad := check(set); len(bad) > 0 {
+				err = bad
+			}
+		}
+	}
 	switch {
 	case errors.Is(err, flag.ErrHelp):
 		return nil, ExitOk
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -294,6 +294,10 @@
 	defer end()
 	var out core.Told
 	if err := h.Core.Call(ctx, "core.beat", &core.Beat{Node: h.Me(), Roll: roll}, &out, true); err != nil {
+		if wire.Is(err, core.NameTaken) {
+			h.ctx.Log.Error("Another router has our name. Each needs its own.", "name", h.ctx.Name)
+			return
+		}
 		h.ctx.Log.Debug("No answer from the core.", "trouble", err.Error())
 		h.alone()
 		return
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -528,6 +528,28 @@
 	})
 }
 
+// Two routers with one name: the one that holds the lease keeps it, the other never becomes ready,
+// and the roll does not flap.
+func TestNameTaken(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 3, plainLay(""), model(8, 10*time.Millisecond))
+		twin := &fullRouter{name: w.full[1].name, hall: "north", addr: "10.0.8.1:1", face: "10.0.8.1:2"}
+		w.startFull(twin)
+		defer w.crashFull(twin)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if twin.r.Hub.Ready() == "" {
+				t.Fatal("a second router of the same name is ready")
+			}
+			if n := w.full[0].r.Hub.Nodes(); len(n) != 3 || n[1].Addr != w.full[1].addr {
+				t.Fatalf("the roll is %v", n)
+			}
+		}
+		w.crashFull(w.full[1])
+		w.within(6*time.Second, "the name is free", func() bool { return twin.r.Hub.Ready() == "" })
+	})
+}
+
 // post hands a body to a handler and tells the status.
 func post(h http.HandlerFunc, raw string) int {
 	rec := httptest.NewRecorder()
