A claim let go before its taking arrives no longer stands for good

Cause: a taking whose answer was in doubt is let go by its router, but the taking itself may reach the core after that (a cut link delivers late); the claim then stood with a live holder that would never end it, and the key was answered still-running until it aged out. Ruled out: the client's own repeats (they bear the same id and were granted as one). Change: letting go leaves a mark under the claim's id.

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -427,6 +427,7 @@
 	ClaimRuns    = 0
 	ClaimDone    = 1
 	ClaimUnknown = 2
+	ClaimFreed   = 3 // let go: anybody but its own late taking may claim the key
 )
 
 func (s *Server) take(ctx context.Context, in *Take) (*Took, error) {
@@ -434,13 +435,19 @@
 	err := s.Submit(ctx, func(tx *Tx) error {
 		key := "claim/" + in.Key
 		raw, ok := tx.Get(key)
-		if !ok {
+		var old Claim
+		if ok {
+			if _, err := old.UnmarshalMsg(raw); err != nil {
+				return err
+			}
+		}
+		if !ok || old.State == ClaimFreed && old.Id != in.Claim.Id {
 			out.Got = true
 			return tx.Put(key, &in.Claim)
 		}
-		var old Claim
-		if _, err := old.UnmarshalMsg(raw); err != nil {
-			return err
+		if old.State == ClaimFreed {
+			out.Claim = old
+			return nil
 		}
 		out.Clash = old.Sum != in.Claim.Sum
 		if old.Id == in.Claim.Id {
@@ -467,19 +474,18 @@
 	return &Done{}, s.Submit(ctx, func(tx *Tx) error {
 		key := "claim/" + in.Key
 		raw, ok := tx.Get(key)
-		if !ok {
-			return nil
-		}
-		var old Claim
-		if _, err := old.UnmarshalMsg(raw); err != nil {
-			return err
-		}
-		if old.Id != in.Claim.Id || old.State != ClaimRuns {
-			return nil
+		old := Claim{Id: in.Claim.Id}
+		if ok {
+			if _, err := old.UnmarshalMsg(raw); err != nil {
+				return err
+			}
 		}
-		if in.Free {
-			tx.Drop(key)
+		switch {
+		case old.Id != in.Claim.Id || old.State != ClaimRuns || !ok && !in.Free:
 			return nil
+		case in.Free:
+			// The taking itself may still be under way to us: it must find that it was let go.
+			return tx.Put(key, &Claim{Id: in.Claim.Id, State: ClaimFreed})
 		}
 		return tx.Put(key, &in.Claim)
 	})
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -1,10 +1,14 @@
 package sim_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/core"
 	"yarrowridge/internal/sim"
 )
 
@@ -303,3 +307,35 @@
 		f.check(b)
 	})
 }
+
+// A claim let go before its own taking has arrived (the taking was long under way) must not stand
+// afterwards: nobody would ever end it, and the key could not be used again.
+func TestLateClaim(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 1)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		o := f.operator()
+		call := func(kind string, in msgp.Marshaler, out msgp.Unmarshaler) {
+			ctx, end := context.WithTimeout(f.ctx, 5*time.Second)
+			defer end()
+			if err := o.cli.Call(ctx, kind, in, out, true); err != nil {
+				t.Fatalf("%s: %v", kind, err)
+			}
+		}
+		claim := func(id string) core.Claim { return core.Claim{Sum: "s", Id: id, Node: "r00", Born: 1} }
+		call("core.settle", &core.Settle{Key: "t/k", Free: true, Claim: claim("late")}, nil)
+		var late, next, third core.Took
+		call("core.take", &core.Take{Key: "t/k", Claim: claim("late")}, &late)
+		if late.Got {
+			t.Error("a claim that had been let go was granted")
+		}
+		call("core.take", &core.Take{Key: "t/k", Claim: claim("next")}, &next)
+		if !next.Got {
+			t.Errorf("the key could not be used again: %+v", next)
+		}
+		call("core.take", &core.Take{Key: "t/k", Claim: claim("third")}, &third)
+		if third.Got {
+			t.Error("a standing claim was granted to another")
+		}
+	})
+}
