A router that hears the core spends its quota on, also without moving units

Cause: only the answer to a draw or give counted as hearing the core, so a router with enough units would have stopped spending 24 h after its last move. Found by listing functions that nothing called. Before, TestTerm: red at the term and an hour. After: green; a cut-off holder still stops at the term.

--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -38,24 +38,6 @@
 	return c
 }
 
-// With swaps the inner context.
-//
-//	c := ctx.With(short)
-func (c Ctx) With(in context.Context) Ctx {
-	c.Context = in
-	return c
-}
-
-// For gives a context that ends after d, with its cancel function.
-//
-//	c, end := ctx.For(time.Second)
-//	defer end()
-func (c Ctx) For(d time.Duration) (Ctx, context.CancelFunc) {
-	in, end := context.WithTimeout(c.Context, d)
-	c.Context = in
-	return c, end
-}
-
 // Loop is the run loop of every part: it takes work from box and beats each tick until ctx ends.
 // A nil box only beats; a tick of zero only takes work.
 //
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -86,7 +86,8 @@
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
 	})
-	r.Purses = share.NewPurses(ctx.Part("share"), mover(r.Hub), func() int { return len(r.Hub.Nodes()) }, r.Hub.Short, rules(r.Hub))
+	r.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(r.Hub), Nodes: func() int { return len(r.Hub.Nodes()) },
+		Short: r.Hub.Short, Rules: rules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
 	r.Claims = origin.NewClaims(ctx.Part("claim"), r.Hub)
 	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
 	r.Front = &origin.Front{Ctx: ctx.Part("origin"), Hub: r.Hub, Yard: r.Yard, Desk: r.Desk, Send: r.send,
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -11,16 +11,22 @@
 // Mover asks the core for a draw or a give and tells what is held after it, and under what sum.
 type Mover func(ctx context.Context, tenant string, turn uint64, units int, give bool) (have, under int, err error)
 
+// Ways are what the purses of a node ask of the rest of it.
+type Ways struct {
+	Move  Mover
+	Nodes func() int      // live nodes
+	Short func() []string // tenants whose idle units are wanted back
+	Rules func() []Rule   // the quotas of the layout in force
+	Live  func() bool     // the core is heard
+}
+
 // Purses are a node's purses, and the part that moves units to and from them.
 type Purses struct {
-	ctx   env.Ctx
-	move  Mover
-	nodes func() int
-	short func() []string
-	rules func() []Rule
-	bell  chan struct{}
-	mu    sync.Mutex
-	all   map[string]*Purse
+	ctx  env.Ctx
+	ways Ways
+	bell chan struct{}
+	mu   sync.Mutex
+	all  map[string]*Purse
 }
 
 // Rule is a tenant's quota as the layout has it.
@@ -30,12 +36,11 @@
 	Window time.Duration
 }
 
-// NewPurses makes the purses of a node. nodes counts the live nodes, short names the tenants whose
-// idle units are wanted back, rules gives the quotas of the layout.
+// NewPurses makes the purses of a node.
 //
-//	ps := share.NewPurses(ctx, move, nodes, hub.Short, rules)
-func NewPurses(ctx env.Ctx, move Mover, nodes func() int, short func() []string, rules func() []Rule) *Purses {
-	return &Purses{ctx: ctx, move: move, nodes: nodes, short: short, rules: rules, bell: make(chan struct{}, 1), all: map[string]*Purse{}}
+//	ps := share.NewPurses(ctx, share.Ways{Move: move, Nodes: nodes, Short: hub.Short, Rules: rules, Live: live})
+func NewPurses(ctx env.Ctx, ways Ways) *Purses {
+	return &Purses{ctx: ctx, ways: ways, bell: make(chan struct{}, 1), all: map[string]*Purse{}}
 }
 
 // For gives a tenant's purse.
@@ -107,15 +112,18 @@
 
 func (ps *Purses) round() {
 	short := map[string]bool{}
-	for _, t := range ps.short() {
+	for _, t := range ps.ways.Short() {
 		short[t] = true
 	}
-	for _, r := range ps.rules() {
+	for _, r := range ps.ways.Rules() {
 		ps.For(r.Tenant).Rule(r.Units, r.Window)
 	}
 	for _, t := range ps.Names() {
 		p := ps.For(t)
-		if turn, n, ok := p.Want(ps.nodes()); ok {
+		if ps.ways.Live() {
+			p.Heard()
+		}
+		if turn, n, ok := p.Want(ps.ways.Nodes()); ok {
 			go ps.carry(t, p, turn, n, false)
 		} else if short[t] {
 			if turn, n, ok := p.Spare(); ok {
@@ -129,7 +137,7 @@
 func (ps *Purses) carry(t string, p *Purse, turn uint64, n int, give bool) {
 	for {
 		ctx, end := context.WithTimeout(ps.ctx, 5*time.Second)
-		have, under, err := ps.move(ctx, t, turn, n, give)
+		have, under, err := ps.ways.Move(ctx, t, turn, n, give)
 		end()
 		if err == nil {
 			p.Got(turn, have, under)
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -1,11 +1,14 @@
 package share
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"yarrowridge/internal/env"
 )
 
 // whole is the quota system of some holders and one core, with answers that get lost.
@@ -138,3 +141,47 @@
 		}
 	})
 }
+
+// A holder that hears the core spends on for as long as it likes, also without a move; one that
+// does not stops once the term is over.
+func TestTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		live := true
+		var pot Pot
+		ps := NewPurses(env.Ctx{Context: ctx}, Ways{
+			Move: func(_ context.Context, _ string, turn uint64, n int, give bool) (int, int, error) {
+				have, _ := pot.Draw("a", turn, n, 100)
+				return have, max(100, pot.Out()), nil
+			},
+			Nodes: func() int { return 1 }, Short: func() []string { return nil },
+			Rules: func() []Rule { return []Rule{{"t", 100, 10 * time.Second}} },
+			Live:  func() bool { return live }})
+		go ps.Run()
+		spend := func() bool {
+			ok, _ := ps.Keep(ctx, "t", 1)
+			if ok {
+				ps.For("t").Spend(1)
+			}
+			return ok
+		}
+		time.Sleep(time.Second)
+		if !spend() {
+			t.Error("nothing to spend at first")
+		}
+		time.Sleep(Term + time.Hour)
+		if !spend() {
+			t.Error("a holder that hears the core stopped spending after the term")
+		}
+		live = false
+		time.Sleep(Term - time.Hour)
+		if !spend() {
+			t.Error("a cut-off holder stopped spending within the term")
+		}
+		time.Sleep(2 * time.Hour)
+		if spend() {
+			t.Error("a cut-off holder spends on after the term")
+		}
+	})
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,21 +64,6 @@
 	return n > len(v.Members)/2
 }
 
-// Same tells whether two views say the same.
-//
-//	if !a.Same(b) { ... }
-func (v View) Same(o View) bool {
-	if v.Epoch != o.Epoch || v.Prime != o.Prime || v.Back != o.Back || len(v.Members) != len(o.Members) {
-		return false
-	}
-	for i := range v.Members {
-		if v.Members[i] != o.Members[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Voter is one member's vote, its state on disk.
 type Voter struct {
 	disk  store.Disk
