--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -60,10 +60,13 @@
 	}
 	fresh := *dir == ""
 	if fresh {
-		if *dir, err = os.MkdirTemp("", "yarrowridge-drill-"); err != nil {
-			fmt.Fprintf(out, "drill: %s\n", err)
-			return env.ExitTrouble
-		}
+		*dir, err = os.MkdirTemp("", "yarrowridge-drill-")
+	} else {
+		err = os.MkdirAll(*dir, 0o700)
+	}
+	if err != nil {
+		fmt.Fprintf(out, "drill: -dir: %s\n", err)
+		return env.ExitTrouble
 	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
