--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -138,7 +138,7 @@
 		return 0, 0, false
 	}
 	now := time.Now()
-	part := max(1, p.quota*5/(6*max(1, nodes)))
+	part := max(1, p.quota/(2*max(1, nodes)))
 	if p.free(now) >= max(p.need, part/4) && p.units > 0 {
 		return 0, 0, false
 	}
