A runner's change of state goes to every router directly; repair asks on past a dead one

Cause: the word went along the tree, and the router that had been told was often the only edge; when it died at once, a leaf held the word alone, and its repair asked its dead parent two times in three.

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -261,25 +261,48 @@
 	}
 }
 
-// Sure hands records to the core's other nodes at once and tells whether one at least holds them.
+// Sure hands records to every node directly, beside the tree, and tells whether one at least holds
+// them. It waits until all have answered, a quarter second at most: if we are gone right after, the
+// tree that led through us must not be what others depend on.
 //
 //	if hub.Sure(ctx, recs) { ... }
 func (h *Hub) Sure(ctx context.Context, recs []relay.Rec) bool {
-	ctx, end := context.WithTimeout(ctx, time.Second)
-	defer end()
-	near := h.Near()
-	ch := make(chan bool, len(near))
-	for _, n := range near {
+	nodes := h.Nodes()
+	ch := make(chan bool, len(nodes))
+	ask := 0
+	for _, n := range nodes {
+		if n.Name == h.ctx.Name {
+			continue
+		}
+		ask++
 		go func() {
-			ch <- h.cal.Call(ctx, n.Addr, "node.tell", &relay.Tell{From: h.ctx.Name, Recs: recs}, nil) == nil
+			one, end := context.WithTimeout(h.ctx, time.Second)
+			defer end()
+			ch <- h.cal.Call(one, n.Addr, "node.tell", &relay.Tell{From: h.ctx.Name, Recs: recs}, nil) == nil
 		}()
 	}
-	for range near {
-		if <-ch {
-			return true
+	wait := time.NewTimer(250 * time.Millisecond)
+	defer wait.Stop()
+	late := wait.C
+	sure := ask == 0
+	for ; ask > 0; ask-- {
+		select {
+		case ok := <-ch:
+			sure = sure || ok
+			if sure && late == nil {
+				return true
+			}
+		case <-late:
+			if sure {
+				return true
+			}
+			late = nil // nobody yet: wait on for the first
+			ask++
+		case <-ctx.Done():
+			return sure
 		}
 	}
-	return len(near) == 0
+	return sure
 }
 
 // beat renews our lease at the core and learns what has changed.
@@ -380,39 +403,47 @@
 	h.mu.Unlock()
 }
 
-// mend compares our news with one neighbour's, or any node's now and then, by digests.
+// mend compares our news with one neighbour's, or any node's every other time, by digests.
 func (h *Hub) mend() {
 	h.Board.Drop(forget)
 	near := h.Near()
 	nodes := h.Nodes()
-	to := ""
-	if len(near) > 0 && rand.N(3) > 0 {
-		to = near[rand.N(len(near))].Addr
-	} else if len(nodes) > 0 {
-		to = nodes[rand.N(len(nodes))].Addr
-	}
-	if to == "" || to == h.addr {
-		return
+	// A neighbour that does not answer may be what news is stuck behind: another is asked at once.
+	for range 3 {
+		to := ""
+		if len(near) > 0 && rand.N(2) > 0 {
+			to = near[rand.N(len(near))].Addr
+		} else if len(nodes) > 0 {
+			to = nodes[rand.N(len(nodes))].Addr
+		}
+		if to == "" || to == h.addr {
+			continue
+		}
+		ctx, end := context.WithTimeout(h.ctx, 500*time.Millisecond)
+		ok := h.mendWith(ctx, to)
+		end()
+		if ok {
+			return
+		}
 	}
-	ctx, end := context.WithTimeout(h.ctx, time.Second)
-	defer end()
-	h.mendWith(ctx, to)
 }
 
-func (h *Hub) mendWith(ctx context.Context, to string) {
+func (h *Hub) mendWith(ctx context.Context, to string) bool {
 	sum := h.Board.Sum(h.ctx.Name)
 	var diff relay.Diff
-	if h.cal.Call(ctx, to, "node.sum", &sum, &diff) != nil || len(diff.Range) == 0 {
-		return
+	if h.cal.Call(ctx, to, "node.sum", &sum, &diff) != nil {
+		return false
 	}
 	fix := h.Board.Fix(h.ctx.Name, diff)
 	if len(fix.Recs)+len(fix.Want) == 0 {
-		return
+		return true
 	}
 	var back relay.Tell
-	if h.cal.Call(ctx, to, "node.fix", &fix, &back) == nil {
-		h.Spread(back)
+	if h.cal.Call(ctx, to, "node.fix", &fix, &back) != nil {
+		return false
 	}
+	h.Spread(back)
+	return true
 }
 
 // Leave gives up the lease: the core names us no more, our units cool. Serving what has been
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -562,3 +562,34 @@
 		}
 	})
 }
+
+// A word that reached one node only, behind a router that is then gone, still comes to all in 2 s.
+func TestWordBehindDeadRouter(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		a := model(8, 5*time.Millisecond)
+		a.hall = "south" // it beats to another hall than the one in question
+		w := newWhole(t, seed, 6, plainLay(""), a)
+		told, leaf := w.full[0], w.full[4] // the first of hall east, and its only child there
+		for _, r := range w.full {
+			if r != told && r != leaf {
+				w.w.Split([]string{told.addr}, []string{r.addr})
+			}
+		}
+		a.mu.Lock()
+		a.state, a.mute = "leaving", true
+		raw := fmt.Sprintf(`{"name":"m","addr":%q,"born":"1","turn":%d,"state":"leaving","room":8,"labels":{"app":"model","model":"m"}}`, a.addr, a.turn+1)
+		a.mu.Unlock()
+		if code := post((&runner.Face{Hub: told.r.Hub, KeyHash: func() string { return "" }}).Beat, raw); code != 200 {
+			t.Fatalf("the word was answered %d", code)
+		}
+		w.crashFull(told)
+		w.within(2*time.Second, "all know", func() bool {
+			for _, r := range w.full[1:] {
+				if r.r.Yard.List()[0].Standing() != "leaving" {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
