--- a/internal/drill/fault_test.go
+++ b/internal/drill/fault_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"yarrowridge/internal/env"
 )
 
 // under plays a mix while a fault is brought about, then holds every promise against what was seen.
@@ -229,7 +231,7 @@
 		all.Go(func() {
 			for n := uint64(i * 100000); run.Err() == nil; n++ {
 				l.Ask(k, n+1, k.body("", n+1, newRand(n)), "casual", r)
-				nap(run, 5*time.Millisecond)
+				env.Wait(run, 5*time.Millisecond)
 			}
 		})
 	}
@@ -239,7 +241,7 @@
 		if err := p.Start(); err != nil {
 			t.Fatal(err)
 		}
-		nap(run, 700*time.Millisecond)
+		env.Wait(run, 700*time.Millisecond)
 	}
 	all.Wait()
 	var at []time.Time
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"yarrowridge/internal/env"
 	"yarrowridge/internal/layout"
 )
 
@@ -248,7 +249,7 @@
 //	err := f.Until(ctx, "all are ready", func() bool { ... })
 func (f *Fleet) Until(ctx context.Context, what string, ok func() bool) error {
 	for !ok() {
-		if !nap(ctx, 50*time.Millisecond) {
+		if !env.Wait(ctx, 50*time.Millisecond) {
 			return eris.Errorf("drill: gave up waiting until %s", what)
 		}
 	}
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/env"
 )
 
 // Outcome is one try of an origin, as the origin saw it.
@@ -72,7 +74,7 @@
 		all.Go(func() {
 			for {
 				wait := time.Duration(r.ExpFloat64() / (k.Rate * l.Scale) * float64(time.Second))
-				if !nap(ctx, wait) {
+				if !env.Wait(ctx, wait) {
 					return
 				}
 				n := l.next.Add(1)
--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -116,7 +116,7 @@
 
 // hall kills every process of one hall, runners too, and starts them again later.
 func (f *Fleet) hall(ctx context.Context, span time.Duration, out io.Writer, load *Load) {
-	if !nap(ctx, span/4) {
+	if !env.Wait(ctx, span/4) {
 		return
 	}
 	lost := f.Mix.Halls[0]
@@ -139,7 +139,7 @@
 			s.Crash()
 		}
 	}
-	nap(ctx, span/3)
+	env.Wait(ctx, span/3)
 	for _, k := range f.Mix.Kinds {
 		fmt.Fprintf(out, "  %s: longest time without a whole answer %s\n", k.Name, Gap(load.All(), k.Name, at, time.Now()).Round(time.Millisecond))
 	}
--- a/internal/drill/standin.go
+++ b/internal/drill/standin.go
@@ -19,6 +19,8 @@
 
 	"github.com/tidwall/gjson"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"yarrowridge/internal/env"
 )
 
 // Seen is one query as a stand-in runner received it, byte for byte.
@@ -216,7 +218,7 @@
 	n := s.active.Add(1)
 	defer s.active.Add(-1)
 	if s.Plain {
-		if !nap(ctx, s.Step) {
+		if !env.Wait(ctx, s.Step) {
 			panic(http.ErrAbortHandler)
 		}
 		if c := s.cutAt.Load(); c > 0 {
@@ -234,7 +236,7 @@
 	left := tokens
 	defer func() { s.queued.Add(-int64(left)) }()
 	text := gjson.GetBytes(body, "prompt").String() + gjson.GetBytes(body, "messages").Raw
-	if !nap(ctx, s.prefill(text)) {
+	if !env.Wait(ctx, s.prefill(text)) {
 		panic(http.ErrAbortHandler)
 	}
 	stream := gjson.GetBytes(body, "stream").Bool()
@@ -243,7 +245,7 @@
 	}
 	for i := range tokens {
 		n = s.active.Load()
-		if !nap(ctx, s.Step+time.Duration(s.Slow*float64(n-1)*float64(s.Step))) {
+		if !env.Wait(ctx, s.Step+time.Duration(s.Slow*float64(n-1)*float64(s.Step))) {
 			panic(http.ErrAbortHandler)
 		}
 		if c := s.cutAt.Load(); c > 0 && int64(i) >= c {
@@ -294,14 +296,3 @@
 	}
 	return time.Duration(miss) * s.Cold
 }
-
-func nap(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,3 +187,96 @@
 		t.Errorf("nominated %d where nobody has room", i)
 	}
 }
+
+// policy picks a runner for a prompt's blocks; loads are streams under way.
+type policy func(keys []uint64, load []int) int
+
+// play sends a made day's prompts through a policy: a share of hot ones, runners that slow down as
+// they fill, caches that keep all they read. It gives the part of blocks found in a cache, and the
+// busiest runner's prompts over the mean.
+func play(pick policy, note func(keys []uint64, who int), n int) (hits, tilt float64) {
+	const runners = 8
+	rnd := rand.New(rand.NewPCG(1, 2))
+	load, took := make([]int, runners), make([]int, runners)
+	cache := make([]map[uint64]bool, runners)
+	for i := range cache {
+		cache[i] = map[uint64]bool{}
+	}
+	type end struct{ at, who int }
+	var ends []end
+	hit, all := 0, 0
+	for now := range n {
+		for i := 0; i < len(ends); i++ {
+			if ends[i].at <= now {
+				load[ends[i].who]--
+				ends = append(ends[:i], ends[i+1:]...)
+				i--
+			}
+		}
+		doc := rnd.IntN(60)
+		if rnd.IntN(3) == 0 {
+			doc = 0
+		}
+		keys := Blocks(0, strings.Repeat(fmt.Sprintf("sheet %3d; ", doc), 250)+fmt.Sprint(now))
+		who := pick(keys, load)
+		miss := 0
+		for _, k := range keys {
+			all++
+			if cache[who][k] {
+				hit++
+			} else {
+				miss++
+				cache[who][k] = true
+			}
+		}
+		note(keys, who)
+		took[who]++
+		load[who]++
+		ends = append(ends, end{now + 12 + miss*2 + load[who], who})
+	}
+	most := 0
+	for _, k := range took {
+		most = max(most, k)
+	}
+	return float64(hit) / float64(all), float64(most) * runners / float64(n)
+}
+
+// Prefix placement against plain rendezvous hashing and least-loaded, on the same prompts.
+func TestPolicies(t *testing.T) {
+	const n = 4000
+	none := func([]uint64, int) {}
+	addr := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+	least := func(_ []uint64, load []int) int {
+		best := 0
+		for i := range load {
+			if load[i] < load[best] {
+				best = i
+			}
+		}
+		return best
+	}
+	plain := func(keys []uint64, load []int) int {
+		best := 0
+		for i := range load {
+			if Rank(keys[0], addr(i)) > Rank(keys[0], addr(best)) {
+				best = i
+			}
+		}
+		return best
+	}
+	mem := NewMemory(1 << 14)
+	ours := func(keys []uint64, load []int) int {
+		var all []One
+		for i := range load {
+			all = append(all, One{Idx: i, Addr: addr(i), Load: load[i], Room: 1000})
+		}
+		return Nominate(keys, all, mem.Match(keys))
+	}
+	hl, tl := play(least, none, n)
+	hr, tr := play(plain, none, n)
+	ho, to := play(ours, mem.Note, n)
+	t.Logf("blocks found in a cache, busiest over mean: least-loaded %.3f %.2f, rendezvous %.3f %.2f, prefix bounded by load %.3f %.2f", hl, tl, hr, tr, ho, to)
+	if ho < hl || to > tr {
+		t.Errorf("prefix placement hits %.3f where least-loaded hits %.3f, and tilts %.2f where rendezvous tilts %.2f", ho, hl, to, tr)
+	}
+}
