--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -81,10 +81,17 @@
 		fmt.Fprintf(out, "drill: %s; logs are under %s\n", err, *dir)
 		return env.ExitTrouble
 	}
+	tidy := func() int {
+		if fresh {
+			f.Stop()
+			os.RemoveAll(*dir)
+		}
+		return env.ExitOk
+	}
 	if args[0] == "fleet" {
 		f.Describe(out)
 		<-ctx.Done()
-		return env.ExitOk
+		return tidy()
 	}
 	fmt.Fprintf(out, "fleet is up: %d cores, %d routers, %d runners; seed %d\n", len(f.Cores), len(f.Routers), len(f.Models)+len(f.Apps), *seed)
 	load := NewLoad(f, *scale, *seed)
@@ -107,11 +114,7 @@
 		return env.ExitTrouble
 	}
 	fmt.Fprintf(out, "all promises held (seed %d)\n", *seed)
-	if fresh {
-		f.Stop()
-		os.RemoveAll(*dir)
-	}
-	return env.ExitOk
+	return tidy()
 }
 
 // hall kills every process of one hall, runners too, and starts them again later.
