Look through the claims every ten seconds, not each second; their span is tested

Kept since it does a tenth of the scans for nothing lost: a key may last ten seconds longer. TestKeysAreKept holds the documented span, also over a hand-over; red with the forgetting struck out.

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -620,12 +620,22 @@
 	var gone []string
 	now := map[string]bool{}
 	st := s.st.Load()
-	st.Each("claim/", func(k string, _ []byte) {
-		now[k] = true
-		if old(k, lay.Limits.Keep) {
-			gone = append(gone, k)
-		}
-	})
+	// There may be very many claims, and none is kept by the second.
+	if time.Since(s.swept10) > 10*time.Second {
+		s.swept10 = time.Now()
+		aged := make(map[string]time.Time, len(s.claims))
+		st.Each("claim/", func(k string, _ []byte) {
+			at, ok := s.claims[k]
+			if !ok {
+				at = s.swept10
+			}
+			if time.Since(at) > lay.Limits.Keep {
+				gone = append(gone, k)
+			}
+			aged[k] = at
+		})
+		s.claims = aged
+	}
 	var thaw, out [][2]string
 	st.Each("share/", func(k string, raw []byte) {
 		var p share.Pot
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -79,15 +79,16 @@
 	keep env.Gate // held while a batch or a copy is taken as backup
 
 	// Only the run loop touches these.
-	top    uint64               // highest ballot number seen
-	synced string               // the backup that holds all we hold, in this run
-	turn   uint64               // copies made
-	next   time.Time            // earliest next try at taking over
-	bad    map[string]time.Time // members that lately failed as backup
-	cold   map[string]time.Time // retired holders: since when their units cool
-	aged   map[string]time.Time // claims: since when this run knows them
-	swept  time.Time
-	lay    *layout.Layout
+	top     uint64               // highest ballot number seen
+	synced  string               // the backup that holds all we hold, in this run
+	turn    uint64               // copies made
+	next    time.Time            // earliest next try at taking over
+	bad     map[string]time.Time // members that lately failed as backup
+	aged    map[string]time.Time // cooling and silent holders: since when
+	claims  map[string]time.Time // since when this run knows each claim
+	swept   time.Time
+	swept10 time.Time // of the claims
+	lay     *layout.Layout
 
 	mu     sync.Mutex
 	epoch  uint64
@@ -199,7 +200,7 @@
 		return nil, err
 	}
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
-		box: make(chan *job, 4*most), bad: map[string]time.Time{}, cold: map[string]time.Time{},
+		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		aged: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.st.Store(st)
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -339,3 +339,42 @@
 		}
 	})
 }
+
+// Once-only keys are kept for the layout's span and then forgotten; a hand-over makes them last
+// longer, never shorter.
+func TestKeysAreKept(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 1)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		o := f.operator()
+		if p := o.raw([]byte(`{"limits":{"claim_keep_s":60}}`), ""); p.code != 200 {
+			t.Fatal(p.code)
+		}
+		take := func(id string) bool {
+			ctx, end := context.WithTimeout(f.ctx, 5*time.Second)
+			defer end()
+			var out core.Took
+			if err := o.cli.Call(ctx, "core.take", &core.Take{Key: "t/k", Claim: core.Claim{Sum: "s", Id: id, Node: "n", Born: 1}}, &out, true); err != nil {
+				t.Fatal(err)
+			}
+			return out.Got
+		}
+		if !take("first") {
+			t.Fatal("not granted")
+		}
+		time.Sleep(50 * time.Second)
+		if take("second") {
+			t.Error("granted again within the span")
+		}
+		f.crashCore(f.primary())
+		f.within(6*time.Second, "another primary", func() bool { return f.primary() != nil })
+		time.Sleep(40 * time.Second)
+		if take("third") {
+			t.Error("a hand-over shortened the span")
+		}
+		time.Sleep(45 * time.Second)
+		if !take("fourth") {
+			t.Error("not forgotten after the span")
+		}
+	})
+}
