Reread: a batch counts its bytes as it grows; an unread wire field and a dead one go

Found on rereading the whole change. A batch's size was summed over all its puts for every operation that joined it; it is kept as puts come and go now. A process's word of its founding vote was sent and read by nobody, a query's key field was never set. The store's first version of a fold is said plainly.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -138,6 +138,7 @@
 	st   *store.Store
 	over map[string]*store.Put
 	puts []store.Put
+	size int // bytes put: a batch has to fit one frame to the backup
 }
 
 // Get reads a key.
@@ -169,6 +170,7 @@
 
 func (t *Tx) add(p store.Put) {
 	t.puts = append(t.puts, p)
+	t.size += len(p.Key) + len(p.Val)
 	t.over[p.Key] = &p
 }
 
@@ -808,7 +810,7 @@
 			live = append(live, j)
 		}
 		j = nil
-		if n < most && tx.size() < chunk {
+		if n < most && tx.size < chunk {
 			select {
 			case j = <-s.box:
 				if j.ctl != nil {
@@ -834,17 +836,11 @@
 	}
 }
 
-// size is how many bytes the batch would put: it has to fit one frame to the backup.
-func (t *Tx) size() int {
-	n := 0
-	for _, p := range t.puts {
-		n += len(p.Key) + len(p.Val)
-	}
-	return n
-}
-
 // undo strikes the puts a failed job made.
 func (t *Tx) undo(mark int) {
+	for _, p := range t.puts[mark:] {
+		t.size -= len(p.Key) + len(p.Val)
+	}
 	t.puts = t.puts[:mark]
 	clear(t.over)
 	for i := range t.puts {
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -89,7 +89,6 @@
 	tokens   int // output it may have; 0 on plain lanes
 	low      int // what it was lowered to, if it was
 	cost     int // quota units reserved
-	key      string
 	claim    *claim
 	wait     time.Duration // estimated
 	kind     string
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -47,7 +47,7 @@
 // last tells whether an event is the runner's own word that the stream is complete.
 func last(ev []byte) bool { return bytes.HasPrefix(ev, []byte("data: [DONE]")) }
 
-// end is the event that tells an origin that a stream is complete.
+// endEvent tells an origin that a stream is complete.
 const endEvent = "data: [DONE]\n\n"
 
 // number puts a piece's number into its event, after any the runner set.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -134,8 +134,8 @@
 		}
 	}
 	for i, b := range got {
-		first := max(b.From, 1)
-		if b.From == 0 {
+		first := b.From
+		if first == 0 {
 			first = b.Seq
 		}
 		switch {
--- a/internal/view/msgs.go
+++ b/internal/view/msgs.go
@@ -86,5 +86,4 @@
 	Addr string `msg:"a"`
 	Hall string `msg:"h"`
 	View View   `msg:"v"`
-	Acc  bool   `msg:"c"` // a founding view was accepted but not learnt as decided
 }
--- a/internal/view/msgs_gen.go
+++ b/internal/view/msgs_gen.go
@@ -817,9 +817,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 4
 	// string "i"
-	o = append(o, 0x85, 0xa1, 0x69)
+	o = append(o, 0x84, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Id)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -834,9 +834,6 @@
 		err = msgp.WrapError(err, "View")
 		return
 	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Acc)
 	return
 }
 
@@ -886,12 +883,6 @@
 				err = msgp.WrapError(err, "View")
 				return
 			}
-		case "c":
-			z.Acc, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Acc")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -906,7 +897,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Told) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + z.View.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Id) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + z.View.Msgsize()
 	return
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -158,7 +158,7 @@
 //	t := v.Told("127.0.0.1:7401", "north")
 func (v *Voter) Told(addr, hall string) *Told {
 	b := v.seen.Load()
-	return &Told{Id: b.Id, Addr: addr, Hall: hall, View: b.View, Acc: b.Acc.N > 0}
+	return &Told{Id: b.Id, Addr: addr, Hall: hall, View: b.View}
 }
 
 // Learn takes a decided view if it is newer.
