A long whole answer is neither lost after 60 s nor held against its runner

Cause: the watchdog counted silence from the sending on, the same 60 s for all; and a runner whose queries had sent nothing for 10 s was stuck, though a whole answer sends nothing until it is finished. Ruled out: patience (it ends at the sending), the transport (no time limit of its own). Now: a lane's silence_ms, checked, and before a whole answer the time that the length asked for takes at the assumed rate. Each query tells its runner by when something should have come; the runner is stuck only when one is late and nothing at all came for 10 s.

--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -42,8 +42,9 @@
 	Name     string
 	Rank     int // lower goes first
 	Patience time.Duration
-	Once     bool // may run only once
-	Plain    bool // ordinary application: no prompt, no allowance
+	Silence  time.Duration // a runner that sends nothing for so long has lost the query
+	Once     bool          // may run only once
+	Plain    bool          // ordinary application: no prompt, no allowance
 	Tenants  map[int]bool
 	All      bool // every tenant
 }
@@ -343,9 +344,10 @@
 	lanes := map[string]int{}
 	p.object("lanes", doc.Get("lanes"), nil, func(k, at string, v gjson.Result) {
 		p.name(at, k)
-		p.object(at, v, []string{"once", "patience_ms", "plain", "rank", "tenants"}, nil)
+		p.object(at, v, []string{"once", "patience_ms", "plain", "rank", "silence_ms", "tenants"}, nil)
 		n := Lane{Name: k, Tenants: map[int]bool{}, Rank: p.num(at+".rank", v.Get("rank"), 0, 9, 5),
 			Patience: time.Duration(p.num(at+".patience_ms", v.Get("patience_ms"), 1, 3_600_000, 10_000)) * time.Millisecond,
+			Silence:  time.Duration(p.num(at+".silence_ms", v.Get("silence_ms"), 1000, 3_600_000, 60_000)) * time.Millisecond,
 			Once:     p.flag(at+".once", v.Get("once")), Plain: p.flag(at+".plain", v.Get("plain"))}
 		ts := v.Get("tenants")
 		if !ts.IsArray() || len(ts.Array()) == 0 {
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -34,7 +34,7 @@
 const (
 	answerMost = 8 << 20
 	pieceMost  = 1 << 20
-	idle       = 60 * time.Second // a runner that sends nothing for so long has lost the query
+	quietMost  = time.Hour // no answer is awaited longer than this for its length
 )
 
 // Front answers origins.
@@ -91,6 +91,7 @@
 	cost     int // quota units reserved
 	claim    *claim
 	wait     time.Duration // estimated
+	due      time.Time     // by when the nominated runner should have sent something
 	kind     string
 	torn     bool
 }
@@ -407,7 +408,7 @@
 		if err := y.q.Go(query.Queued, y.kind); err != nil {
 			return err
 		}
-		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Keys: keys, Could: y.could, Skip: skip, Check: y.renew}
+		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Quiet: y.quiet(), Keys: keys, Could: y.could, Skip: skip, Check: y.renew}
 		e, err := y.f.Desk.Enter(y.r.Context(), wait, time.Until(until), y.lay.Limits.Queue)
 		var b *Bounce
 		switch {
@@ -423,6 +424,7 @@
 		if err := y.q.Go(query.Nominated, e.Addr); err != nil {
 			return err
 		}
+		y.due = wait.Due
 		if try == 0 {
 			y.f.Meter.Dispatch.WithLabelValues(y.payer()).Observe(y.q.Age().Seconds())
 			y.f.Again.First(svc, y.f.Hub.Part(svc.Spare))
@@ -448,10 +450,10 @@
 	}
 	defer func() {
 		end(nil)
-		e.Leave(rest, ok)
+		e.Leave(rest, ok, y.due)
 		y.f.Desk.Wake()
 	}()
-	dog := time.AfterFunc(idle, func() { end(errSilent) })
+	dog := time.AfterFunc(y.lane.Silence+y.quiet(), func() { end(errSilent) })
 	defer dog.Stop()
 	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Out{Method: y.r.Method, Path: y.r.URL.RequestURI(), Head: y.r.Header, Body: y.body, Tenant: y.tn.Name, Id: y.q.Id})
 	if err != nil && !left {
@@ -484,6 +486,15 @@
 	return true, err
 }
 
+// quiet is how long the answer may take before anything of it is sent. A whole answer is made before
+// it is sent, at the pace that the allowance assumes of a runner it knows nothing about.
+func (y *way) quiet() time.Duration {
+	if y.streamed {
+		return 0
+	}
+	return min(quietMost, time.Duration(float64(y.tokens)/y.lay.Allowance.Rate*float64(time.Second)))
+}
+
 var errSilent = errors.New("silent")
 
 // lost says what became of a query whose runner broke off.
@@ -518,7 +529,7 @@
 		var n int
 		n, err = ans.Body.Read(buf)
 		raw = append(raw, buf[:n]...)
-		dog.Reset(idle)
+		dog.Reset(y.lane.Silence)
 		if n > 0 {
 			e.Token(0, 0)
 		}
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -21,6 +21,10 @@
 // linger is how long a stream runs on for an origin that may come back.
 const linger = 30 * time.Second
 
+// resumeWait is how long a resumed stream is waited for while nothing new comes and nobody says that
+// it has ended: the longest silence that any lane may allow.
+const resumeWait = time.Hour
+
 // StreamPath is where a stream is resumed.
 const StreamPath = "/v1/streams/"
 
@@ -120,7 +124,7 @@
 				break
 			}
 		}
-		dog.Reset(idle)
+		dog.Reset(y.lane.Silence)
 		if n := len(batch); n > 0 {
 			settle := min(n, rest)
 			rest -= settle
@@ -190,7 +194,7 @@
 	y.q.Lane = "resume"
 	flush := http.NewResponseController(y.w)
 	begun := false
-	until := time.Now().Add(idle)
+	until := time.Now().Add(resumeWait)
 	for y.r.Context().Err() == nil {
 		told, err := y.f.Streams.Resume(y.r.Context(), id, y.tn.Name, after)
 		switch {
@@ -220,7 +224,7 @@
 			return &Bounce{Code: told.Lost, Unknown: true}
 		}
 		if len(told.Pieces) > 0 {
-			until = time.Now().Add(idle)
+			until = time.Now().Add(resumeWait)
 		}
 		flush.Flush()
 		if y.stale() {
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -24,11 +24,14 @@
 	Rank   int
 	Ten    int
 	Tokens int
+	Quiet  time.Duration // how long its answer takes before anything of it is sent
 	Keys   []uint64
 	Could  func() []*runner.Entry // runners that serve this query
 	Skip   map[int]bool           // runs tried already
 	Check  func() error           // asked again before it goes; an error ends the wait
 
+	Due time.Time // with the runner: by when it should have sent something
+
 	ch   chan *runner.Entry
 	over bool // set under the desk's lock: given a runner, or ended
 	out  error
@@ -158,7 +161,7 @@
 		return nil, w.out
 	}
 	if err == ErrGone {
-		e.Leave(w.Tokens, false)
+		e.Leave(w.Tokens, false, w.Due)
 		d.Wake()
 		return nil, ErrGone
 	}
@@ -303,7 +306,8 @@
 			return nil
 		}
 		e := all[i].Entry
-		if e.Seat(w.Tokens) {
+		if due, ok := e.Seat(w.Tokens, w.Quiet); ok {
+			w.Due = due
 			d.mem.Note(w.Keys, e.Idx)
 			return e
 		}
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -3,6 +3,7 @@
 package runner
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -36,7 +37,8 @@
 	gone    bool
 	streams int
 	tokens  int
-	prog    time.Time // last byte from it, or start of work after idling
+	dues    []time.Time // by when each query under way should have sent something
+	prog    time.Time   // last byte from it, or start of work after idling
 	fails   int
 	bar     time.Time // no new queries before
 	trial   bool      // one query is out to see whether it serves again
@@ -287,7 +289,7 @@
 		return e.news.State
 	case now.Sub(e.heard) > Mute:
 		return "silent"
-	case e.streams > 0 && now.Sub(e.prog) > Stuck:
+	case now.Sub(e.prog) > Stuck && e.late(now):
 		return "stuck"
 	case now.Before(e.bar):
 		return "failing"
@@ -297,6 +299,17 @@
 	return ""
 }
 
+// late tells whether a query under way should have sent something by now. A whole answer says
+// nothing until it is finished, so its time is that of the length asked for.
+func (e *Entry) late(now time.Time) bool {
+	for _, d := range e.dues {
+		if now.After(d) {
+			return true
+		}
+	}
+	return false
+}
+
 // Serves tells whether the runner is of the kind asked for, whatever its standing.
 //
 //	if e.Serves(pool, "lumen", 512) { ... }
@@ -368,15 +381,16 @@
 	return n < room && (e.streams < part || 2*n < room)
 }
 
-// Seat takes a place on the runner for one query, if it may have one now.
+// Seat takes a place on the runner for one query, if it may have one now. quiet is how long its
+// answer takes before anything of it is sent: zero for one that comes piece by piece.
 //
-//	if e.Seat(512) { defer e.Leave(...) }
-func (e *Entry) Seat(tokens int) bool {
+//	if due, ok := e.Seat(512, 0); ok { defer e.Leave(512, false, due) }
+func (e *Entry) Seat(tokens int, quiet time.Duration) (due time.Time, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	if e.standing(now) != "" || !e.roomy() {
-		return false
+		return due, false
 	}
 	if e.fails > 0 {
 		e.trial = true
@@ -387,7 +401,9 @@
 	}
 	e.streams++
 	e.tokens += tokens
-	return true
+	due = now.Add(Stuck + quiet)
+	e.dues = append(e.dues, due)
+	return due, true
 }
 
 // Token notes output that has come for one query, and how much of its promise that settles.
@@ -404,15 +420,18 @@
 }
 
 // Leave ends a query's place: rest is what was promised and has not come, ok whether the runner
-// answered in full.
+// answered in full, due what Seat gave.
 //
-//	e.Leave(412, true)
-func (e *Entry) Leave(rest int, ok bool) {
+//	e.Leave(412, true, due)
+func (e *Entry) Leave(rest int, ok bool, due time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.meter.step(now, e.streams, e.far.Streams)
 	e.streams--
+	if i := slices.Index(e.dues, due); i >= 0 {
+		e.dues = slices.Delete(e.dues, i, i+1)
+	}
 	e.tokens = max(0, e.tokens-rest)
 	e.trial = false
 	if ok {
--- /dev/null
+++ b/internal/sim/answer_test.go
@@ -0,0 +1,234 @@
+package sim_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/runner"
+)
+
+// A whole answer sends nothing until it is finished. However long the length asked for takes, it is
+// neither lost nor held against its runner, which goes on getting queries meanwhile.
+func TestLongWhole(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 2, strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":2000`), model(8, 60*time.Millisecond))
+		l := &ledger{}
+		var all sync.WaitGroup
+		for i := range 2 {
+			all.Go(func() {
+				l.add(w.send(w.ctx, w.full[i], ask{n: uint64(i + 1), tenant: "rich", path: "/notes", key: fmt.Sprint("k", i), body: prompt(2000 + w.chance(1000))}))
+			})
+		}
+		time.Sleep(time.Duration(20+w.chance(40)) * time.Second)
+		for i, r := range w.full {
+			if why := r.r.Yard.List()[0].Standing(); why != "" {
+				t.Errorf("%s: the runner at work on long answers is %s", r.name, why)
+			}
+			l.add(w.send(w.ctx, r, ask{n: uint64(10 + i), tenant: "rich", path: "/ask", body: prompt(2)}))
+		}
+		all.Wait()
+		for _, g := range l.list() {
+			if g.status != 200 {
+				t.Errorf("query %d: %d %s after %s", g.n, g.status, g.code, g.took)
+			}
+		}
+		w.honest(l)
+	})
+}
+
+// A lane says how long a runner may say nothing; a runner that hangs is given up after that, with
+// the time that the length asked for may take where the answer comes whole.
+func TestLaneSilence(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		a := model(8, 10*time.Millisecond)
+		w := newWhole(t, seed, 1, strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":20000,"silence_ms":4000`), a)
+		a.mu.Lock()
+		a.hang = true
+		a.mu.Unlock()
+		for i, c := range []struct {
+			tokens int
+			stream bool
+			wait   time.Duration
+		}{{50, true, 4 * time.Second}, {50, false, 9 * time.Second}} {
+			body := prompt(c.tokens)
+			body["stream"] = c.stream
+			g := w.send(w.ctx, w.full[0], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: body})
+			if g.code != "runner-silent" || g.run != "unknown" || g.took < c.wait || g.took > c.wait+time.Second {
+				t.Errorf("stream %v: %d %s (%s) after %s, runner-silent after %s expected", c.stream, g.status, g.code, g.run, g.took, c.wait)
+			}
+			time.Sleep(20 * time.Second) // its bad standing passes
+		}
+	})
+}
+
+// dam is an origin's connection that takes so many bytes and then nothing more.
+type dam struct {
+	*httptest.ResponseRecorder
+	mu    sync.Mutex
+	room  int
+	until time.Time
+}
+
+func (d *dam) SetWriteDeadline(t time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.until = t
+	return nil
+}
+
+func (d *dam) Write(b []byte) (int, error) {
+	d.mu.Lock()
+	full, until := d.Body.Len()+len(b) > d.room, d.until
+	d.mu.Unlock()
+	if !full {
+		return d.ResponseRecorder.Write(b)
+	}
+	if until.IsZero() {
+		select {} // as a socket without a deadline
+	}
+	time.Sleep(time.Until(until))
+	return 0, os.ErrDeadlineExceeded
+}
+
+// An origin that stops reading holds up neither its runner nor the copy at the understudy, and the
+// runner does not pay for it with its standing.
+func TestOriginStopsReading(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 4, plainLay(""), model(1, 50*time.Millisecond))
+		r := w.full[0]
+		d := &dam{ResponseRecorder: httptest.NewRecorder(), room: 200 + w.chance(1000)}
+		req := httptest.NewRequestWithContext(w.ctx, "POST", "/ask", strings.NewReader(`{"model":"m","prompt":"a","stream":true,"max_tokens":300}`))
+		req.Header.Set("Authorization", "Bearer demo-rich")
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("X-N", "1")
+		over := make(chan time.Time, 1)
+		begun := time.Now()
+		go func() {
+			defer func() { recover(); over <- time.Now() }()
+			r.r.Front.ServeHTTP(d, req)
+		}()
+		time.Sleep(18 * time.Second)
+		e := r.r.Yard.List()[0]
+		if n, _ := e.Load(); n != 0 || e.Standing() != "" {
+			t.Errorf("18 s into a stream of 15 s the runner has %d streams and is %q", n, e.Standing())
+		}
+		g := w.send(w.ctx, w.full[2], ask{n: 2, tenant: "rich", path: "/v1/streams/" + d.Header().Get(runner.QueryHead), method: "GET"})
+		if n := strings.Count(string(g.body), "data: {"); n != 300 || !strings.HasSuffix(string(g.body), "data: [DONE]\n\n") {
+			t.Errorf("resumed elsewhere: %d pieces of 300, ended %q", n, tail(g.body))
+		}
+		select {
+		case at := <-over:
+			t.Logf("the handler ended after %s", at.Sub(begun))
+		default:
+			t.Error("the handler still waits for the origin")
+		}
+	})
+}
+
+// Answers that can't be told from cut ones never become a success, and those that can do.
+func TestFraming(t *testing.T) {
+	const head, json = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	one := "data: {\"i\":0,\"n\":N}\n\n"
+	for name, c := range map[string]struct {
+		raw    string
+		stream bool
+		code   string
+	}{
+		"whole by length":                {head + "Content-Length: 7\r\n\r\n{\"n\":N}", false, ""},
+		"whole by chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":N}\r\n0\r\n\r\n", false, ""},
+		"by the connection's end":        {head + "\r\n{\"n\":N}", false, "answer-unframed"},
+		"by the end, said to be closed":  {head + "Connection: close\r\n\r\n{\"n\":N}", false, "answer-unframed"},
+		"old protocol, no length":        {"HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n\r\n{\"n\":N}", false, "answer-unframed"},
+		"shorter than its length":        {head + "Content-Length: 9\r\n\r\n{\"n\":N}", false, "runner-lost"},
+		"chunks without the last":        {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":N}\r\n", false, "runner-lost"},
+		"chunk cut in the middle":        {head + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"n\":N}", false, "runner-lost"},
+		"stream by chunks":               {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true, ""},
+		"stream by the connection's end": {json + "\r\n" + one + "data: [DONE]\n\n", true, "answer-unframed"},
+		"stream without the last chunk":  {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n", true, "runner-lost"},
+		"stream without its end":         {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\n0\r\n\r\n", true, "runner-lost"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				m := model(8, 10*time.Millisecond)
+				m.raw = c.raw
+				w := newWhole(t, seed, 2, plainLay(""), m)
+				l := &ledger{}
+				body := prompt(1)
+				body["stream"] = c.stream
+				g := w.send(w.ctx, w.full[0], ask{n: 1, tenant: "rich", path: "/ask", body: body})
+				l.add(g)
+				code := g.code
+				if c.stream && code == "" {
+					if _, ev, ok := strings.Cut(string(g.body), "event: trouble\ndata: "); ok {
+						code = gjson.Get(ev, "error.code").Str
+					}
+				}
+				if code != c.code || strings.Contains(string(g.body), "[DONE]") != (c.stream && c.code == "") || !c.stream && (g.status == http.StatusOK) != (c.code == "") {
+					t.Errorf("answered %d, code %q: %s; code %q expected", g.status, code, g.body, c.code)
+				}
+				w.honest(l)
+			})
+		})
+	}
+}
+
+// A withdrawn key ends all that runs under it within 2 s: a stream in which nothing comes, one
+// that is being resumed elsewhere, and a whole answer. A once-only query runs to its end, so that its
+// outcome is known, but its answer is not handed over.
+func TestWithdrawnQuiet(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		gone := `,"gone":{"funded":true,"keys":["` + key("gone") + `"]}`
+		w := newWhole(t, seed, 4, plainLay(gone), model(8, 5*time.Second))
+		var all sync.WaitGroup
+		l := &ledger{}
+		body := prompt(4)
+		body["stream"] = true
+		var id string
+		all.Go(func() {
+			g := w.send(w.ctx, w.full[1], ask{n: 1, tenant: "gone", path: "/ask", body: body})
+			l.add(g)
+		})
+		all.Go(func() { l.add(w.send(w.ctx, w.full[0], ask{n: 2, tenant: "gone", path: "/ask", body: prompt(4)})) })
+		all.Go(func() {
+			l.add(w.send(w.ctx, w.full[2], ask{n: 3, tenant: "gone", path: "/notes", key: "k", body: prompt(4)}))
+		})
+		time.Sleep(time.Second)
+		for _, s := range w.seen() {
+			if s.n == 1 {
+				id = s.id
+			}
+		}
+		time.Sleep(time.Duration(5000+w.chance(4000)) * time.Millisecond)
+		all.Go(func() {
+			l.add(w.send(w.ctx, w.full[3], ask{n: 4, tenant: "gone", path: "/v1/streams/" + id, method: "GET"}))
+		})
+		time.Sleep(time.Duration(100+w.chance(900)) * time.Millisecond)
+		w.put(plainLay(""))
+		acked := time.Now()
+		all.Wait()
+		for _, g := range l.list() {
+			ended := g.begun.Add(g.took).Sub(acked)
+			if g.n != 3 && ended > 2*time.Second {
+				t.Errorf("query %d ran on for %s under a withdrawn key", g.n, ended)
+			}
+			if !strings.Contains(string(g.body), "key-withdrawn") || strings.Contains(string(g.body), "[DONE]") {
+				t.Errorf("query %d ended with %d %q", g.n, g.status, tail(g.body))
+			}
+		}
+		w.honest(l)
+		// The key comes back: what became of the once-only query is known.
+		w.put(plainLay(gone))
+		g := w.send(w.ctx, w.full[2], ask{n: 3, tenant: "gone", path: "/notes", key: "k", body: prompt(4)})
+		if g.status != 200 || w.saw(3) != 1 {
+			t.Errorf("asked again: %d %s, the runner saw it %d times", g.status, g.code, w.saw(3))
+		}
+	})
+}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -76,6 +77,7 @@
 	slow   float64
 	cold   time.Duration // reading a block of prompt that is not in the cache
 	plain  bool
+	raw    string // sent as it is, and the connection closed, in place of an answer
 
 	mu     sync.Mutex
 	born   int
@@ -334,6 +336,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	env.Wait(r.Context(), time.Duration(miss)*s.cold)
+	if s.raw != "" {
+		con, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			s.w.t.Error(err)
+			return
+		}
+		io.WriteString(con, strings.ReplaceAll(s.raw, "N", strconv.FormatUint(n, 10)))
+		con.Close()
+		return
+	}
 	stream := gjson.GetBytes(body, "stream").Bool()
 	if stream {
 		rw.Header().Set("Content-Type", "text/event-stream")
