Origins that stop reading, unframed answers and withdrawn keys of silent queries are met

Causes, each red first in answer_test.go: - writes to origins had no deadline: after 18 s of a 15 s stream the runner still had the stream, was stuck, and the understudy had 41 of 300 pieces. Now an origin that takes nothing for 5 s is gone. - an answer with neither length nor chunks ends with its connection, so a cut one was a success (five cases red with the check struck out). Now answer-unframed. Shorter than its length, without the last chunk, cut in a chunk: were already lost, now shown. - a key was looked at when a piece came; a silent stream, a resumed one and a whole answer ran on. Now a new layout wakes every query under way. A claimed one runs to its end, its answer is not handed over.

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -38,6 +38,7 @@
 	Board *relay.Board
 	box   chan relay.Tell
 	lay   atomic.Pointer[layout.Layout]
+	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
 	mu    sync.Mutex
@@ -61,6 +62,8 @@
 		box: make(chan relay.Tell, 1024), begun: time.Now(), more: map[string]wire.Hand{}}
 	h.Core = core.NewClient(ctx, h.cal, seeds)
 	h.Board = relay.NewBoard(h.see)
+	next := make(chan struct{})
+	h.turn.Store(&next)
 	return h
 }
 
@@ -79,6 +82,8 @@
 	}
 	lay.Seq = r.Turn
 	h.lay.Store(lay)
+	next := make(chan struct{})
+	close(*h.turn.Swap(&next))
 	h.ctx.Log.Info("Layout taken up.", "sequence", r.Turn)
 }
 
@@ -87,6 +92,11 @@
 //	lay := hub.Layout()
 func (h *Hub) Layout() *layout.Layout { return h.lay.Load() }
 
+// Turn is closed once a newer layout is in force. Ask for it before Layout, so as to miss none.
+//
+//	turn, lay := hub.Turn(), hub.Layout()
+func (h *Hub) Turn() <-chan struct{} { return *h.turn.Load() }
+
 // Me is this node as its peers know it.
 //
 //	n := hub.Me()
--- /dev/null
+++ b/internal/origin/answer.go
@@ -0,0 +1,215 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"yarrowridge/internal/query"
+	"yarrowridge/internal/runner"
+)
+
+// writeWait is how long an origin may take nothing of its answer before it counts as gone.
+const writeWait = 5 * time.Second
+
+// outlet is the origin's end of an answer. Nobody waits for an origin for longer than writeWait:
+// its runner and the copy at the understudy go on without it.
+type outlet struct {
+	w    http.ResponseWriter
+	ctl  *http.ResponseController
+	gone bool
+}
+
+func (y *way) outlet() *outlet { return &outlet{w: y.w, ctl: http.NewResponseController(y.w)} }
+
+// put hands bytes over, and tells whether the origin is still there.
+func (o *outlet) put(b []byte) bool {
+	for len(b) > 0 && !o.gone {
+		n := min(len(b), 64<<10)
+		o.ctl.SetWriteDeadline(time.Now().Add(writeWait))
+		_, err := o.w.Write(b[:n])
+		if err == nil {
+			err = o.ctl.Flush()
+		}
+		o.gone = err != nil
+		b = b[n:]
+	}
+	return !o.gone
+}
+
+// send sends the query to one runner and carries its answer. left says a byte may have left us.
+func (y *way) send(e *runner.Entry) (left bool, err error) {
+	rest, ok := y.tokens, false
+	// A query that may run only once, or whose stream may be resumed, runs on without its origin.
+	ctx, end := context.WithCancelCause(y.r.Context())
+	if y.claim != nil || y.streamed {
+		ctx, end = context.WithCancelCause(context.WithoutCancel(y.r.Context()))
+	}
+	defer func() {
+		end(nil)
+		e.Leave(rest, ok, y.due)
+		y.f.Desk.Wake()
+	}()
+	if y.claim == nil {
+		go y.watch(ctx, end)
+	}
+	dog := time.AfterFunc(y.lane.Silence+y.quiet(), func() { end(errSilent) })
+	defer dog.Stop()
+	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Out{Method: y.r.Method, Path: y.r.URL.RequestURI(), Head: y.r.Header, Body: y.body, Tenant: y.tn.Name, Id: y.q.Id})
+	if err != nil && !left {
+		if context.Cause(ctx) == errKey {
+			return false, &Bounce{Status: 401, Code: "unknown-key", Text: "The key was withdrawn before the query was sent."}
+		}
+		if ctx.Err() == nil {
+			e.Fail()
+		}
+		return false, err
+	}
+	// The units were reserved until now, so counting their window from here only makes it longer.
+	if y.cost > 0 {
+		y.f.Purses.For(y.tn.Name).Spend(y.cost)
+		y.cost = 0
+	}
+	if e := y.q.Go(query.Sent, e.Addr); e != nil {
+		return true, e
+	}
+	if err != nil {
+		return true, y.lost(e, ctx, err)
+	}
+	defer ans.Body.Close()
+	if err := y.q.Go(query.Answering, strconv.Itoa(ans.StatusCode)); err != nil {
+		return true, err
+	}
+	if ans.ContentLength < 0 && !slices.Contains(ans.TransferEncoding, "chunked") {
+		e.Fail()
+		return true, &Bounce{Status: 502, Code: "answer-unframed", Unknown: true,
+			Text: "The runner's answer has neither a length nor chunks, so a whole one can't be told from a cut one."}
+	}
+	if t, _, _ := mime.ParseMediaType(ans.Header.Get("Content-Type")); t == "text/event-stream" && ans.StatusCode == 200 {
+		rest, err = y.stream(ctx, end, e, ans, dog)
+	} else {
+		rest, err = y.whole(ctx, e, ans, dog)
+	}
+	ok = err == nil
+	return true, err
+}
+
+// quiet is how long the answer may take before anything of it is sent. A whole answer is made before
+// it is sent, at the pace that the allowance assumes of a runner it knows nothing about.
+func (y *way) quiet() time.Duration {
+	if y.streamed {
+		return 0
+	}
+	return min(quietMost, time.Duration(float64(y.tokens)/y.lay.Allowance.Rate*float64(time.Second)))
+}
+
+var (
+	errSilent = errors.New("silent")
+	errKey    = errors.New("key withdrawn")
+)
+
+// watch ends what runs under a key that a new layout no longer knows.
+func (y *way) watch(ctx context.Context, end context.CancelCauseFunc) {
+	for {
+		turn := y.f.Hub.Turn()
+		if y.withdrawn() {
+			end(errKey)
+			return
+		}
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// withdrawn tells whether the layout in force no longer knows the key that this query came with.
+func (y *way) withdrawn() bool {
+	lay := y.f.Hub.Layout()
+	ten, ok := lay.Tenant(y.secret)
+	return !ok || lay.Tenants[ten].Name != y.q.Tenant
+}
+
+var bounceKey = &Bounce{Status: 401, Code: "key-withdrawn", Unknown: true, Text: "The key was withdrawn while the query ran."}
+
+// lost says what became of a query whose runner broke off.
+func (y *way) lost(e *runner.Entry, ctx context.Context, err error) error {
+	if context.Cause(ctx) == errKey {
+		return bounceKey
+	}
+	if y.r.Context().Err() != nil && y.claim == nil && ctx.Err() != nil {
+		return &Bounce{Code: "origin-left", Unknown: true}
+	}
+	e.Fail()
+	y.f.Ctx.Log.Warn("Runner lost a query.", "query", y.q.Id, "peer", e.Addr, "trouble", err.Error())
+	if context.Cause(ctx) == errSilent {
+		return &Bounce{Status: 504, Code: "runner-silent", Unknown: true, Text: "The runner sent nothing for too long."}
+	}
+	return &Bounce{Status: 502, Code: "runner-lost", Unknown: true, Text: "The runner broke off before its answer was whole."}
+}
+
+// pass copies the runner's headers for the origin.
+func (y *way) pass(ans *http.Response) {
+	for k, v := range runner.Clean(ans.Header) {
+		y.w.Header()[k] = v
+	}
+	y.w.Header().Set(runner.QueryHead, y.q.Id)
+	if y.low > 0 {
+		y.w.Header().Set(runner.OwnHead+"Lowered-To", strconv.Itoa(y.low))
+	}
+}
+
+// whole reads the answer to its framed end before a byte of it is handed over.
+func (y *way) whole(ctx context.Context, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
+	var raw []byte
+	buf := make([]byte, 32<<10)
+	for err == nil {
+		var n int
+		n, err = ans.Body.Read(buf)
+		raw = append(raw, buf[:n]...)
+		dog.Reset(y.lane.Silence)
+		if n > 0 {
+			e.Token(0, 0)
+		}
+		if len(raw) > answerMost {
+			return y.tokens, &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
+		}
+	}
+	if err != io.EOF {
+		return y.tokens, y.lost(e, ctx, err)
+	}
+	if !y.lane.Plain {
+		n := int(gjson.GetBytes(raw, "usage.completion_tokens").Int())
+		if n <= 0 || n > y.tokens {
+			n = min(y.tokens, len(raw)/4) // the runner does not say: about four bytes a token
+		}
+		e.Token(n, n)
+		rest = y.tokens - n
+	}
+	if ans.StatusCode >= 500 {
+		e.Fail()
+	}
+	if y.claim != nil {
+		y.claim.done(ans.StatusCode, ans.Header.Get("Content-Type"), raw)
+	}
+	if y.withdrawn() {
+		return rest, bounceKey // what became of it is known, but not for this origin
+	}
+	if err := y.q.Go(query.Done, ""); err != nil {
+		return rest, err
+	}
+	y.pass(ans)
+	y.w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	y.w.WriteHeader(ans.StatusCode)
+	y.outlet().put(raw)
+	return rest, nil
+}
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -75,17 +75,10 @@
 	y.pass(ans)
 	y.w.Header().Del("Content-Length") // pieces get their numbers
 	y.w.WriteHeader(http.StatusOK)
-	flush := http.NewResponseController(y.w)
+	to := y.outlet()
 	var gone *time.Timer
 	show := func(b []byte) {
-		if gone != nil {
-			return
-		}
-		_, err := y.w.Write(b)
-		if err == nil {
-			err = flush.Flush()
-		}
-		if err != nil {
+		if gone == nil && !to.put(b) {
 			gone = time.AfterFunc(linger, func() { stop(errLeft) })
 		}
 	}
@@ -130,9 +123,7 @@
 			rest -= settle
 			e.Token(n, settle)
 			ss.Add(ctx, st, batch)
-			for _, p := range batch {
-				show(p)
-			}
+			show(bytes.Join(batch, nil))
 		}
 		if err == io.EOF && done {
 			break
@@ -144,10 +135,6 @@
 			}
 			return fail(err)
 		}
-		if y.stale() {
-			stop(errLeft)
-			return fail(&Bounce{Code: "key-withdrawn", Text: "The key of this stream was withdrawn."})
-		}
 	}
 	ss.Close(ctx, st, "")
 	if err := y.q.Go(query.Done, ""); err != nil {
@@ -159,20 +146,6 @@
 
 var errLeft = errors.New("the origin left")
 
-// stale tells whether the layout in force no longer knows the key that this query came with.
-func (y *way) stale() bool {
-	lay := y.f.Hub.Layout()
-	if lay.Seq == y.lay.Seq {
-		return false
-	}
-	ten, ok := lay.Tenant(y.secret)
-	if !ok || lay.Tenants[ten].Name != y.tn.Name {
-		return true
-	}
-	y.lay = lay
-	return false
-}
-
 // resume carries on a stream at the piece after the one the origin names, through any router.
 func (y *way) resume() error {
 	id := strings.TrimPrefix(y.r.URL.Path, StreamPath)
@@ -192,12 +165,17 @@
 		after = n
 	}
 	y.q.Lane = "resume"
-	flush := http.NewResponseController(y.w)
+	to := y.outlet()
+	ctx, end := context.WithCancelCause(y.r.Context())
+	defer end(nil)
+	go y.watch(ctx, end)
 	begun := false
 	until := time.Now().Add(resumeWait)
-	for y.r.Context().Err() == nil {
-		told, err := y.f.Streams.Resume(y.r.Context(), id, y.tn.Name, after)
+	for !to.gone && y.r.Context().Err() == nil {
+		told, err := y.f.Streams.Resume(ctx, id, y.tn.Name, after)
 		switch {
+		case context.Cause(ctx) == errKey:
+			told = &node.StreamTold{Lost: bounceKey.Code}
 		case err != nil && !begun:
 			return &Bounce{Status: 404, Code: "no-stream", Unknown: true, Text: "No router within reach holds this stream for this tenant."}
 		case err != nil || time.Now().After(until):
@@ -208,30 +186,20 @@
 			y.w.Header().Set("Content-Type", "text/event-stream")
 			y.w.WriteHeader(http.StatusOK)
 		}
-		for _, p := range told.Pieces {
-			after++
-			y.w.Write(p)
-		}
+		after += len(told.Pieces)
+		to.put(bytes.Join(told.Pieces, nil))
 		switch {
 		case told.End:
-			io.WriteString(y.w, endEvent)
-			flush.Flush()
+			to.put([]byte(endEvent))
 			return &Bounce{Code: "resumed"}
 		case told.Lost != "":
-			y.w.Write(trouble(told.Lost, "The run behind this stream was lost.", id))
-			flush.Flush()
+			to.put(trouble(told.Lost, "The run behind this stream was lost, or its key withdrawn.", id))
 			y.torn = true
 			return &Bounce{Code: told.Lost, Unknown: true}
 		}
 		if len(told.Pieces) > 0 {
 			until = time.Now().Add(resumeWait)
 		}
-		flush.Flush()
-		if y.stale() {
-			y.w.Write(trouble("key-withdrawn", "The key of this stream was withdrawn.", id))
-			y.torn = true
-			return &Bounce{Code: "key-withdrawn", Unknown: true}
-		}
 	}
 	return &Bounce{Code: "origin-left", Unknown: true}
 }
--- a/internal/sim/answer_test.go
+++ b/internal/sim/answer_test.go
@@ -136,24 +136,24 @@
 // Answers that can't be told from cut ones never become a success, and those that can do.
 func TestFraming(t *testing.T) {
 	const head, json = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-	one := "data: {\"i\":0,\"n\":N}\n\n"
+	one := "data: {\"i\":0,\"n\":#}\n\n"
 	for name, c := range map[string]struct {
 		raw    string
 		stream bool
 		code   string
 	}{
-		"whole by length":                {head + "Content-Length: 7\r\n\r\n{\"n\":N}", false, ""},
-		"whole by chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":N}\r\n0\r\n\r\n", false, ""},
-		"by the connection's end":        {head + "\r\n{\"n\":N}", false, "answer-unframed"},
-		"by the end, said to be closed":  {head + "Connection: close\r\n\r\n{\"n\":N}", false, "answer-unframed"},
-		"old protocol, no length":        {"HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n\r\n{\"n\":N}", false, "answer-unframed"},
-		"shorter than its length":        {head + "Content-Length: 9\r\n\r\n{\"n\":N}", false, "runner-lost"},
-		"chunks without the last":        {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":N}\r\n", false, "runner-lost"},
-		"chunk cut in the middle":        {head + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"n\":N}", false, "runner-lost"},
-		"stream by chunks":               {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true, ""},
+		"whole by length":                {head + "Content-Length: 7\r\n\r\n{\"n\":#}", false, ""},
+		"whole by chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":#}\r\n0\r\n\r\n", false, ""},
+		"by the connection's end":        {head + "\r\n{\"n\":#}", false, "answer-unframed"},
+		"by the end, said to be closed":  {head + "Connection: close\r\n\r\n{\"n\":#}", false, "answer-unframed"},
+		"old protocol, no length":        {"HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n\r\n{\"n\":#}", false, "answer-unframed"},
+		"shorter than its length":        {head + "Content-Length: 9\r\n\r\n{\"n\":#}", false, "runner-lost"},
+		"chunks without the last":        {head + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"n\":#}\r\n", false, "runner-lost"},
+		"chunk cut in the middle":        {head + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"n\":#}", false, "runner-lost"},
+		"stream by chunks":               {json + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true, ""},
 		"stream by the connection's end": {json + "\r\n" + one + "data: [DONE]\n\n", true, "answer-unframed"},
-		"stream without the last chunk":  {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n", true, "runner-lost"},
-		"stream without its end":         {json + "Transfer-Encoding: chunked\r\n\r\n13\r\n" + one + "\r\n0\r\n\r\n", true, "runner-lost"},
+		"stream without the last chunk":  {json + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + one + "\r\ne\r\ndata: [DONE]\n\n\r\n", true, "runner-lost"},
+		"stream without its end":         {json + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + one + "\r\n0\r\n\r\n", true, "runner-lost"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			overSeeds(t, func(t *testing.T, seed uint64) {
@@ -208,7 +208,7 @@
 		}
 		time.Sleep(time.Duration(5000+w.chance(4000)) * time.Millisecond)
 		all.Go(func() {
-			l.add(w.send(w.ctx, w.full[3], ask{n: 4, tenant: "gone", path: "/v1/streams/" + id, method: "GET"}))
+			l.add(w.send(w.ctx, w.full[3], ask{n: 1, tenant: "gone", path: "/v1/streams/" + id, method: "GET"}))
 		})
 		time.Sleep(time.Duration(100+w.chance(900)) * time.Millisecond)
 		w.put(plainLay(""))
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -342,7 +342,7 @@
 			s.w.t.Error(err)
 			return
 		}
-		io.WriteString(con, strings.ReplaceAll(s.raw, "N", strconv.FormatUint(n, 10)))
+		io.WriteString(con, strings.ReplaceAll(s.raw, "#", strconv.FormatUint(n, 10)))
 		con.Close()
 		return
 	}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -61,7 +61,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "web: listen on %s", addr)
 	}
-	return &Server{l, &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second,
+	// Nothing of the query before on the same connection bounds the writing of this answer.
+	fresh := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		h.ServeHTTP(w, r)
+	})
+	return &Server{l, &http.Server{Handler: fresh, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second,
 		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}, nil
 }
 
