Keys are known before bodies are read; slow strangers hold no place and no stop

Cause: the body was read first, with no time limit, and counted under limits.open whoever sent it; net/http then reads up to 256 KB of what a bounced query left unsent, again without a limit. Found by bringing it about with sockets. Ruled out: bounding connections by address (origins share proxies); a smaller limit (same flood). Now: the key by the headers, then the place, the mapping, the body within limits.body_ms (408 body-slow); half a second for the rest of a bounced body; web.Control reaches the connection.

--- a/internal/drill/standin.go
+++ b/internal/drill/standin.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -240,6 +241,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	stream := gjson.GetBytes(body, "stream").Bool()
+	pad := strings.Repeat("w", int(gjson.GetBytes(body, "pad").Int())) // to fill an origin's connection
 	if stream {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
@@ -254,7 +256,7 @@
 		s.queued.Add(-1)
 		left--
 		if stream {
-			fmt.Fprintf(w, "data: {\"i\":%d,\"echo\":%q,\"text\":\"w%d \"}\n\n", i, Echo(body), i)
+			fmt.Fprintf(w, "data: {\"i\":%d,\"echo\":%q,\"text\":\"w%d %s\"}\n\n", i, Echo(body), i, pad)
 			http.NewResponseController(w).Flush()
 		}
 	}
--- a/internal/drill/stream_test.go
+++ b/internal/drill/stream_test.go
@@ -38,7 +38,7 @@
 		raw, _ := io.ReadAll(ans.Body)
 		t.Fatalf("status %d: %s", ans.StatusCode, raw)
 	}
-	return &reader{ans.Header.Get("X-Yarrowridge-Query"), ans, bufio.NewScanner(ans.Body)}
+	return &reader{ans.Header.Get("X-Yarrowridge-Query"), ans, lines(ans.Body)}
 }
 
 // next gives the next piece's number, or -1 and why there is none.
@@ -72,7 +72,7 @@
 		raw, _ := io.ReadAll(ans.Body)
 		return nil, gjson.GetBytes(raw, "error.code").String()
 	}
-	rd := &reader{id, ans, bufio.NewScanner(ans.Body)}
+	rd := &reader{id, ans, lines(ans.Body)}
 	var got []int
 	for {
 		i, why := rd.next()
@@ -198,3 +198,10 @@
 		}
 	})
 }
+
+// lines scans a stream, however long its lines are.
+func lines(in io.Reader) *bufio.Scanner {
+	sc := bufio.NewScanner(in)
+	sc.Buffer(nil, 1<<20)
+	return sc
+}
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -83,6 +83,7 @@
 // Limits bound what one query or the queues may take.
 type Limits struct {
 	Body, Tokens, Queue int
+	BodyTime            time.Duration // within which a body has to come
 	Open                int           // queries under way on one router, in whatever state
 	Keep                time.Duration // how long once-only keys are kept
 }
@@ -415,13 +416,14 @@
 		p.say("allowance.floor_s", "more than full_s expected")
 	}
 	m := doc.Get("limits")
-	p.object("limits", m, []string{"body_bytes", "claim_keep_s", "max_tokens", "open", "queue"}, nil)
+	p.object("limits", m, []string{"body_bytes", "body_ms", "claim_keep_s", "max_tokens", "open", "queue"}, nil)
 	l.Limits = Limits{
-		Body:   p.num("limits.body_bytes", m.Get("body_bytes"), 1, 16<<20, 1<<20),
-		Tokens: p.num("limits.max_tokens", m.Get("max_tokens"), 1, 1_000_000, 16384),
-		Queue:  p.num("limits.queue", m.Get("queue"), 1, 100_000, 1000),
-		Open:   p.num("limits.open", m.Get("open"), 1, 1_000_000, 4000),
-		Keep:   time.Duration(p.num("limits.claim_keep_s", m.Get("claim_keep_s"), 10, 86400, 3600)) * time.Second}
+		Body:     p.num("limits.body_bytes", m.Get("body_bytes"), 1, 16<<20, 1<<20),
+		BodyTime: time.Duration(p.num("limits.body_ms", m.Get("body_ms"), 100, 600_000, 10_000)) * time.Millisecond,
+		Tokens:   p.num("limits.max_tokens", m.Get("max_tokens"), 1, 1_000_000, 16384),
+		Queue:    p.num("limits.queue", m.Get("queue"), 1, 100_000, 1000),
+		Open:     p.num("limits.open", m.Get("open"), 1, 1_000_000, 4000),
+		Keep:     time.Duration(p.num("limits.claim_keep_s", m.Get("claim_keep_s"), 10, 86400, 3600)) * time.Second}
 	if len(p.out) > 0 {
 		return nil, p.out
 	}
--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -15,6 +15,7 @@
 
 	"yarrowridge/internal/query"
 	"yarrowridge/internal/runner"
+	"yarrowridge/internal/web"
 )
 
 // writeWait is how long an origin may take nothing of its answer before it counts as gone.
@@ -28,7 +29,7 @@
 	gone bool
 }
 
-func (y *way) outlet() *outlet { return &outlet{w: y.w, ctl: http.NewResponseController(y.w)} }
+func (y *way) outlet() *outlet { return &outlet{w: y.w, ctl: web.Control(y.w, y.r)} }
 
 // put hands bytes over, and tells whether the origin is still there.
 func (o *outlet) put(b []byte) bool {
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -10,6 +10,7 @@
 	"math"
 	"mime"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,13 +28,15 @@
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/trail"
+	"yarrowridge/internal/web"
 )
 
 // Answers are held whole before a success is written, so they are bounded.
 const (
 	answerMost = 8 << 20
 	pieceMost  = 1 << 20
-	quietMost  = time.Hour // no answer is awaited longer than this for its length
+	quietMost  = time.Hour              // no answer is awaited longer than this for its length
+	restWait   = 500 * time.Millisecond // for the rest of a body, once its query was bounced
 )
 
 // Front answers origins.
@@ -51,7 +54,7 @@
 	Streams *node.Streams
 	Trail   *trail.Trail
 
-	open atomic.Int64 // queries under way
+	open atomic.Int64 // known tenants' queries under way
 }
 
 // Bounce is a "no" to an origin: what code, at which step, and whether the query ran.
@@ -80,6 +83,7 @@
 	lane   *layout.Lane
 	pool   *layout.Pool
 	body   []byte
+	had    bool   // the body was read whole
 	secret string // the key it came with
 
 	streamed bool // it asks for a stream
@@ -101,8 +105,6 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	y := &way{f: f, q: query.New(), w: w, r: r}
 	w.Header().Set(runner.QueryHead, y.q.Id)
-	f.open.Add(1)
-	defer f.open.Add(-1)
 	err := y.run()
 	if y.cost > 0 {
 		f.Purses.For(y.tn.Name).Loose(y.cost)
@@ -121,12 +123,15 @@
 }
 
 func (y *way) run() error {
-	if err := y.read(); err != nil {
-		return err
-	}
 	if err := y.known(); err != nil {
 		return err
 	}
+	// Strangers were bounced by their headers and hold no place; known tenants' bodies are read only
+	// where there is one, so that a crowd costs no memory.
+	defer y.f.open.Add(-1)
+	if int(y.f.open.Add(1)) > y.lay.Limits.Open {
+		return &Bounce{Status: 503, Code: "too-many", Text: "Too many queries are under way.", Retry: time.Second}
+	}
 	if strings.HasPrefix(y.r.URL.Path, StreamPath) {
 		return y.resume()
 	}
@@ -159,6 +164,10 @@
 		y.torn = y.torn || b.Code == "origin-left"
 		return b.Code
 	}
+	if !y.had {
+		// What is left of a body that nobody wants holds up neither the answer nor a planned stop.
+		web.Control(y.w, y.r).SetReadDeadline(time.Now().Add(restWait))
+	}
 	h := y.w.Header()
 	for k := range h {
 		if k != runner.QueryHead {
@@ -179,28 +188,31 @@
 	return b.Code
 }
 
+// read takes the body in, within its bounds of size and time.
 func (y *way) read() error {
-	if why := y.f.Hub.Can(); why != "" {
-		return &Bounce{Status: 503, Code: "not-ready", Text: "This router is not ready: " + why + ".", Retry: time.Second}
-	}
-	y.lay = y.f.Hub.Layout()
-	if int(y.f.open.Load()) > y.lay.Limits.Open {
-		// Before its body is read, so that a crowd costs no memory.
-		return &Bounce{Status: 503, Code: "too-many", Text: "Too many queries are under way.", Retry: time.Second}
-	}
-	most := y.lay.Limits.Body
+	most, wait := y.lay.Limits.Body, y.lay.Limits.BodyTime
+	ctl := web.Control(y.w, y.r)
+	ctl.SetReadDeadline(time.Now().Add(wait))
 	raw, err := io.ReadAll(io.LimitReader(y.r.Body, int64(most)+1))
 	switch {
 	case len(raw) > most:
 		return &Bounce{Status: 413, Code: "body-too-large", Text: fmt.Sprintf("A body of at most %d bytes is taken.", most)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Bounce{Status: 408, Code: "body-slow", Text: fmt.Sprintf("The body is expected whole within %s.", wait)}
 	case err != nil:
 		return &Bounce{Status: 400, Code: "body-unread", Text: "The body broke off before its end."}
 	}
-	y.body = raw
+	ctl.SetReadDeadline(time.Time{})
+	y.body, y.had = raw, true
 	return nil
 }
 
+// known finds the tenant by the headers alone.
 func (y *way) known() error {
+	if why := y.f.Hub.Can(); why != "" {
+		return &Bounce{Status: 503, Code: "not-ready", Text: "This router is not ready: " + why + ".", Retry: time.Second}
+	}
+	y.lay = y.f.Hub.Layout()
 	key, ok := strings.CutPrefix(y.r.Header.Get("Authorization"), "Bearer ")
 	if ok {
 		y.secret = strings.TrimSpace(key)
@@ -227,6 +239,9 @@
 	if !y.lane.Admits(y.ten) {
 		return &Bounce{Status: 403, Code: "lane-closed", Text: "The lane " + y.lane.Name + " is not open to this tenant."}
 	}
+	if err := y.read(); err != nil {
+		return err
+	}
 	y.kind = y.pool.Name
 	if !y.lane.Plain {
 		if err := y.parse(); err != nil {
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -47,6 +47,19 @@
 	return http.HandlerFunc(less.Serve), nil
 }
 
+type ctlKey struct{}
+
+// Control gives the controls of a query's connection. rest wraps the writer without a way back to it,
+// so a deadline set through rest's would do nothing.
+//
+//	web.Control(w, r).SetReadDeadline(time.Now().Add(time.Second))
+func Control(w http.ResponseWriter, r *http.Request) *http.ResponseController {
+	if ctl, ok := r.Context().Value(ctlKey{}).(*http.ResponseController); ok {
+		return ctl
+	}
+	return http.NewResponseController(w)
+}
+
 // Server is one listener with its handler.
 type Server struct {
 	l   net.Listener
@@ -63,8 +76,9 @@
 	}
 	// Nothing of the query before on the same connection bounds the writing of this answer.
 	fresh := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		h.ServeHTTP(w, r)
+		ctl := http.NewResponseController(w)
+		ctl.SetWriteDeadline(time.Time{})
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), ctlKey{}, ctl)))
 	})
 	return &Server{l, &http.Server{Handler: fresh, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second,
 		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}, nil
