A planned stop waits as long as what it has read takes

Cause: drain, 30 s by default, ended streams, whole answers and waits that outlasted it. Weighed: a longer default (the same defect, later); the understudy takes the stream over (only where a second run is allowed, and whole answers have no understudy); no bound of its own, the platform's kill being the bound: taken, with drain left as an operator's choice below it. Before (the old bound put back): TestLongDrain red, all four of a stream of 8100 pieces, a whole answer, a once-only query and a waiting one lost 30 s after SIGHUP and SIGTERM. After: all four whole, the router stopped by itself after 38 s. The test's runner comes 31 s after the warning, by another router.

--- /dev/null
+++ b/internal/drill/drain_test.go
@@ -0,0 +1,86 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A router is told to read its settings anew and then to stop, with a stream, a whole answer, a
+// once-only query and a waiting query under way that all take longer than half a minute: none of
+// what it has read is dropped.
+func TestLongDrain(t *testing.T) {
+	mix := Trentvale()
+	mix.Layout["pools"].(obj)["late"] = obj{"select": "app=late", "service": "model"}
+	mix.Layout["lanes"].(obj)["late"] = obj{"rank": 5, "patience_ms": 120000, "tenants": []string{"*"}}
+	mix.Layout["mappings"] = append(mix.Layout["mappings"].([]obj), obj{"method": "POST", "path": "/v1/late", "lane": "late", "pool": "late"},
+		obj{"method": "POST", "path": "/v1/notes", "lane": "notes", "pool": "fit"})
+	mix.Layout["lanes"].(obj)["notes"] = obj{"rank": 5, "tenants": []string{"*"}, "once": true}
+	f := up(t, mix)
+	l := NewLoad(f, 1, 1)
+	l.cli.Timeout = 2 * time.Minute
+	r := f.Routers[0]
+	ctx, end := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer end()
+	var all sync.WaitGroup
+	whole := func(n uint64, path string, once bool, tokens int) {
+		k := Kind{Name: path, Method: "POST", Path: path, Tail: 10, Tokens: tokens, Once: once}
+		if o := l.Ask(k, n, k.body(mix.Model, n, newRand(n)), "yard-a", r); o.Status != 200 || !o.Whole {
+			t.Errorf("%s: answered %d %s %s after %s", path, o.Status, o.Code, o.Err, o.Took)
+		}
+	}
+	rd := l.open(t, r, "yard-a", 1, 8100)
+	all.Go(func() { whole(2, "/v1/checks", false, 8100) })
+	all.Go(func() { whole(3, "/v1/notes", true, 8100) })
+	all.Go(func() { whole(4, "/v1/late", false, 2) })
+	all.Go(func() {
+		for n := 0; ; n++ {
+			switch i, why := rd.next(); {
+			case why != "":
+				if why != "done" || n != 8100 {
+					t.Errorf("the stream ended %q after %d pieces", why, n)
+				}
+				return
+			case i != n:
+				t.Errorf("piece %d in place %d", i, n)
+				return
+			}
+		}
+	})
+	if err := f.Until(ctx, "three run and one waits", func() bool {
+		_, raw, _ := f.Ask(ctx, "GET", r.Operator, "/metrics", nil, nil)
+		return len(f.Diary.All()) == 3 && bytes.Contains(raw, []byte("yarrowridge_queued 1"))
+	}); err != nil {
+		t.Fatal(err)
+	}
+	r.Signal(syscall.SIGHUP)
+	r.Signal(syscall.SIGTERM)
+	at := time.Now()
+	if err := f.Until(ctx, "the router is deaf to new origins", func() bool {
+		ans, err := http.Get("http://" + r.Origin + "/ready")
+		if err == nil {
+			ans.Body.Close()
+		}
+		return err != nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Until(ctx, "more than the old bound of 30 s has passed", func() bool { return time.Since(at) > 31*time.Second }); err != nil {
+		t.Fatal(err)
+	}
+	late := &Standin{Name: "late1", Addr: "127.0.0.1:0", Labels: map[string]string{"app": "late", "model": mix.Model, "hall": "west"}, Room: 4, Most: 8192,
+		Step: time.Millisecond, Diary: f.Diary, Beats: []string{f.Routers[3].Runner}}
+	if err := late.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer late.Crash()
+	all.Wait()
+	if !r.Wait(20 * time.Second) {
+		t.Error("the router does not stop once all is done")
+	}
+	t.Logf("all done and stopped after %s", time.Since(at).Round(time.Second))
+}
--- a/internal/drill/standin.go
+++ b/internal/drill/standin.go
@@ -108,6 +108,7 @@
 	if err != nil {
 		return err
 	}
+	s.Addr = l.Addr().String()
 	s.born = fmt.Sprintf("%s-%d", s.Name, births.Add(1))
 	s.state.Store("ready")
 	s.hang.Store(false)
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -37,7 +37,7 @@
 	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
 	{Name: "runner-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the runners' key; none: beats need no key"},
 	{Name: "seeds", Kind: env.List, Must: true, Help: "addresses of three other processes of the fleet"},
-	{Name: "drain", Kind: env.Span, Def: "30s", Help: "how long a stop waits for queries under way"},
+	{Name: "drain", Kind: env.Span, Help: "the most that a stop waits for queries under way; none: as long as they take"},
 	{Name: "notice", Kind: env.Span, Def: "500ms", Help: "how long a stop goes on serving all after /ready has turned"},
 	{Name: "trace", Kind: env.Text, Help: "file to which each query's trace is appended; none: no traces"},
 	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
@@ -158,7 +158,12 @@
 	ctx.Log.Info("Router leaves. Queries under way are finished.")
 	r.Hub.Quit()
 	env.Wait(ctx, p.Set.Span("notice"))
-	in, end := context.WithTimeout(ctx, p.Set.Span("drain"))
+	// What was read is finished however long it takes; the platform's kill is the bound, unless an
+	// operator has set one below it.
+	in, end := ctx.Context, context.CancelFunc(func() {})
+	if d := p.Set.Span("drain"); d > 0 {
+		in, end = context.WithTimeout(ctx, d)
+	}
 	defer end()
 	for _, s := range faces {
 		if err := s.Drain(in); err != nil {
