--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -422,75 +422,6 @@
 	}
 }
 
-// States of a claim.
-const (
-	ClaimRuns    = 0
-	ClaimDone    = 1
-	ClaimUnknown = 2
-	ClaimFreed   = 3 // let go: anybody but its own late taking may claim the key
-)
-
-func (s *Server) take(ctx context.Context, in *Take) (*Took, error) {
-	out := &Took{}
-	err := s.Submit(ctx, func(tx *Tx) error {
-		key := "claim/" + in.Key
-		raw, ok := tx.Get(key)
-		var old Claim
-		if ok {
-			if _, err := old.UnmarshalMsg(raw); err != nil {
-				return err
-			}
-		}
-		if !ok || old.State == ClaimFreed && old.Id != in.Claim.Id {
-			out.Got = true
-			return tx.Put(key, &in.Claim)
-		}
-		if old.State == ClaimFreed {
-			out.Claim = old
-			return nil
-		}
-		out.Clash = old.Sum != in.Claim.Sum
-		if old.Id == in.Claim.Id {
-			out.Got = !out.Clash
-			return nil
-		}
-		if !out.Clash {
-			out.Claim = old
-			s.mu.Lock()
-			n := s.nodes[old.Node]
-			// Just after a hand-over every node counts as live until it has had time to beat.
-			out.Live = old.State == ClaimRuns && (n != nil && n.node.Born == old.Born && time.Since(n.at) < nodeTerm || time.Since(s.since) < nodeTerm)
-			s.mu.Unlock()
-		}
-		return nil
-	})
-	if err != nil {
-		return nil, err
-	}
-	return out, nil
-}
-
-func (s *Server) settle(ctx context.Context, in *Settle) (*Done, error) {
-	return &Done{}, s.Submit(ctx, func(tx *Tx) error {
-		key := "claim/" + in.Key
-		raw, ok := tx.Get(key)
-		old := Claim{Id: in.Claim.Id}
-		if ok {
-			if _, err := old.UnmarshalMsg(raw); err != nil {
-				return err
-			}
-		}
-		switch {
-		case old.Id != in.Claim.Id || old.State != ClaimRuns || !ok && !in.Free:
-			return nil
-		case in.Free:
-			// The taking itself may still be under way to us: it must find that it was let go.
-			return tx.Put(key, &Claim{Id: in.Claim.Id, State: ClaimFreed})
-		}
-		return tx.Put(key, &in.Claim)
-	})
-}
-
 func (t *Tx) pot(ten string) (share.Pot, error) {
 	var p share.Pot
 	raw, ok := t.Get("share/" + ten)
@@ -617,24 +548,12 @@
 		}
 		return time.Since(at) > d
 	}
-	var gone []string
 	now := map[string]bool{}
 	st := s.st.Load()
 	// There may be very many claims, and none is kept by the second.
 	if time.Since(s.swept10) > 10*time.Second {
 		s.swept10 = time.Now()
-		aged := make(map[string]time.Time, len(s.claims))
-		st.Each("claim/", func(k string, _ []byte) {
-			at, ok := s.claims[k]
-			if !ok {
-				at = s.swept10
-			}
-			if time.Since(at) > lay.Limits.Keep {
-				gone = append(gone, k)
-			}
-			aged[k] = at
-		})
-		s.claims = aged
+		s.sweepClaims(lay.Limits)
 	}
 	var thaw, out [][2]string
 	st.Each("share/", func(k string, raw []byte) {
@@ -668,13 +587,10 @@
 			delete(s.aged, k)
 		}
 	}
-	if len(gone)+len(thaw)+len(out) == 0 {
+	if len(thaw)+len(out) == 0 {
 		return
 	}
-	j := &job{done: make(chan error, 1), do: func(tx *Tx) error {
-		for _, k := range gone {
-			tx.Drop(k)
-		}
+	s.later(func(tx *Tx) error {
 		return s.pots(tx, func(ten string, p *share.Pot) bool {
 			hit := false
 			for _, t := range thaw {
@@ -685,9 +601,13 @@
 			}
 			return hit
 		})
-	}}
+	})
+}
+
+// later puts an operation of our own into the run loop, if there is room.
+func (s *Server) later(do func(tx *Tx) error) {
 	select {
-	case s.box <- j:
+	case s.box <- &job{done: make(chan error, 1), do: do}:
 	default:
 	}
 }
@@ -707,6 +627,7 @@
 	}
 	s.mu.Unlock()
 	st.Each("claim/", func(string, []byte) { out.Claims++ })
+	st.Each(ranHead, func(_ string, v []byte) { out.Parts, out.Ran = out.Parts+1, out.Ran+len(v)/8 })
 	st.Each("share/", func(k string, raw []byte) {
 		var p share.Pot
 		if _, err := p.UnmarshalMsg(raw); err != nil {
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -130,6 +130,8 @@
 	Got   bool  `msg:"g"`
 	Clash bool  `msg:"x"` // same key, another body
 	Live  bool  `msg:"l"` // still running at a live node
+	Ran   bool  `msg:"r"` // it ran; no more is known of it by now
+	Full  bool  `msg:"f"` // no more keys can be kept for now
 	Claim Claim `msg:"c"` // what stands
 }
 
@@ -181,4 +183,6 @@
 	Spares []view.Member `msg:"p" json:"spares"`
 	Sick   bool          `msg:"k" json:"disk_trouble"`
 	Claims int           `msg:"c" json:"claims"`
+	Ran    int           `msg:"a" json:"keys_that_ran"`
+	Parts  int           `msg:"b" json:"parts_of_keys"`
 }
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -1316,9 +1316,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 12
 	// string "v"
-	o = append(o, 0x8a, 0xa1, 0x76)
+	o = append(o, 0x8c, 0xa1, 0x76)
 	o, err = z.View.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -1372,6 +1372,12 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt(o, z.Claims)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.Ran)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.Parts)
 	return
 }
 
@@ -1508,6 +1514,18 @@
 				err = msgp.WrapError(err, "Claims")
 				return
 			}
+		case "a":
+			z.Ran, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ran")
+				return
+			}
+		case "b":
+			z.Parts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1534,7 +1552,7 @@
 	for za0003 := range z.Spares {
 		s += z.Spares[za0003].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.IntSize
+	s += 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
@@ -1766,9 +1784,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Took) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "g"
-	o = append(o, 0x84, 0xa1, 0x67)
+	o = append(o, 0x86, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Got)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
@@ -1776,6 +1794,12 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Live)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Ran)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Full)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o, err = z.Claim.MarshalMsg(o)
@@ -1826,6 +1850,18 @@
 				err = msgp.WrapError(err, "Live")
 				return
 			}
+		case "r":
+			z.Ran, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ran")
+				return
+			}
+		case "f":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
 		case "c":
 			bts, err = z.Claim.UnmarshalMsg(bts)
 			if err != nil {
@@ -1846,7 +1882,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Took) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Claim.Msgsize()
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Claim.Msgsize()
 	return
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,9 +86,11 @@
 	next    time.Time            // earliest next try at taking over
 	bad     map[string]time.Time // members that lately failed as backup
 	aged    map[string]time.Time // cooling and silent holders: since when
-	claims  map[string]time.Time // since when this run knows each claim
+	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
 	swept10 time.Time // of the claims
+	ran     ran
+	ranTurn int // parts put by this run
 	lay     *layout.Layout
 
 	mu     sync.Mutex
@@ -138,7 +141,8 @@
 	st   *store.Store
 	over map[string]*store.Put
 	puts []store.Put
-	size int // bytes put: a batch has to fit one frame to the backup
+	size int  // bytes put: a batch has to fit one frame to the backup
+	ran  bool // it has a part of the keys that ran
 }
 
 // Get reads a key.
@@ -588,6 +592,7 @@
 			return
 		}
 	}
+	s.ran.load(s.st.Load())
 	s.mu.Lock()
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
@@ -925,6 +930,11 @@
 
 // published makes a committed layout the one that is told to nodes.
 func (s *Server) published(tx *Tx) {
+	for _, p := range tx.puts {
+		if strings.HasPrefix(p.Key, ranHead) {
+			s.ran.take(p)
+		}
+	}
 	if p, ok := tx.over["layout"]; ok {
 		var sheet Sheet
 		if _, err := sheet.UnmarshalMsg(p.Val); err == nil {
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -16,6 +16,10 @@
 // Most is the largest layout taken, in bytes.
 const Most = 1 << 20
 
+// RanMost is how many once-only keys that ran are kept unless the layout says otherwise: three days at
+// 60 a second.
+const RanMost = 16_000_000
+
 // Trouble is one thing wrong with a layout, named by its path.
 type Trouble struct {
 	Path string `json:"path"`
@@ -85,7 +89,9 @@
 	Body, Tokens, Queue int
 	BodyTime            time.Duration // within which a body has to come
 	Open                int           // queries under way on one router, in whatever state
-	Keep                time.Duration // how long once-only keys are kept
+	Keep                time.Duration // how long once-only keys are kept with what became of them
+	RanKeep             time.Duration // how long it is kept that a key ran
+	RanMost             int           // how many such keys are kept at the most
 }
 
 // Layout is a checked layout, its names mapped to dense indices.
@@ -416,14 +422,16 @@
 		p.say("allowance.floor_s", "more than full_s expected")
 	}
 	m := doc.Get("limits")
-	p.object("limits", m, []string{"body_bytes", "body_ms", "claim_keep_s", "max_tokens", "open", "queue"}, nil)
+	p.object("limits", m, []string{"body_bytes", "body_ms", "claim_keep_s", "max_tokens", "open", "queue", "ran_keep_s", "ran_most"}, nil)
 	l.Limits = Limits{
 		Body:     p.num("limits.body_bytes", m.Get("body_bytes"), 1, 16<<20, 1<<20),
 		BodyTime: time.Duration(p.num("limits.body_ms", m.Get("body_ms"), 100, 600_000, 10_000)) * time.Millisecond,
 		Tokens:   p.num("limits.max_tokens", m.Get("max_tokens"), 1, 1_000_000, 16384),
 		Queue:    p.num("limits.queue", m.Get("queue"), 1, 100_000, 1000),
 		Open:     p.num("limits.open", m.Get("open"), 1, 1_000_000, 4000),
-		Keep:     time.Duration(p.num("limits.claim_keep_s", m.Get("claim_keep_s"), 10, 86400, 3600)) * time.Second}
+		Keep:     time.Duration(p.num("limits.claim_keep_s", m.Get("claim_keep_s"), 10, 86400, 3600)) * time.Second,
+		RanKeep:  time.Duration(p.num("limits.ran_keep_s", m.Get("ran_keep_s"), 10, 90*86400, 2*86400)) * time.Second,
+		RanMost:  p.num("limits.ran_most", m.Get("ran_most"), 1, 100_000_000, RanMost)}
 	if len(p.out) > 0 {
 		return nil, p.out
 	}
--- a/internal/origin/claims.go
+++ b/internal/origin/claims.go
@@ -114,6 +114,10 @@
 	case out.Got:
 		y.claim = cl
 		return nil
+	case out.Ran:
+		return &Bounce{Status: 409, Code: "ran-before", Unknown: true, Text: "A query with this key ran before; what came of it is no longer kept. It is not run again."}
+	case out.Full:
+		return &Bounce{Status: 503, Code: "keys-full", Retry: time.Minute, Text: "The core keeps as many keys that ran as limits.ran_most allows, so it can take no new one yet."}
 	case out.Clash:
 		return &Bounce{Status: 422, Code: "key-clash", Text: "This key was used for another query."}
 	case out.Live:
