--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -15,6 +15,7 @@
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -328,7 +329,9 @@
 		out.Seq = cur.Seq
 		if !in.Any && in.Match != cur.Seq {
 			out.Code = 412
-			return nil
+			if !strike.Out("race") {
+				return nil
+			}
 		}
 		raw := in.Raw
 		if in.Patch {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -19,6 +19,7 @@
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/lease"
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -480,7 +481,7 @@
 
 // watch takes over from a primary whose lease has run out.
 func (s *Server) watch(v view.View, me string) {
-	if s.vot.Leased() {
+	if s.vot.Leased() || strike.Out("takeover") {
 		s.next = time.Now().Add(rand.N(100 * time.Millisecond))
 		return
 	}
--- a/internal/drill/check_test.go
+++ b/internal/drill/check_test.go
@@ -36,7 +36,7 @@
 	} {
 		outs, seen := good()
 		spoil(&outs, &seen)
-		bad := Check(mix, outs, seen)
+		bad := Check(Evidence{Mix: mix, Outs: outs, Seen: seen})
 		found := name == "" && len(bad) == 0
 		for _, b := range bad {
 			found = found || b.Promise == name
@@ -52,7 +52,7 @@
 	} {
 		outs, seen := good()
 		spoil(seen[0].Head)
-		if bad := Check(mix, outs, seen); len(bad) == 0 || bad[0].Promise != "fidelity" {
+		if bad := Check(Evidence{Mix: mix, Outs: outs, Seen: seen}); len(bad) == 0 || bad[0].Promise != "fidelity" {
 			t.Errorf("%s: found %v", name, bad)
 		}
 	}
--- /dev/null
+++ b/internal/drill/day_test.go
@@ -0,0 +1,68 @@
+package drill
+
+import (
+	"bytes"
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// A short day of each deployment: every promise holds.
+func TestDay(t *testing.T) {
+	for _, c := range [][2]string{
+		{"trentvale", "edits,leave,routers,swap,closing-hall"},
+		{"tokachi", "withdraw,deaf,blank,wipe,closing-all"},
+	} {
+		t.Run(c[0], func(t *testing.T) {
+			var out bytes.Buffer
+			if code := Main([]string{"day", "-mix", c[0], "-bin", bin, "-scale", "0.3", "-slack", "15s", "-course", c[1]}, &out); code != 0 {
+				t.Errorf("the day ended with %d:\n%s", code, out.String())
+			}
+		})
+	}
+}
+
+// For each promise a fleet in which the one mechanism that keeps it is struck out: the drill says that
+// this promise is broken, and ends so. The same courses with nothing struck out hold.
+func TestDrillSeesStrikes(t *testing.T) {
+	dir := t.TempDir()
+	if out, err := exec.Command("go", append(build, "-tags", "strike", "-o", dir, "yarrowridge/cmd/router", "yarrowridge/cmd/core")...).CombinedOutput(); err != nil {
+		t.Fatalf("%s", out)
+	}
+	gate := make(chan bool, 3)
+	for _, c := range []struct{ strike, promise, mix, course string }{
+		{"claim", "once", "trentvale", "half"},
+		{"unknown", "not-run", "trentvale", "half"},
+		{"frame", "answer", "trentvale", "half"},
+		{"tenant", "fidelity", "tokachi", "edits"},
+		{"same", "joined", "tokachi", "half,half"},
+		{"leaving", "leaving", "tokachi", "leave"},
+		{"late", "layout-late", "tokachi", "edits,edits,edits"},
+		{"slip", "slipped-back", "tokachi", "edits"},
+		{"race", "losing-layout", "tokachi", "edits"},
+		{"quota", "quota", "tokachi", "crowd"},
+		{"second", "second-tries", "tokachi", "deaf"},
+		{"drain", "planned-stop", "trentvale", "restart"},
+		{"takeover", "service-back", "trentvale", "primary"},
+		{"disk", "read-back", "tokachi", "edits,closing-all"},
+		{"", "", "trentvale", "half,restart"},
+		{"", "", "tokachi", "leave,edits,half,deaf"},
+	} {
+		t.Run(c.strike+"-"+c.promise, func(t *testing.T) {
+			t.Parallel()
+			gate <- true // a few fleets at once
+			defer func() { <-gate }()
+			var out bytes.Buffer
+			code := rehearse([]string{"day", "-mix", c.mix, "-bin", dir, "-dir", t.TempDir(), "-scale", "0.7", "-slack", "5s", "-course", c.course}, &out, []string{"YARROWRIDGE_STRIKE=" + c.strike})
+			if c.strike == "" {
+				if code != 0 {
+					t.Errorf("nothing is struck out, and the drill ended with %d:\n%s", code, out.String())
+				}
+				return
+			}
+			if code != 1 || !strings.Contains(out.String(), "\n  "+c.promise+": ") {
+				t.Errorf("the drill ended with %d and did not see it:\n%s", code, out.String())
+			}
+		})
+	}
+}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -92,7 +92,7 @@
 			if s := Total(outs); s.Done != s.Queries || s.Queries != len(mix.Kinds)*len(f.Routers) {
 				t.Errorf("%d of %d queries done: %v", s.Done, s.Queries, s.Codes)
 			}
-			for _, b := range Check(mix, outs, f.Diary.All()) {
+			for _, b := range Check(Evidence{Mix: mix, Outs: outs, Seen: f.Diary.All()}) {
 				t.Errorf("%s: %s", b.Promise, b.What)
 			}
 		})
--- a/internal/drill/fault_test.go
+++ b/internal/drill/fault_test.go
@@ -34,7 +34,7 @@
 	stop()
 	all.Wait()
 	outs := l.All()
-	for i, b := range Check(f.Mix, outs, f.Diary.All()) {
+	for i, b := range Check(Evidence{Mix: f.Mix, Outs: outs, Seen: f.Diary.All()}) {
 		if i < 5 {
 			t.Errorf("%s: %s", b.Promise, b.What)
 		}
@@ -268,16 +268,6 @@
 	}
 }
 
-// came tells whether a query of a kind that began after a moment has come to a whole answer.
-func came(outs []Outcome, kind string, from time.Time) bool {
-	for _, o := range outs {
-		if o.Kind == kind && o.Whole && o.Status == 200 && o.Begun.After(from) {
-			return true
-		}
-	}
-	return false
-}
-
 // Half of the routers, the primary and the backup die at once; then every process does.
 func TestHardFaults(t *testing.T) {
 	f := up(t, Tokachi())
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,7 +37,7 @@
 	Runner     string // routers only
 	Operator   string
 	prog       string
-	args       []string
+	args, more []string
 	log        string
 	mu         sync.Mutex
 	cmd        *exec.Cmd
@@ -52,6 +53,9 @@
 	Models  []*Standin
 	Apps    []*Standin
 	Diary   *Diary
+	Lost    time.Duration // after which a silent core's seat may go to a spare
+	seeds   string
+	more    []string // added to the daemons' environment
 	ports   []net.Listener
 }
 
@@ -70,7 +74,7 @@
 //
 //	f, err := drill.NewFleet(drill.Trentvale(), "bin", dir)
 func NewFleet(mix Mix, bin, dir string) (*Fleet, error) {
-	f := &Fleet{Mix: mix, Dir: dir, Diary: &Diary{}}
+	f := &Fleet{Mix: mix, Dir: dir, Diary: &Diary{}, Lost: 10 * time.Second}
 	hash := layout.HashKey(OperatorKey)
 	var err error
 	at := func() string {
@@ -91,14 +95,13 @@
 		f.Routers = append(f.Routers, &Proc{Name: fmt.Sprintf("%s%d", hall, i/len(mix.Halls)+1), Hall: hall,
 			Addr: at(), Origin: at(), Runner: at(), Operator: at(), prog: filepath.Join(bin, "router")})
 	}
+	f.seeds = strings.Join(founders[:2], ",") + "," + f.Routers[0].Addr
 	for _, p := range f.Cores {
-		p.args = []string{"-name", p.Name, "-hall", p.Hall, "-addr", p.Addr, "-operator", p.Operator, "-operator-key-hash", hash,
-			"-founders", strings.Join(founders, ","), "-data", filepath.Join(dir, p.Name), "-log", "debug"}
+		p.args = append(f.coreArgs(p), "-founders", strings.Join(founders, ","))
 	}
-	seeds := strings.Join(founders[:2], ",") + "," + f.Routers[0].Addr
 	for _, p := range f.Routers {
 		p.args = []string{"-name", p.Name, "-hall", p.Hall, "-addr", p.Addr, "-origin", p.Origin, "-runner", p.Runner,
-			"-operator", p.Operator, "-operator-key-hash", hash, "-seeds", seeds, "-log", "debug"}
+			"-operator", p.Operator, "-operator-key-hash", hash, "-seeds", f.seeds, "-log", "debug"}
 	}
 	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
 		p.log = filepath.Join(dir, p.Name+".log")
@@ -130,6 +133,42 @@
 	return f, err
 }
 
+// coreArgs are a core's flags, but for the founders.
+func (f *Fleet) coreArgs(p *Proc) []string {
+	return []string{"-name", p.Name, "-hall", p.Hall, "-addr", p.Addr, "-operator", p.Operator, "-operator-key-hash", layout.HashKey(OperatorKey),
+		"-data", filepath.Join(f.Dir, p.Name), "-log", "debug", "-lost", f.Lost.String()}
+}
+
+// SetLost changes, before the start, after which silence a core's seat may go to a spare.
+//
+//	f.SetLost(2 * time.Second)
+func (f *Fleet) SetLost(d time.Duration) {
+	f.Lost = d
+	for _, p := range f.Cores {
+		p.args[slices.Index(p.args, "-lost")+1] = d.String()
+	}
+}
+
+// NewCore makes a core that was not there before: blank, at new addresses, knowing the first seeds only.
+//
+//	p, err := f.NewCore("core6", "north")
+func (f *Fleet) NewCore(name, hall string) (*Proc, error) {
+	p := &Proc{Name: name, Hall: hall, prog: f.Cores[0].prog, more: f.more, log: filepath.Join(f.Dir, name+".log")}
+	var err error
+	if p.Addr, err = f.port(); err != nil {
+		return nil, err
+	}
+	if p.Operator, err = f.port(); err != nil {
+		return nil, err
+	}
+	for _, l := range f.ports {
+		l.Close()
+	}
+	f.ports = nil
+	p.args = append(f.coreArgs(p), "-seeds", f.seeds)
+	return p, nil
+}
+
 // Start begins a process.
 //
 //	err := f.Cores[0].Start()
@@ -140,7 +179,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(p.prog, p.args...)
-	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Stdout, cmd.Stderr, cmd.Env = out, out, append(os.Environ(), p.more...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return eris.Wrapf(err, "drill: start %s", p.Name)
@@ -203,6 +242,7 @@
 	}
 	f.ports = nil
 	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
+		p.more = f.more
 		if err := p.Start(); err != nil {
 			return err
 		}
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,12 +33,13 @@
 	Begun   time.Time
 	Took    time.Duration
 	Status  int
-	Code    string // of a bounce or trouble
-	Run     string // "not run" or "unknown", as said by the router
-	Retry   string // Retry-After
-	Query   string // the router's id
-	Whole   bool   // the whole answer came, and says it is complete
-	Pieces  []int  // numbers of the stream's pieces, as they came
+	Code    string   // of a bounce or trouble
+	Run     string   // "not run" or "unknown", as said by the router
+	Retry   string   // Retry-After
+	Query   string   // the router's id
+	Whole   bool     // the whole answer came, and says it is complete
+	Pieces  []int    // numbers of the stream's pieces, as they came
+	Marks   []string // the runs that made them, where pieces tell
 	Echo    string
 	Err     string // the connection broke
 	Resumed int    // times the stream was asked for again
@@ -71,28 +73,46 @@
 	var all sync.WaitGroup
 	for i, k := range l.Fleet.Mix.Kinds {
 		r := rand.New(rand.NewPCG(l.Seed, uint64(i)))
-		all.Go(func() {
-			for {
-				wait := time.Duration(r.ExpFloat64() / (k.Rate * l.Scale) * float64(time.Second))
-				if !env.Wait(ctx, wait) {
-					return
-				}
-				n := l.next.Add(1)
-				body := k.body(l.Fleet.Mix.Model, n, r)
-				from := r.IntN(len(l.Fleet.Routers))
-				ten := l.tenant(r)
-				all.Go(func() { l.one(k, n, body, ten, from) })
-			}
-		})
+		all.Go(func() { l.kind(ctx, k, l.Scale, r, &all) })
+	}
+	all.Wait()
+}
+
+// Burst plays on top of the load for as long as ctx runs: scale times the mix's own traffic, over docs
+// shared prefixes where docs is above zero.
+//
+//	l.Burst(ctx, 5, 1)
+func (l *Load) Burst(ctx context.Context, scale float64, docs int) {
+	var all sync.WaitGroup
+	for i, k := range l.Fleet.Mix.Kinds {
+		if docs > 0 {
+			k.Docs = docs
+		}
+		all.Go(func() { l.kind(ctx, k, scale, rand.New(rand.NewPCG(l.Seed, uint64(100+i))), &all) })
 	}
 	all.Wait()
 }
 
+// kind asks for one kind of query at its pace until ctx ends.
+func (l *Load) kind(ctx context.Context, k Kind, scale float64, r *rand.Rand, all *sync.WaitGroup) {
+	for {
+		wait := time.Duration(r.ExpFloat64() / (k.Rate * scale) * float64(time.Second))
+		if !env.Wait(ctx, wait) {
+			return
+		}
+		n := l.next.Add(1)
+		body := k.body(l.Fleet.Mix.Model, n, r)
+		from := r.IntN(len(l.Fleet.Routers))
+		ten := l.tenant(r)
+		all.Go(func() { l.one(k, n, body, ten, from) })
+	}
+}
+
 func (l *Load) tenant(r *rand.Rand) string {
 	list := payers(l.Fleet.Mix)
-	// A few tenants are large: half of the traffic is the first two's.
+	// A few tenants are large: half of the traffic is two of them's. None has a quota.
 	if r.IntN(2) == 0 {
-		return list[r.IntN(2)]
+		return list[1+r.IntN(2)]
 	}
 	return list[r.IntN(len(list))]
 }
@@ -112,6 +132,9 @@
 		if !k.Once && !strings.HasPrefix(k.Method, "G") && o.Err != "" {
 			again = o.Status == 0 // the connection was refused
 		}
+		if k.Once && o.Code == "runner-lost" {
+			again = true // with its key, to learn what became of it
+		}
 		if !again || o.Status == 402 || o.Status == 429 || o.Code == "outcome-unknown" {
 			return
 		}
@@ -198,6 +221,9 @@
 	}
 	if ans.StatusCode == 200 {
 		o.Whole, o.Echo = true, gjson.GetBytes(raw, "echo").String()
+		if !gjson.ValidBytes(raw) {
+			o.Echo = "cut"
+		}
 		return o
 	}
 	o.Code, o.Run = gjson.GetBytes(raw, "error.code").String(), gjson.GetBytes(raw, "error.run").String()
@@ -218,6 +244,9 @@
 			o.Code, o.Run = gjson.Get(s, "error.code").String(), gjson.Get(s, "error.run").String()
 		default:
 			o.Pieces = append(o.Pieces, int(gjson.Get(s, "i").Int()))
+			if m := gjson.Get(s, "run").Str; m != "" && !slices.Contains(o.Marks, m) {
+				o.Marks = append(o.Marks, m)
+			}
 			if e := gjson.Get(s, "echo").String(); o.Echo == "" || o.Echo == e {
 				o.Echo = e
 			} else {
--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +21,8 @@
   drill fleet  [flags]   start a whole fleet with stand-in runners, until interrupted
   drill load   [flags]   start a fleet and play the mix's origins against it
   drill hall   [flags]   the same, and take a hall out and bring it back meanwhile
+  drill day    [flags]   start a fleet and play a day: traffic, operators, a course of faults drawn from
+                         the seed or given by -course, and a closing fault
   drill layout [flags]   print the mix's example layout
 
 `
@@ -28,7 +31,10 @@
 // fleet did not come up, 2 the command line does not hold.
 //
 //	os.Exit(drill.Main(os.Args[1:], os.Stdout))
-func Main(args []string, out io.Writer) int {
+func Main(args []string, out io.Writer) int { return rehearse(args, out, nil) }
+
+// rehearse is Main with something added to the daemons' environment.
+func rehearse(args []string, out io.Writer, more []string) int {
 	if len(args) == 0 {
 		fmt.Fprint(out, usage)
 		return env.ExitSet
@@ -41,7 +47,10 @@
 	dir := fs.String("dir", "", "folder for data and logs; none: a new one, removed after a good end")
 	scale := fs.Float64("scale", 1, "traffic, as a multiple of the deployment's own")
 	span := fs.Duration("for", 10*time.Second, "how long to play")
-	seed := fs.Uint64("seed", 1, "seed of the traffic")
+	seed := fs.Uint64("seed", 1, "seed of the traffic, and of a day's course")
+	plan := fs.String("course", "", "a day's events, comma-separated, in place of those drawn; the last may be closing-hall, closing-all or closing-routers")
+	many := fs.Int("events", 8, "how many events a day has")
+	slack := fs.Duration("slack", 3*time.Second, "what a slow machine is given beyond a promise's time")
 	if err := fs.Parse(args[1:]); err != nil {
 		return env.ExitSet
 	}
@@ -54,7 +63,23 @@
 		out.Write(mix.Raw())
 		return env.ExitOk
 	}
-	if args[0] != "fleet" && args[0] != "load" && args[0] != "hall" {
+	names := course(mix, *seed, *many)
+	if *plan != "" {
+		names = strings.Split(*plan, ",")
+	}
+	for _, n := range names {
+		if c, ok := strings.CutPrefix(n, "closing-"); find(events, n) == nil && !(ok && find(closings, c) != nil) {
+			fmt.Fprintf(out, "drill: -course: %q is no event; expected are:\n", n)
+			for _, e := range events {
+				fmt.Fprintf(out, "  %-9s %s\n", e.name, e.what)
+			}
+			for _, e := range closings {
+				fmt.Fprintf(out, "  closing-%s: %s\n", e.name, e.what)
+			}
+			return env.ExitSet
+		}
+	}
+	if args[0] != "fleet" && args[0] != "load" && args[0] != "hall" && args[0] != "day" {
 		fmt.Fprintf(out, "drill: %q is not a command\n\n%s", args[0], usage)
 		return env.ExitSet
 	}
@@ -70,7 +95,24 @@
 	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
+	if args[0] == "day" {
+		// A quota that the traffic reaches.
+		for _, n := range payers(mix) {
+			if q, ok := mix.Layout["tenants"].(obj)[n].(obj)["quota"].(obj); ok {
+				q["units"], q["window_s"] = 12, 5
+			}
+		}
+		for _, s := range mix.Layout["services"].(obj) {
+			s.(obj)["second_spare"] = mix.Routers
+		}
+	}
 	f, err := NewFleet(mix, *bin, *dir)
+	if err == nil {
+		f.more = more
+	}
+	if err == nil && args[0] == "day" {
+		f.SetLost(2 * time.Second)
+	}
 	if err == nil {
 		defer f.Stop()
 		up, stop := context.WithTimeout(ctx, 60*time.Second)
@@ -95,6 +137,13 @@
 	}
 	fmt.Fprintf(out, "fleet is up: %d cores, %d routers, %d runners; seed %d\n", len(f.Cores), len(f.Routers), len(f.Models)+len(f.Apps), *seed)
 	load := NewLoad(f, *scale, *seed)
+	if args[0] == "day" {
+		fmt.Fprintf(out, "course %s\n", strings.Join(names, ","))
+		ev, err := NewDay(f, load, *seed, out).Run(ctx, names, *slack)
+		Total(ev.Outs).Print(out)
+		fmt.Fprintf(out, "seen: %d queries at runners, %d writes, %d looks at layouts\n", len(ev.Seen), len(ev.Edits), len(ev.Sights))
+		return verdict(out, Check(ev), err, *seed, strings.Join(names, ","), *dir, tidy)
+	}
 	run, stop := context.WithTimeout(ctx, *span)
 	defer stop()
 	done := make(chan struct{})
@@ -108,13 +157,32 @@
 	<-done
 	outs := load.All()
 	Total(outs).Print(out)
-	bad := Check(mix, outs, f.Diary.All())
-	if len(bad) > 0 {
-		fmt.Fprintf(out, "BROKEN with seed %d: %d breaches; the first: %s: %s\nlogs are under %s\n", *seed, len(bad), bad[0].Promise, bad[0].What, *dir)
-		return env.ExitTrouble
+	return verdict(out, Check(Evidence{Mix: mix, Outs: outs, Seen: f.Diary.All()}), nil, *seed, "", *dir, tidy)
+}
+
+// verdict prints what became of the promises: each that was broken once, by its first breach.
+func verdict(out io.Writer, bad []Breach, err error, seed uint64, course, dir string, tidy func() int) int {
+	if len(bad) == 0 && err == nil {
+		fmt.Fprintf(out, "all promises held (seed %d)\n", seed)
+		return tidy()
+	}
+	fmt.Fprintf(out, "BROKEN with seed %d", seed)
+	if course != "" {
+		fmt.Fprintf(out, " and course %s", course)
+	}
+	fmt.Fprintf(out, ": %d breaches\n", len(bad))
+	said := map[string]bool{}
+	for _, b := range bad {
+		if !said[b.Promise] {
+			fmt.Fprintf(out, "  %s: %s\n", b.Promise, b.What)
+		}
+		said[b.Promise] = true
+	}
+	if err != nil {
+		fmt.Fprintf(out, "  the day was cut short: %s\n", err)
 	}
-	fmt.Fprintf(out, "all promises held (seed %d)\n", *seed)
-	return tidy()
+	fmt.Fprintf(out, "logs are under %s\n", dir)
+	return env.ExitTrouble
 }
 
 // hall kills every process of one hall, runners too, and starts them again later.
--- a/internal/drill/mix.go
+++ b/internal/drill/mix.go
@@ -73,7 +73,7 @@
 				"orders": obj{"select": "app=orders", "service": "orders"}},
 			"lanes": obj{
 				"checks":        obj{"rank": 2, "patience_ms": 10000, "tenants": []string{"*"}},
-				"writeups":      obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}},
+				"writeups":      obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}, "repeat": true},
 				"confirmations": obj{"rank": 1, "patience_ms": 5000, "tenants": []string{"*"}, "once": true, "plain": true}},
 			"mappings": []obj{
 				{"method": "POST", "path": "/v1/checks", "lane": "checks", "pool": "fit"},
@@ -100,7 +100,7 @@
 				"status": obj{"select": "app=status, !retired", "service": "status"}},
 			"lanes": obj{
 				"notes":   obj{"rank": 2, "patience_ms": 10000, "tenants": []string{"*"}, "once": true},
-				"replies": obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}},
+				"replies": obj{"rank": 4, "patience_ms": 30000, "tenants": []string{"*"}, "repeat": true},
 				"status":  obj{"rank": 1, "patience_ms": 3000, "tenants": []string{"*"}, "plain": true}},
 			"mappings": []obj{
 				{"method": "POST", "path": "/v1/notes", "lane": "notes", "pool": "loans"},
--- a/internal/drill/standin.go
+++ b/internal/drill/standin.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -95,6 +96,7 @@
 	mu     sync.Mutex
 	cache  map[[32]byte]bool
 	srv    *http.Server
+	ctx    context.Context
 	end    context.CancelFunc
 }
 
@@ -118,8 +120,8 @@
 	s.mu.Unlock()
 	ctx, end := context.WithCancel(context.Background())
 	s.end = end
-	s.srv = &http.Server{Handler: s, BaseContext: func(net.Listener) context.Context { return ctx }}
-	go s.srv.Serve(l)
+	s.ctx = ctx
+	s.serve(l)
 	go func() {
 		t := time.NewTicker(500 * time.Millisecond)
 		defer t.Stop()
@@ -161,6 +163,29 @@
 //	s.CutAfter(5)
 func (s *Standin) CutAfter(n int) { s.cutAt.Store(int64(n)) }
 
+// Deaf closes the listener and all connections; beats go on. Hear listens again, as the same run.
+//
+//	s.Deaf(); defer s.Hear()
+func (s *Standin) Deaf() { s.srv.Close() }
+
+// Hear ends Deaf.
+//
+//	err := s.Hear()
+func (s *Standin) Hear() error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	s.serve(l)
+	return nil
+}
+
+func (s *Standin) serve(l net.Listener) {
+	ctx := s.ctx
+	s.srv = &http.Server{Handler: s, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go s.srv.Serve(l)
+}
+
 // Leave tells the router asked that this runner leaves, and returns once that was taken.
 //
 //	at := s.Leave(ctx)
@@ -223,12 +248,14 @@
 		if !env.Wait(ctx, s.Step) {
 			panic(http.ErrAbortHandler)
 		}
-		if c := s.cutAt.Load(); c > 0 {
-			cut(w)
-		}
 		raw, _ := json.Marshal(map[string]any{"echo": Echo(body), "path": r.URL.RequestURI(), "tenant": r.Header.Get("X-Yarrowridge-Tenant")})
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		if s.cutAt.Load() > 0 {
+			w.Write(raw[:len(raw)/2])
+			http.NewResponseController(w).Flush()
+			cut(w)
+		}
 		w.Write(raw)
 		s.Diary.end(seen)
 		return
@@ -246,6 +273,9 @@
 	if stream {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
+	// A third of the prompts is answered alike by every run. Of the others each piece, or each from some
+	// piece on, carries its run's mark, so that two runs that were joined can be told.
+	from := map[byte]int{0: 0, 1: rand.IntN(max(1, tokens)), 2: tokens}[Echo(body)[0]%3]
 	for i := range tokens {
 		n = s.active.Load()
 		if !env.Wait(ctx, s.Step+time.Duration(s.Slow*float64(n-1)*float64(s.Step))) {
@@ -257,7 +287,11 @@
 		s.queued.Add(-1)
 		left--
 		if stream {
-			fmt.Fprintf(w, "data: {\"i\":%d,\"echo\":%q,\"text\":\"w%d %s\"}\n\n", i, Echo(body), i, pad)
+			run := ""
+			if i >= from {
+				run = fmt.Sprintf(`,"run":%q`, r.Header.Get("X-Yarrowridge-Query"))
+			}
+			fmt.Fprintf(w, "data: {\"i\":%d,\"echo\":%q%s,\"text\":\"w%d %s\"}\n\n", i, Echo(body), run, i, pad)
 			http.NewResponseController(w).Flush()
 		}
 	}
--- a/internal/drill/stream_test.go
+++ b/internal/drill/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,7 +24,11 @@
 
 func (l *Load) open(t *testing.T, r *Proc, ten string, n uint64, tokens int) *reader {
 	t.Helper()
-	k := Kind{Name: "writeups", Method: "POST", Path: "/v1/writeups", Tail: 10, Tokens: tokens, Stream: true}
+	return l.begin(t, r, Kind{Path: "/v1/writeups", Tail: 10, Tokens: tokens, Stream: true}, ten, n)
+}
+
+func (l *Load) begin(t *testing.T, r *Proc, k Kind, ten string, n uint64) *reader {
+	t.Helper()
 	req, err := http.NewRequest("POST", "http://"+r.Origin+k.Path, strings.NewReader(string(k.body(l.Fleet.Mix.Model, n, newRand(n)))))
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +102,9 @@
 // Streams through lost origins, routers and runners: resumed at any piece through any router, with
 // no gap, no repeat and no false end, and only by the tenant that owns them.
 func TestStreams(t *testing.T) {
-	f := up(t, Trentvale())
+	mix := Trentvale()
+	mix.Layout["lanes"].(obj)["writeups"].(obj)["repeat"] = false
+	f := up(t, mix)
 	l := NewLoad(f, 1, 1)
 	ctx, end := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer end()
@@ -199,6 +206,82 @@
 	})
 }
 
+// A router is killed in the middle of two streams, and the runner of a third breaks off: what is
+// answered alike by every run comes whole, through the understudy or another runner; what is not ends as
+// run-differs.
+func TestStreamsCarryOn(t *testing.T) {
+	f := up(t, Tokachi())
+	l := NewLoad(f, 1, 1)
+	k := Kind{Path: "/v1/replies", Tail: 10, Tokens: 300, Stream: true}
+	// kind finds a number whose prompt is answered alike by all runs, or never.
+	next := uint64(1)
+	kind := func(alike byte) uint64 {
+		for ; Echo(k.body(f.Mix.Model, next, newRand(next)))[0]%3 != alike; next++ {
+		}
+		next++
+		return next - 1
+	}
+	// First tries earn second ones.
+	var all sync.WaitGroup
+	for i := range 24 * len(f.Routers) {
+		n := uint64(100000 + i)
+		q := f.Mix.Kinds[0]
+		all.Go(func() {
+			if o := l.Ask(q, n, q.body(f.Mix.Model, n, newRand(n)), "desk-a", f.Routers[i%len(f.Routers)]); o.Status != 200 {
+				t.Errorf("%d %s", o.Status, o.Code)
+			}
+		})
+	}
+	all.Wait()
+	cut := l.begin(t, f.Routers[0], k, "desk-a", kind(2))
+	for range 20 {
+		cut.next()
+	}
+	for _, s := range f.Diary.All() {
+		if s.Head.Get("X-Yarrowridge-Query") == cut.id {
+			for _, m := range f.Models {
+				if m.Name == s.Runner {
+					m.CutAfter(1)
+				}
+			}
+		}
+	}
+	n, why := 20, ""
+	for i := 0; why == ""; n++ {
+		if i, why = cut.next(); why == "" && i != n {
+			t.Fatalf("piece %d in place %d", i, n)
+		}
+	}
+	if why != "done" || n != 301 {
+		t.Errorf("the stream whose runner broke off ended %q after %d pieces", why, n-1)
+	}
+	alike, other := l.begin(t, f.Routers[1], k, "desk-a", kind(2)), l.begin(t, f.Routers[1], k, "desk-a", kind(0))
+	for i := range 20 {
+		if a, _ := alike.next(); a != i {
+			t.Fatalf("piece %d in place %d", a, i)
+		}
+		other.next()
+	}
+	f.Routers[1].Kill()
+	drain := func(r *reader) (n int) {
+		for n = 20; ; n++ {
+			if _, why := r.next(); why != "" {
+				return n
+			}
+		}
+	}
+	at := time.Now()
+	n = drain(alike)
+	if got, why := l.rest(t, f.Routers[3], "desk-a", alike.id, n); why != "done" || n+len(got) != 300 || !follows(got, n) {
+		t.Errorf("resumed after %d: %d pieces, ended %q", n, len(got), why)
+	}
+	t.Logf("the stream whose router was killed was whole after %s", time.Since(at).Round(10*time.Millisecond))
+	n = drain(other)
+	if got, why := l.rest(t, f.Routers[3], "desk-a", other.id, n); why != "run-differs" || !follows(got, n) {
+		t.Errorf("runs that differ, resumed after %d: %d pieces, ended %q", n, len(got), why)
+	}
+}
+
 // lines scans a stream, however long its lines are.
 func lines(in io.Reader) *bufio.Scanner {
 	sc := bufio.NewScanner(in)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -15,6 +15,7 @@
 	Allowance *prometheus.CounterVec
 	Wait      prometheus.Histogram
 	Dispatch  *prometheus.HistogramVec
+	Firsts    *prometheus.CounterVec
 	Seconds   *prometheus.CounterVec
 	Repeats   *prometheus.CounterVec
 }
@@ -30,10 +31,11 @@
 		Allowance: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_allowance_decisions_total", Help: "Decisions of the free output allowance."}, []string{"tenant_kind", "outcome", "asked", "allowance"}),
 		Wait:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "yarrowridge_allowance_wait_seconds", Help: "Estimated wait that sized an allowance.", Buckets: spans}),
 		Dispatch:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "yarrowridge_dispatch_wait_seconds", Help: "Time from arrival to dispatch.", Buckets: spans}, []string{"tenant_kind"}),
+		Firsts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_first_tries_total", Help: "First tries, by service."}, []string{"service"}),
 		Seconds:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_tries_total", Help: "Second tries, by service and whether they were let through."}, []string{"service", "let"}),
 		Repeats:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_runs_total", Help: "Second runs of lost streams, by lane and code."}, []string{"lane", "code"}),
 	}
-	m.reg.MustRegister(m.Queries, m.Allowance, m.Wait, m.Dispatch, m.Seconds, m.Repeats)
+	m.reg.MustRegister(m.Queries, m.Allowance, m.Wait, m.Dispatch, m.Firsts, m.Seconds, m.Repeats)
 	for k, f := range gauge {
 		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: k, Help: "See docs/metrics.md."}, f))
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -15,6 +15,7 @@
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/relay"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -81,6 +82,12 @@
 		return
 	}
 	lay.Seq = r.Turn
+	if old := h.lay.Load(); strike.Out("late") && old != nil {
+		time.AfterFunc(12*time.Second, func() { h.lay.Store(lay) })
+		return
+	} else if strike.Out("slip") && old != nil {
+		time.AfterFunc(time.Second, func() { h.lay.Store(old) })
+	}
 	h.lay.Store(lay)
 	next := make(chan struct{})
 	close(*h.turn.Swap(&next))
@@ -92,6 +99,16 @@
 //	lay := hub.Layout()
 func (h *Hub) Layout() *layout.Layout { return h.lay.Load() }
 
+// Hash is the hex SHA-256 of the layout obeyed, as it was put; "" before the first.
+//
+//	same := hub.Hash() == layout.HashKey(string(raw))
+func (h *Hub) Hash() string {
+	if lay := h.Layout(); lay != nil {
+		return layout.HashKey(string(lay.Raw))
+	}
+	return ""
+}
+
 // Turn is closed once a newer layout is in force. Ask for it before Layout, so as to miss none.
 //
 //	turn, lay := hub.Turn(), hub.Layout()
--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -15,6 +15,7 @@
 
 	"yarrowridge/internal/query"
 	"yarrowridge/internal/runner"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/web"
 )
 
@@ -167,7 +168,7 @@
 	if context.Cause(ctx) == errSilent {
 		return &Bounce{Status: 504, Code: "runner-silent", Unknown: true, Text: "The runner sent nothing for too long."}
 	}
-	return &Bounce{Status: 502, Code: "runner-lost", Unknown: true, Text: "The runner broke off before its answer was whole."}
+	return &Bounce{Status: 502, Code: "runner-lost", Unknown: !strike.Out("unknown"), Text: "The runner broke off before its answer was whole."}
 }
 
 // pass copies the runner's headers for the origin.
@@ -197,7 +198,7 @@
 			return y.tokens, &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
 		}
 	}
-	if err != io.EOF {
+	if err != io.EOF && !strike.Out("frame") {
 		return y.tokens, y.lost(e, ctx, err)
 	}
 	if !y.lane.Plain {
--- a/internal/origin/claims.go
+++ b/internal/origin/claims.go
@@ -12,6 +12,7 @@
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/node"
+	"yarrowridge/internal/strike"
 )
 
 // KeyHead is the header by which an origin names a query that may run only once.
@@ -87,7 +88,7 @@
 // the earlier one. Without the core it doesn't run.
 func (y *way) claimed() error {
 	key := y.r.Header.Get(KeyHead)
-	if !y.lane.Once || key == "" {
+	if !y.lane.Once || key == "" || strike.Out("claim") {
 		return nil
 	}
 	if len(key) > 200 {
--- a/internal/origin/second.go
+++ b/internal/origin/second.go
@@ -6,6 +6,7 @@
 
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/meter"
+	"yarrowridge/internal/strike"
 )
 
 // Second bounds second tries. Each first try to a service earns a share of a second one; what is
@@ -55,6 +56,7 @@
 	defer s.mu.Unlock()
 	t := s.of(svc.Name)
 	t.first = append(t.first, time.Now())
+	s.meter.Firsts.WithLabelValues(svc.Name).Inc()
 	t.have = min(float64(part), t.have+svc.Share)
 }
 
@@ -76,7 +78,7 @@
 	defer s.mu.Unlock()
 	t := s.of(svc.Name)
 	let := "no"
-	if t.have >= 1-1e-9 {
+	if t.have >= 1-1e-9 || strike.Out("second") {
 		t.have--
 		t.again = append(t.again, time.Now())
 		let = "yes"
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -17,6 +17,7 @@
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/query"
 	"yarrowridge/internal/runner"
+	"yarrowridge/internal/strike"
 )
 
 // linger is how long a stream runs on for an origin that may come back.
@@ -104,7 +105,7 @@
 			came++
 			if p := number(ev, seen); seen > held {
 				batch = append(batch, p)
-			} else if !c.st.Same(seen-1, p) {
+			} else if !c.st.Same(seen-1, p) && !strike.Out("same") {
 				return rest, errDiffers
 			}
 			if in.Buffered() == 0 || came >= 64 {
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -21,6 +21,7 @@
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/trail"
 	"yarrowridge/internal/web"
 	"yarrowridge/internal/wire"
@@ -156,6 +157,9 @@
 	ctx.Log.Info("Router is up.", "addr", p.Set["addr"], "origin", p.Set["origin"], "hall", ctx.Hall)
 
 	<-p.Stop
+	if strike.Out("drain") {
+		return nil
+	}
 	ctx.Log.Info("Router leaves. Queries under way are finished.")
 	r.Hub.Quit()
 	env.Wait(ctx, p.Set.Span("notice"))
@@ -234,7 +238,7 @@
 func (r *Router) views() map[string]func() any {
 	return map[string]func() any{
 		"/v1/standing": func() any {
-			return map[string]any{"node": r.Hub.Me(), "stale": r.Hub.Stale(), "why_not_ready": r.Hub.Ready(), "view": r.Hub.Core.View()}
+			return map[string]any{"node": r.Hub.Me(), "layout_sha256": r.Hub.Hash(), "stale": r.Hub.Stale(), "why_not_ready": r.Hub.Ready(), "view": r.Hub.Core.View()}
 		},
 		"/v1/relays": func() any { return map[string]any{"near": r.Hub.Near(), "nodes": r.Hub.Nodes()} },
 		"/v1/runners": func() any {
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"yarrowridge/internal/strike"
 )
 
 // Sender is the one place that sends queries to runners. It is built on net/http rather than httpc:
@@ -102,6 +104,9 @@
 	req.Header = Clean(out.Head)
 	req.Header.Del("Authorization")
 	req.Header.Set(TenantHead, out.Tenant)
+	if strike.Out("tenant") {
+		req.Header.Set(TenantHead, out.Head.Get(TenantHead))
+	}
 	req.Header.Set(QueryHead, out.Id)
 	if len(req.Header["User-Agent"]) == 0 {
 		req.Header["User-Agent"] = []string{""} // else net/http names itself
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -12,6 +12,7 @@
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/relay"
+	"yarrowridge/internal/strike"
 )
 
 // What decides a runner's standing.
@@ -115,6 +116,9 @@
 		if _, err := n.UnmarshalMsg(r.Body); err != nil {
 			return
 		}
+		if strike.Out("leaving") && n.State == "leaving" {
+			n.State = "ready"
+		}
 		y.mu.Lock()
 		e := y.by[n.Addr]
 		if e == nil || e.gen != r.Gen {
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"yarrowridge/internal/strike"
 )
 
 // Margin is added to the window before a spent unit counts as back: it covers the time between
@@ -86,7 +88,7 @@
 	if now.Sub(p.heard) > Term {
 		return false, time.Minute
 	}
-	if p.free(now) < n {
+	if p.free(now) < n && !strike.Out("quota") {
 		p.need = max(p.need, n)
 		again := time.Second
 		if len(p.spent) > 0 && p.units >= n {
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"yarrowridge/internal/strike"
 )
 
 // Disk is one data folder. Write returns only once the file would outlive a loss of power.
@@ -34,6 +36,9 @@
 //
 //	err := d.Write("ballot", raw)
 func (d Folder) Write(name string, data []byte) error {
+	if strike.Out("disk") && strings.HasPrefix(name, "v-") {
+		return nil
+	}
 	side := filepath.Join(d.Path, name+".aside")
 	f, err := os.OpenFile(side, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
 	if err != nil {
