The core greets routers that it does not hear: old seeds no longer strand them

Cause: a router's seeds name two founders and one router. With all five cores swapped and every router killed at once, nobody whom a new router asks knows where the core is: no service, for good.

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -208,6 +208,9 @@
 	default:
 		old.at = time.Now()
 	}
+	if !in.Leave {
+		defer s.remember(n)
+	}
 	s.prune()
 	out := &Told{View: s.vot.View(), Seq: s.sheet.Seq, Roll: s.roll}
 	// A primary that has just begun does not know all nodes yet, so it names none.
@@ -525,16 +528,18 @@
 	s.swept = time.Now()
 	s.mu.Lock()
 	ready, sheet := s.ready, s.sheet
-	live, here := map[string]bool{}, map[string]bool{}
+	live, here, at := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	s.prune()
 	for _, n := range s.nodes {
 		live[Holder(n.node)] = true
 		here[n.node.Name+"@"+n.node.Addr] = true
+		at[n.node.Addr] = true
 	}
 	s.mu.Unlock()
 	if !ready {
 		return
 	}
+	s.greet(at)
 	lay := s.parsed(sheet)
 	if lay == nil {
 		return
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -89,7 +89,8 @@
 	aged    map[string]time.Time // cooling and silent holders: since when
 	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
-	swept10 time.Time // of the claims
+	swept10 time.Time            // of the claims
+	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
 	ranTurn int // parts put by this run
 	lay     *layout.Layout
@@ -208,7 +209,7 @@
 	}
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
-		aged: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
+		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.st.Store(st)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -244,6 +244,11 @@
 			h.Spread(relay.Tell{From: in.From, Recs: in.Recs})
 			return &relay.Tell{From: h.ctx.Name, Recs: h.Board.Pick(in.Want)}, nil
 		})
+	case "node.view":
+		return wire.On(body, func(in *view.Learn) (*core.Done, error) {
+			h.Core.Learn(in.View)
+			return &core.Done{}, nil
+		})
 	case "node.roll":
 		return &Roll{h.Nodes()}, nil
 	}
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -196,6 +196,34 @@
 			}
 			return true
 		})
+		// Every router starts again with seeds that name machines long gone; then every process does.
+		ready := func() bool {
+			for _, r := range f.routers {
+				if lay := r.hub.Layout(); lay == nil || lay.Seq < p.seq || r.hub.Ready() != "" {
+					return false
+				}
+			}
+			return true
+		}
+		for _, cores := range []bool{false, true} {
+			for _, r := range f.routers {
+				f.crashRouter(r)
+			}
+			for _, c := range f.cores {
+				if cores {
+					f.crashCore(c)
+				}
+			}
+			for _, r := range f.routers {
+				f.startRouter(r)
+			}
+			for _, c := range f.cores {
+				if cores {
+					f.startCore(c)
+				}
+			}
+			f.within(12*time.Second, fmt.Sprintf("routers find the new machines, cores killed too: %v", cores), ready)
+		}
 		f.check(b)
 	})
 }
