A fleet is rolled to a release one wire format up, and back, under load

What was not run yet: two releases side by side; only frames were tested. A build with the tag next speaks format 2; TestPlannedRestarts puts it in place of every process, routers first, and back again, cores first, each stopped with a warning, under the mix's traffic. Red where a frame of another format is bounced (the first process of the next release never gets ready).

--- a/internal/drill/fault_test.go
+++ b/internal/drill/fault_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -44,16 +48,26 @@
 	return outs
 }
 
-// Routers and cores are stopped with a warning and started again, one by one, under load: no query
-// that was read is dropped.
+// A fleet is rolled to a release one wire format up, and back, under load: every process is stopped with
+// a warning and another started in its place, one by one, routers first one way and cores first the other.
+// No query that was read is dropped, and none waits for its neighbours' release.
 func TestPlannedRestarts(t *testing.T) {
 	f := up(t, Tokachi())
+	next := t.TempDir()
+	if out, err := exec.Command("go", append(build, "-tags", "next", "-o", next, "yarrowridge/cmd/router", "yarrowridge/cmd/core")...).CombinedOutput(); err != nil {
+		t.Fatalf("%s", out)
+	}
+	if out, err := exec.Command(filepath.Join(next, "router"), "-version").CombinedOutput(); err != nil || !strings.Contains(string(out), "wire format 2") {
+		t.Fatalf("the next release says %q, %v", out, err)
+	}
 	outs := under(t, f, 0.7, func(ctx context.Context, l *Load) {
-		for _, p := range append(append([]*Proc{}, f.Routers...), f.Cores...) {
+		up, down := slices.Concat(f.Routers, f.Cores), slices.Concat(f.Cores, f.Routers)
+		for i, p := range slices.Concat(up, down) {
 			p.Signal(syscall.SIGTERM)
 			if !p.Wait(40 * time.Second) {
 				t.Fatalf("%s does not stop", p.Name)
 			}
+			p.prog = filepath.Join(map[bool]string{true: next, false: bin}[i < len(up)], filepath.Base(p.prog))
 			if err := p.Start(); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,9 +15,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// Fmt is the format this build speaks. A frame one below or above is read too.
-const Fmt = 1
-
 // Most is the largest frame body read, in bytes.
 const Most = 8 << 20
 
