Power lost at every step of the store: two ways to lose a disk's state, mended

What was not caused yet: losses were sampled, with whole writes as the smallest step. Folder now stands on the steps of a file system; the test's own forgets what was not synced, and keeps any first part of the names changed and none, half or all of the bytes. Found, red at once: (1) after a fold the old versions go one by one; with the first gone and power lost, the fold was there and yet 'no base version': the disk counted as blank. Primary and backup fold at the same version, so a power cut could have blanked both. (2) a base from another primary removed what lay above it before it was written itself; a fold there may hold acknowledged puts. Now: a fold hides what it stands for before anything is judged missing; a base lies whole beside what it replaces (base-v-...) and is renamed into place. Tried and dropped: removing newest first (2 remains).

--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,8 +20,29 @@
 	Rename(from, to string) error
 }
 
+// files are the steps on a file system that a disk is made of. What was written or renamed lasts only
+// once the file, or the folder, was synced; the tests' own files forget the rest.
+type files interface {
+	create(path string) (file, error)
+	syncDir(path string) error // the folder's names
+	rename(from, to string) error
+	remove(path string) error
+	read(path string) ([]byte, error)
+	list(path string) ([]string, error)
+}
+
+// file is one being written; *os.File is one.
+type file interface {
+	Write(data []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
 // Folder is a disk on the machine's file system.
-type Folder struct{ Path string }
+type Folder struct {
+	Path string
+	fs   files
+}
 
 // OpenFolder makes the folder where it is missing.
 //
@@ -29,7 +51,7 @@
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return Folder{}, eris.Wrapf(err, "store: folder %s", path)
 	}
-	return Folder{path}, nil
+	return Folder{path, system{}}, nil
 }
 
 // Write puts data aside, syncs it, renames it into place and syncs the folder.
@@ -40,7 +62,7 @@
 		return nil
 	}
 	side := filepath.Join(d.Path, name+".aside")
-	f, err := os.OpenFile(side, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	f, err := d.fs.create(side)
 	if err != nil {
 		return eris.Wrapf(err, "store: write %s", name)
 	}
@@ -61,23 +83,18 @@
 //
 //	err := d.Rename("v-9", "bad-v-9")
 func (d Folder) Rename(from, to string) error {
-	if err := os.Rename(filepath.Join(d.Path, from), filepath.Join(d.Path, to)); err != nil {
+	if err := d.fs.rename(filepath.Join(d.Path, from), filepath.Join(d.Path, to)); err != nil {
 		return eris.Wrapf(err, "store: rename %s", from)
 	}
-	dir, err := os.Open(d.Path)
-	if err != nil {
-		return eris.Wrap(err, "store: open folder")
-	}
-	defer dir.Close()
-	return eris.Wrap(dir.Sync(), "store: sync folder")
+	return eris.Wrap(d.fs.syncDir(d.Path), "store: sync folder")
 }
 
 // Read gives a file's bytes; a missing file is (nil, nil).
 //
 //	raw, err := d.Read("ballot")
 func (d Folder) Read(name string) ([]byte, error) {
-	raw, err := os.ReadFile(filepath.Join(d.Path, name))
-	if os.IsNotExist(err) {
+	raw, err := d.fs.read(filepath.Join(d.Path, name))
+	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
 	return raw, eris.Wrapf(err, "store: read %s", name)
@@ -87,26 +104,48 @@
 //
 //	all, err := d.List()
 func (d Folder) List() ([]string, error) {
-	all, err := os.ReadDir(d.Path)
-	if err != nil {
-		return nil, eris.Wrap(err, "store: list folder")
-	}
-	var out []string
-	for _, e := range all {
-		if !e.IsDir() && !strings.HasPrefix(e.Name(), ".") {
-			out = append(out, e.Name())
-		}
-	}
-	return out, nil
+	all, err := d.fs.list(d.Path)
+	return all, eris.Wrap(err, "store: list folder")
 }
 
 // Remove drops a file; one that is gone already is no trouble.
 //
 //	err := d.Remove("v-3")
 func (d Folder) Remove(name string) error {
-	err := os.Remove(filepath.Join(d.Path, name))
-	if os.IsNotExist(err) {
+	err := d.fs.remove(filepath.Join(d.Path, name))
+	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
 	return eris.Wrapf(err, "store: remove %s", name)
 }
+
+// system is the machine's own file system.
+type system struct{}
+
+func (system) rename(from, to string) error     { return os.Rename(from, to) }
+func (system) remove(path string) error         { return os.Remove(path) }
+func (system) read(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (system) create(path string) (file, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+}
+
+func (system) syncDir(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+func (system) list(path string) ([]string, error) {
+	all, err := os.ReadDir(path)
+	var out []string
+	for _, e := range all {
+		if !e.IsDir() && !strings.HasPrefix(e.Name(), ".") {
+			out = append(out, e.Name())
+		}
+	}
+	return out, err
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,6 +87,18 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, n := range names {
+		var seq uint64
+		if _, err := fmt.Sscanf(n, baseHead+"v-%016x", &seq); err == nil && n == baseHead+name(seq) {
+			if err := settle(d, seq); err != nil {
+				return nil, err
+			}
+			names, err = d.List()
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
 	var got []Batch
 	for _, n := range names {
 		if !strings.HasPrefix(n, "v-") || strings.HasSuffix(n, ".aside") {
@@ -114,34 +126,19 @@
 			from = i
 		}
 	}
-	if len(got) == 0 {
-		return s, nil
-	}
-	if from < 0 && got[0].Seq != 1 && got[0].From != 1 {
-		return nil, eris.Wrap(ErrBroken, "no base version")
-	}
-	if from < 0 {
-		from = 0
-	}
-	got = got[from:]
-	// A fold stands for the versions before it; where its writing was cut short they still lie there.
-	for i, b := range got {
-		if b.From == 0 {
+	got = got[max(from, 0):]
+	// A fold stands for the versions before it. Where their removal was cut short, some still lie there.
+	var need []Batch
+	for i := len(got) - 1; i >= 0; i-- {
+		b := got[i]
+		if n := len(need); n > 0 && need[n-1].From > 0 && b.Seq >= need[n-1].From && !b.Base {
 			continue
 		}
-		for j := i - 1; j >= 0 && got[j].Seq >= b.From && !got[j].Base; j-- {
-			got[j].Seq = 0
-		}
+		need = append(need, b)
 	}
-	for i, b := range got {
-		first := b.From
-		if first == 0 {
-			first = b.Seq
-		}
-		switch {
-		case b.Seq == 0:
-			continue
-		case i > 0 && first != s.seq+1:
+	for i := len(need) - 1; i >= 0; i-- {
+		b := need[i]
+		if first := max(b.From, 1); !b.Base && (b.From > 0 && first != s.seq+1 || b.From == 0 && b.Seq != s.seq+1) {
 			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.seq+1)
 		}
 		s.take(b)
@@ -239,20 +236,34 @@
 	if err != nil {
 		return err
 	}
-	if b.Base {
-		// Versions above the base belong to a history that was never acknowledged.
-		if err := s.drop(func(n string) bool { return n > name(b.Seq) }); err != nil {
+	if !b.Base {
+		if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
 			return err
 		}
+		s.take(b)
+		return nil
 	}
-	if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
+	// A base replaces all. It lies whole beside what it replaces before any of that goes: a fold may
+	// hold what was acknowledged together with what never was.
+	if err := s.disk.Write(baseHead+name(b.Seq), Seal(raw)); err != nil {
+		return err
+	}
+	if err := settle(s.disk, b.Seq); err != nil {
 		return err
 	}
 	s.take(b)
-	if b.Base {
-		return s.drop(func(n string) bool { return n < name(b.Seq) })
+	return drop(s.disk, func(n string) bool { return n < name(b.Seq) })
+}
+
+// baseHead begins the name of a base that has not taken its place yet.
+const baseHead = "base-"
+
+// settle puts a base in its place. Versions above it belong to a history that was never acknowledged.
+func settle(d Disk, seq uint64) error {
+	if err := drop(d, func(n string) bool { return n > name(seq) }); err != nil {
+		return err
 	}
-	return nil
+	return d.Rename(baseHead+name(seq), name(seq))
 }
 
 // Close waits for a write that is under way and bounces all later ones.
@@ -264,14 +275,14 @@
 	s.shut = true
 }
 
-func (s *Store) drop(which func(string) bool) error {
-	all, err := s.disk.List()
+func drop(d Disk, which func(string) bool) error {
+	all, err := d.List()
 	if err != nil {
 		return err
 	}
 	for _, n := range all {
 		if strings.HasPrefix(n, "v-") && which(n) {
-			if err := s.disk.Remove(n); err != nil {
+			if err := d.Remove(n); err != nil {
 				return err
 			}
 		}
@@ -326,5 +337,5 @@
 	s.mu.Lock()
 	s.fold, s.loose = b.Seq, nil
 	s.mu.Unlock()
-	return s.drop(func(n string) bool { return n >= name(b.From) && n < name(b.Seq) })
+	return drop(s.disk, func(n string) bool { return n >= name(b.From) && n < name(b.Seq) })
 }
