A runner's report that can't be true no longer takes everybody's allowance

Cause: a late report only ever raises the queued output, without a bound; one runner that says 10^11 tokens are queued put the wait beyond 300 s for all who use its model. Ruled out: the beat's own check (it bounds the figure at 10^12, far above what any runner holds). Now: a report above the runner's room times its longest answer is left out. One that could be true and is wrong is still believed: it is the source's own input.

--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -360,6 +360,9 @@
 		rate = e.farRate
 	}
 	queued = float64(e.tokens + e.far.Tokens)
+	if n := e.news; n.Room > 0 && n.Most > 0 && n.Queued > n.Room*n.Most {
+		return queued, rate // more than it can hold: not believed
+	}
 	late := float64(e.news.Queued) - time.Since(e.told).Seconds()*max(rate, 1)
 	return max(queued, late), rate
 }
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -593,3 +593,23 @@
 		})
 	})
 }
+
+// A runner whose late report can't be true (more output queued than its room times its longest answer)
+// is not believed: one wrong figure must not take the allowance of all who use its model.
+func TestWrongReports(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		liar := model(8, 10*time.Millisecond)
+		liar.name = "liar"
+		w := newWhole(t, seed, 2, plainLay(""), liar, model(8, 10*time.Millisecond), model(8, 10*time.Millisecond))
+		liar.mu.Lock()
+		liar.queued = 100_000_000_000
+		liar.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		for i, r := range w.full {
+			if g := w.send(w.ctx, r, ask{n: uint64(i + 1), tenant: "poor", path: "/ask", body: prompt(4096)}); g.status != 200 {
+				t.Errorf("%s: an idle fleet answered %d %s", r.name, g.status, g.body)
+			}
+			time.Sleep(2 * time.Second) // the next router hears that it is over
+		}
+	})
+}
