A late write at a backup that has taken over: the view's check shown needed by itself

Now TestLateHold delivers a deposed primary's write to the backup after that has taken over, when no lease can help.

--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -12,6 +12,7 @@
 
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/sim"
+	"yarrowridge/internal/store"
 )
 
 // Faults of every kind, at random, under operators who race: no acknowledged layout is lost, no
@@ -511,3 +512,38 @@
 		}
 	})
 }
+
+// A write to the backup that was long under way arrives after that backup has taken over: its primary's
+// lease can't help any more, the epoch has to.
+func TestLateHold(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 2)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		o := f.operator()
+		first := o.put(1, 0, "")
+		lost := f.primary()
+		v := lost.srv.Peek().View
+		f.crashCore(lost)
+		f.within(6*time.Second, "the backup leads", func() bool { p := f.primary(); return p != nil && p != lost })
+		heir := f.primary()
+		if heir.addr != v.Addr(v.Back) {
+			t.Fatalf("%s leads, %s was backup", heir.addr, v.Addr(v.Back))
+		}
+		late, err := (&core.Sheet{Seq: first.seq + 1, Raw: sheet(99)}).MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := core.Hold{View: v, From: v.Prime, Batch: store.Batch{Seq: heir.srv.Peek().Stored + 1, Puts: []store.Put{{Key: "layout", Val: late}}}}
+		raw, err := in.MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := heir.srv.Hand(f.ctx, "core.hold", raw); err == nil {
+			t.Error("a deposed primary's write was held")
+		}
+		// What is read is what a change is made against.
+		if p := o.put(2, first.seq, ""); p.code != 200 || p.seq != first.seq+1 {
+			t.Errorf("a change against sequence %d was answered %d at %d", first.seq, p.code, p.seq)
+		}
+	})
+}
