--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -1,7 +1,6 @@
 package sim_test
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -177,34 +176,7 @@
 		var wg sync.WaitGroup
 		for i := range 6 {
 			wg.Go(func() {
-				for k := uint64(1); !done(); k++ {
-					a := ask{n: uint64(i)*100000 + k, tenant: "rich", path: "/ask", body: prompt(5)}
-					switch (uint64(i) + k) % 4 {
-					case 0:
-						a.path, a.key = "/orders", fmt.Sprintf("k%d", a.n)
-					case 1:
-						a.path, a.key = "/notes", fmt.Sprintf("k%d", a.n)
-					case 2:
-						a.tenant = "metered"
-					}
-					for try := range 4 {
-						r := w.full[(i+int(k)+try)%len(w.full)]
-						if r.now() == nil {
-							continue
-						}
-						ctx, end := context.WithTimeout(w.ctx, 15*time.Second)
-						g := w.send(ctx, r, a)
-						end()
-						if r.now() == nil {
-							g = got{ask: a}
-						}
-						l.add(g)
-						if g.status == 200 || a.key == "" && g.run != "not run" {
-							break
-						}
-						env50(w.ctx)
-					}
-				}
+				w.origin(i, l, done)
 			})
 		}
 		for i := range 3 {
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -102,35 +102,7 @@
 		var all sync.WaitGroup
 		for i := range 12 {
 			all.Go(func() {
-				for k := uint64(1); time.Now().Before(stop); k++ {
-					a := ask{n: uint64(i)*10000 + k, tenant: "rich", path: "/ask", body: prompt(5)}
-					switch (uint64(i) + k) % 4 {
-					case 0:
-						a.path, a.key = "/orders", fmt.Sprintf("k%d", a.n)
-					case 1:
-						a.path, a.key = "/notes", fmt.Sprintf("k%d", a.n)
-					case 2:
-						a.tenant = "metered"
-					}
-					a.body["nonce"] = a.n
-					for try := range 4 {
-						r := w.full[(i+int(k)+try)%len(w.full)]
-						if r.now() == nil {
-							continue
-						}
-						ctx, end := context.WithTimeout(w.ctx, 15*time.Second)
-						g := w.send(ctx, r, a)
-						end()
-						if r.now() == nil {
-							g = got{ask: a} // its router died: the origin heard nothing
-						}
-						l.add(g)
-						if g.status == 200 || a.key == "" && g.run != "not run" {
-							break
-						}
-						env50(w.ctx)
-					}
-				}
+				w.origin(i, l, func() bool { return !time.Now().Before(stop) })
 			})
 		}
 		for time.Now().Before(stop) {
@@ -179,6 +151,39 @@
 	})
 }
 
+// origin asks queries of all kinds, each again elsewhere until it has an outcome, until it is over.
+func (w *whole) origin(i int, l *ledger, over func() bool) {
+	for k := uint64(1); !over(); k++ {
+		a := ask{n: uint64(i)*100000 + k, tenant: "rich", path: "/ask", body: prompt(5)}
+		switch (uint64(i) + k) % 4 {
+		case 0:
+			a.path, a.key = "/orders", fmt.Sprintf("k%d", a.n)
+		case 1:
+			a.path, a.key = "/notes", fmt.Sprintf("k%d", a.n)
+		case 2:
+			a.tenant = "metered"
+		}
+		a.body["nonce"] = a.n
+		for try := range 4 {
+			r := w.full[(i+int(k)+try)%len(w.full)]
+			if r.now() == nil {
+				continue
+			}
+			ctx, end := context.WithTimeout(w.ctx, 15*time.Second)
+			g := w.send(ctx, r, a)
+			end()
+			if r.now() == nil {
+				g = got{ask: a} // its router died: the origin heard nothing
+			}
+			l.add(g)
+			if g.status == 200 || a.key == "" && g.run != "not run" {
+				break
+			}
+			env50(w.ctx)
+		}
+	}
+}
+
 func env50(ctx context.Context) { time.Sleep(50 * time.Millisecond) }
 
 // A hall is cut off for long: it serves on with its last layout, marked stale, spends its own share
