--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 
@@ -38,7 +39,7 @@
 			case !ok && s.ran.has(tx, ranSum(in.Key)):
 				out.Ran = true
 				return nil
-			case s.ran.n >= s.most(tx):
+			case s.ran.n >= s.most():
 				out.Full = true
 				return nil
 			}
@@ -110,7 +111,7 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// ran is the parts in order of their age, as committed. Only the run loop touches it.
+// ran is the parts, as committed. Only the run loop touches it.
 type ran struct {
 	parts []store.Put
 	n     int // hashes
@@ -120,7 +121,6 @@
 func (r *ran) load(st *store.Store) {
 	*r = ran{}
 	st.Each(ranHead, func(k string, v []byte) { r.take(store.Put{Key: k, Val: v}) })
-	slices.SortFunc(r.parts, func(a, b store.Put) int { return strings.Compare(a.Key, b.Key) })
 }
 
 // take follows a committed put.
@@ -142,17 +142,8 @@
 	var want [8]byte
 	binary.BigEndian.PutUint64(want[:], sum)
 	in := func(p store.Put) bool {
-		n := len(p.Val) / 8
-		lo, hi := 0, n
-		for lo < hi {
-			mid := (lo + hi) / 2
-			if bytes.Compare(p.Val[mid*8:mid*8+8], want[:]) < 0 {
-				lo = mid + 1
-			} else {
-				hi = mid
-			}
-		}
-		return lo < n && bytes.Equal(p.Val[lo*8:lo*8+8], want[:])
+		_, ok := sort.Find(len(p.Val)/8, func(i int) int { return bytes.Compare(want[:], p.Val[i*8:i*8+8]) })
+		return ok
 	}
 	return slices.ContainsFunc(r.parts, in) || tx.ran && slices.ContainsFunc(tx.puts, func(p store.Put) bool {
 		return strings.HasPrefix(p.Key, ranHead) && in(p)
@@ -172,10 +163,13 @@
 	tx.add(store.Put{Key: fmt.Sprintf("%s%016x-%x", ranHead, tx.st.Seq()+1, s.ranTurn), Val: raw})
 }
 
-// most is how many keys that ran are kept at most, by the layout in force.
-func (s *Server) most(tx *Tx) int {
-	sheet, err := tx.sheet()
-	if lay := s.parsed(sheet); err == nil && lay != nil {
+// most is how many keys that ran are kept at most, by the layout in force. It is asked for every claim, so
+// the layout is not read anew for it.
+func (s *Server) most() int {
+	s.mu.Lock()
+	sheet := s.sheet
+	s.mu.Unlock()
+	if lay := s.parsed(sheet); lay != nil {
 		return lay.Limits.RanMost
 	}
 	return layout.RanMost
@@ -221,14 +215,7 @@
 		}
 	}
 	s.claims = aged
-	if len(old) > 0 {
-		s.later(func(tx *Tx) error {
-			for _, k := range old {
-				tx.Drop(k)
-			}
-			return nil
-		})
-	}
+	s.dropLater(old)
 	s.later(s.merge)
 }
 
--- a/internal/core/greet.go
+++ b/internal/core/greet.go
@@ -61,12 +61,5 @@
 			delete(s.mute, k)
 		}
 	}
-	if len(old) > 0 {
-		s.later(func(tx *Tx) error {
-			for _, k := range old {
-				tx.Drop(k)
-			}
-			return nil
-		})
-	}
+	s.dropLater(old)
 }
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -612,6 +612,19 @@
 	})
 }
 
+// dropLater has the run loop remove keys.
+func (s *Server) dropLater(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	s.later(func(tx *Tx) error {
+		for _, k := range keys {
+			tx.Drop(k)
+		}
+		return nil
+	})
+}
+
 // later puts an operation of our own into the run loop, if there is room.
 func (s *Server) later(do func(tx *Tx) error) {
 	select {
--- a/internal/drill/check.go
+++ b/internal/drill/check.go
@@ -79,7 +79,7 @@
 		if o.Run == "not run" && ids[o.Query] {
 			say("not-run", "query %s (%d) was said not to have run, code %s, but a runner saw it", o.Query, o.N, o.Code)
 		}
-		if o.Whole && o.Status == 200 {
+		if o.served() {
 			if o.Echo != Echo(o.Body) {
 				say("answer", "query %d was answered with another's answer", o.N)
 			}
@@ -158,8 +158,7 @@
 		}
 	}
 	if f := ev.Final; f != nil {
-		switch e, ok := acked[f.Seq]; {
-		case f.Seq < newest.Seq || ok && e.Hash != f.Hash || !ok && !doubt[f.Hash]:
+		if e, ok := acked[f.Seq]; f.Seq < newest.Seq || ok && e.Hash != f.Hash || !ok && !doubt[f.Hash] {
 			say("read-back", "sequence %d was read back at the end, %d is the newest acknowledged", f.Seq, newest.Seq)
 		}
 	}
@@ -241,7 +240,7 @@
 			}
 			if o.Begun.Sub(c.From) > 6*time.Second && o.Begun.Add(o.Took).Before(c.To) {
 				asked[[2]string{side, o.Kind}]++
-				if o.Whole && o.Status == 200 {
+				if o.served() {
 					got[[2]string{side, o.Kind}]++
 				}
 			}
@@ -262,7 +261,7 @@
 		for _, k := range ev.Mix.Kinds {
 			back := time.Duration(-1)
 			for _, o := range ev.Outs {
-				if d := o.Begun.Add(o.Took).Sub(h.At); o.Kind == k.Name && o.Whole && o.Status == 200 && o.Begun.After(h.At) && (back < 0 || d < back) {
+				if d := o.Begun.Add(o.Took).Sub(h.At); o.Kind == k.Name && o.served() && o.Begun.After(h.At) && (back < 0 || d < back) {
 					back = d
 				}
 			}
@@ -289,7 +288,7 @@
 	for _, o := range outs {
 		s.Queries++
 		switch {
-		case o.Whole && o.Status == 200:
+		case o.served():
 			s.Done++
 			took = append(took, o.Took)
 		case o.Err != "":
@@ -332,7 +331,7 @@
 func Gap(outs []Outcome, kind string, from, to time.Time) time.Duration {
 	var ends []time.Time
 	for _, o := range outs {
-		if o.Kind == kind && o.Whole && o.Status == 200 {
+		if o.Kind == kind && o.served() {
 			if end := o.Begun.Add(o.Took); end.After(from) && end.Before(to) {
 				ends = append(ends, end)
 			}
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -194,7 +194,7 @@
 // came tells whether a query of a kind that began after a moment has come to a whole answer.
 func came(outs []Outcome, kind string, from time.Time) bool {
 	for _, o := range outs {
-		if o.Kind == kind && o.Whole && o.Status == 200 && o.Begun.After(from) {
+		if o.Kind == kind && o.served() && o.Begun.After(from) {
 			return true
 		}
 	}
@@ -208,11 +208,11 @@
 // put writes a layout with a mark of its own, and notes what the operator was told.
 func (d *Day) put(ctx context.Context, lay obj, mark int, match string) Edit {
 	lay = maps.Clone(lay)
-	limits := obj{"queue": 1000 + mark}
+	limits := obj{}
 	if old, ok := lay["limits"].(obj); ok {
 		limits = maps.Clone(old)
-		limits["queue"] = 1000 + mark
 	}
+	limits["queue"] = 1000 + mark
 	lay["limits"] = limits
 	raw, _ := json.Marshal(lay)
 	return d.send(ctx, "PUT", raw, match, layout.HashKey(string(raw)))
@@ -507,18 +507,9 @@
 
 func (d *Day) loseHall(ctx context.Context) {
 	hall := d.lead(ctx).Hall
-	var dead []*Proc
-	for _, p := range slices.Concat(d.f.Cores, d.f.Routers) {
-		if p.Hall == hall {
-			dead = append(dead, p)
-		}
-	}
-	var runs []*Standin
-	for _, s := range slices.Concat(d.f.Models, d.f.Apps) {
-		if s.Labels["hall"] == hall {
-			runs = append(runs, s)
-			s.Crash()
-		}
+	dead, runs := d.f.In(hall)
+	for _, s := range runs {
+		s.Crash()
 	}
 	d.sure(ctx, d.lay)
 	d.fall(ctx, "hall "+hall+" lost", 5*time.Second, dead)
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -420,6 +420,23 @@
 	return len(gjson.GetBytes(raw, `#(standing=="ready")#`).Array())
 }
 
+// In lists the processes and the runners of a hall.
+//
+//	procs, runs := f.In("north")
+func (f *Fleet) In(hall string) (procs []*Proc, runs []*Standin) {
+	for _, p := range slices.Concat(f.Cores, f.Routers) {
+		if p.Hall == hall {
+			procs = append(procs, p)
+		}
+	}
+	for _, s := range slices.Concat(f.Models, f.Apps) {
+		if s.Labels["hall"] == hall {
+			runs = append(runs, s)
+		}
+	}
+	return procs, runs
+}
+
 // Primary finds the core that leads.
 //
 //	p := f.Primary(ctx)
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -45,6 +45,9 @@
 	Resumed int    // times the stream was asked for again
 }
 
+// served tells whether the origin has a whole answer.
+func (o *Outcome) served() bool { return o.Whole && o.Status == 200 }
+
 // Load plays a mix's origins against a fleet.
 type Load struct {
 	Fleet *Fleet
--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -197,19 +197,12 @@
 	}
 	at := time.Now()
 	fmt.Fprintf(out, "hall %s is lost\n", lost)
-	var procs []*Proc
-	for _, p := range append(append([]*Proc{}, f.Cores...), f.Routers...) {
-		if p.Hall == lost {
-			procs = append(procs, p)
-			p.Signal(syscall.SIGKILL)
-		}
+	procs, runs := f.In(lost)
+	for _, p := range procs {
+		p.Signal(syscall.SIGKILL)
 	}
-	var runs []*Standin
-	for _, s := range append(append([]*Standin{}, f.Models...), f.Apps...) {
-		if s.Labels["hall"] == lost {
-			runs = append(runs, s)
-			s.Crash()
-		}
+	for _, s := range runs {
+		s.Crash()
 	}
 	env.Wait(ctx, span/3)
 	for _, k := range f.Mix.Kinds {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -117,7 +117,7 @@
 	st.mu.Lock()
 	quiet := st.owner != "" && !st.asked && !st.end && st.lost == "" && time.Since(st.at) > ownerQuiet
 	st.asked = st.asked || quiet
-	addr := st.addr
+	addr, query := st.addr, st.query
 	st.mu.Unlock()
 	if !quiet {
 		return
@@ -131,8 +131,8 @@
 		st.mu.Lock()
 		st.at = time.Now() // alive, if silent: its stream is kept
 		st.mu.Unlock()
-	case st.query != nil && s.Heir != nil:
-		s.inherit(st)
+	case query != nil && s.Heir != nil:
+		s.inherit(st, query)
 	default:
 		st.note(func() { st.lost = LostRouter })
 		s.ctx.Log.Warn("Stream lost with its router.", "query", st.Id, "peer", addr)
@@ -144,7 +144,7 @@
 
 // inherit takes a stream over, if the core grants it: the same turn can be claimed by its router,
 // who would then name another understudy, or by us, and by nobody else.
-func (s *Streams) inherit(st *Stream) {
+func (s *Streams) inherit(st *Stream, query *StreamQuery) {
 	st.mu.Lock()
 	turn := st.turn
 	st.mu.Unlock()
@@ -168,7 +168,7 @@
 	}
 	if mine {
 		s.ctx.Log.Warn("Stream is carried on in place of its router.", "query", st.Id, "pieces", n)
-		go s.Heir(st, st.query)
+		go s.Heir(st, query)
 	}
 }
 
--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -147,9 +147,8 @@
 
 // withdrawn tells whether the layout in force no longer knows the key that this query came with.
 func (y *way) withdrawn() bool {
-	lay := y.f.Hub.Layout()
-	ten, ok := lay.Hashed(y.key)
-	return !ok || lay.Tenants[ten].Name != y.q.Tenant
+	_, ok := y.payer(y.f.Hub.Layout())
+	return !ok
 }
 
 var bounceKey = &Bounce{Status: 401, Code: "key-withdrawn", Unknown: true, Text: "The key was withdrawn while the query ran."}
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -109,9 +109,7 @@
 	y := &way{f: f, q: query.New(), w: w, r: r}
 	w.Header().Set(runner.QueryHead, y.q.Id)
 	err := y.run()
-	if y.cost > 0 {
-		f.Purses.For(y.tn.Name).Loose(y.cost)
-	}
+	y.loosen()
 	code := "done"
 	if err != nil {
 		code = y.end(err)
@@ -157,12 +155,7 @@
 		b = &Bounce{Status: 500, Code: "internal", Text: "Internal trouble.", Unknown: true}
 		y.f.Ctx.Log.Error("Query in trouble of our own making.", "query", y.q.Id, "trouble", err.Error())
 	}
-	at := y.q.State()
-	if s := at; s == query.Sent || s == query.Answering {
-		y.q.Go(query.Troubled, b.Code)
-	} else {
-		y.q.Go(query.Bounced, b.Code)
-	}
+	at := y.over(b.Code)
 	if y.claim != nil {
 		y.claim.end(b.Unknown)
 	}
@@ -195,6 +188,25 @@
 	return b.Code
 }
 
+// over ends a query that came to no whole answer, by its code, and tells where it stood.
+func (y *way) over(code string) query.State {
+	at := y.q.State()
+	if at == query.Sent || at == query.Answering {
+		y.q.Go(query.Troubled, code)
+	} else {
+		y.q.Go(query.Bounced, code)
+	}
+	return at
+}
+
+// loosen gives back the units that were reserved and not spent.
+func (y *way) loosen() {
+	if y.cost > 0 {
+		y.f.Purses.For(y.tn.Name).Loose(y.cost)
+		y.cost = 0
+	}
+}
+
 // read takes the body in, within its bounds of size and time.
 func (y *way) read() error {
 	most, wait := y.lay.Limits.Body, y.lay.Limits.BodyTime
@@ -334,20 +346,43 @@
 	if lay.Seq == y.lay.Seq {
 		return nil
 	}
-	if y.withdrawn() {
+	pool := y.pool.Name
+	switch b := y.follow(lay); {
+	case b == bounceKey:
 		return &Bounce{Status: 401, Code: "unknown-key", Text: "The key was withdrawn while the query waited."}
+	case b != nil:
+		return b
+	case y.pool.Name != pool:
+		return bounceMoved
+	}
+	return nil
+}
+
+var bounceMoved = &Bounce{Status: 503, Code: "layout-changed", Text: "The layout leads this query elsewhere by now. Ask again.", Retry: time.Second}
+
+// follow takes tenant, lane and pool anew from a layout, by the key's hash and the mapping. The lane has
+// to stay the one it was, if there was one.
+func (y *way) follow(lay *layout.Layout) *Bounce {
+	ten, ok := y.payer(lay)
+	if !ok {
+		return bounceKey
 	}
-	y.lay = lay
-	y.ten, _ = lay.Hashed(y.key)
-	y.tn = &lay.Tenants[y.ten]
 	m, _ := lay.Map(y.r.Method, y.r.URL.Path, y.r.Header.Get)
-	if m == nil || lay.Lanes[m.Lane].Name != y.lane.Name || lay.Pools[m.Pool].Name != y.pool.Name || !lay.Lanes[m.Lane].Admits(y.ten) {
-		return &Bounce{Status: 503, Code: "layout-changed", Text: "The layout leads this query elsewhere by now. Ask again.", Retry: time.Second}
+	if m == nil || !lay.Lanes[m.Lane].Admits(ten) || y.lane != nil && lay.Lanes[m.Lane].Name != y.lane.Name {
+		return bounceMoved
 	}
+	y.lay, y.ten, y.tn = lay, ten, &lay.Tenants[ten]
 	y.lane, y.pool = &lay.Lanes[m.Lane], &lay.Pools[m.Pool]
 	return nil
 }
 
+// payer finds the query's tenant in a layout by its key. ok is false where the key is another's by now,
+// or nobody's.
+func (y *way) payer(lay *layout.Layout) (ten int, ok bool) {
+	ten, ok = lay.Hashed(y.key)
+	return ten, ok && lay.Tenants[ten].Name == y.q.Tenant
+}
+
 // allowed judges the free output allowance once, and reserves the tenant's quota.
 func (y *way) allowed() error {
 	note := ""
@@ -367,7 +402,7 @@
 		ask := allow.Ask{Funded: y.tn.Funded, Tokens: y.tokens, Lower: gjson.GetBytes(y.body, "allow_downgrade").Bool()}
 		v := allow.Decide(y.lay.Allowance, ask, feeds, waiting)
 		y.wait = v.Wait
-		y.f.Meter.Allowance.WithLabelValues(y.payer(), string(v.Outcome), allow.Bucket(y.tokens), allow.Bucket(v.Size)).Inc()
+		y.f.Meter.Allowance.WithLabelValues(y.kindOf(), string(v.Outcome), allow.Bucket(y.tokens), allow.Bucket(v.Size)).Inc()
 		y.f.Meter.Wait.Observe(v.Wait.Seconds())
 		switch v.Outcome {
 		case allow.NoFunds:
@@ -408,7 +443,8 @@
 	return nil
 }
 
-func (y *way) payer() string {
+// kindOf tells how a tenant pays, for the metrics.
+func (y *way) kindOf() string {
 	if y.tn.Funded {
 		return "funded"
 	}
@@ -467,7 +503,7 @@
 		}
 		y.due = wait.Due
 		if try == 0 && !y.second {
-			y.f.Meter.Dispatch.WithLabelValues(y.payer()).Observe(y.q.Age().Seconds())
+			y.f.Meter.Dispatch.WithLabelValues(y.kindOf()).Observe(y.q.Age().Seconds())
 			y.f.Again.First(svc, y.f.Hub.Part(svc.Spare))
 		}
 		left, err := y.send(e)
--- a/internal/origin/repeat.go
+++ b/internal/origin/repeat.go
@@ -17,7 +17,7 @@
 type carry struct {
 	id   string // of the stream: the first run's query
 	st   *node.Stream
-	to   *outlet
+	to   *outlet         // nil where the origin is to come by itself
 	life context.Context // of all runs
 	die  context.CancelCauseFunc
 	left *time.Timer // runs once the origin is gone
@@ -46,7 +46,7 @@
 
 // show hands bytes to the origin, if it is there. One that is gone may come back for a while.
 func (c *carry) show(b []byte) {
-	if c.left == nil && !c.to.put(b) {
+	if c.to != nil && c.left == nil && !c.to.put(b) {
 		c.left = time.AfterFunc(linger, func() { c.die(errLeft) })
 	}
 }
@@ -72,7 +72,7 @@
 			break
 		}
 		// What the first run ended in says more than why there is no second one.
-		if b := (*Bounce)(nil); errors.As(next, &b) && b.Status != 0 && !b.Unknown {
+		if b := bounceOf(next); b.Status != 0 && !b.Unknown {
 			break
 		}
 		err = next
@@ -80,8 +80,7 @@
 	if err == nil || c.st == nil {
 		return err
 	}
-	b := &Bounce{Code: "internal"}
-	errors.As(err, &b)
+	b := bounceOf(err)
 	if b != errTaken {
 		// Where another router carries the stream on, the connection breaks without a word, and the
 		// origin asks for the rest by its number.
@@ -93,19 +92,24 @@
 	return &Bounce{Code: b.Code, Unknown: true}
 }
 
+// bounceOf is the bounce that an error carries, or "internal" where it is none.
+func bounceOf(err error) *Bounce {
+	b := &Bounce{Code: "internal"}
+	errors.As(err, &b)
+	return b
+}
+
 // lost tells whether a run ended by the runner's loss, so that a second one may take its place.
 func lost(err error) bool {
-	var b *Bounce
-	return errors.As(err, &b) && (b.Code == "runner-lost" || b.Code == "runner-silent" || b.Code == node.LostRouter)
+	return slices.Contains([]string{"runner-lost", "runner-silent", node.LostRouter}, bounceOf(err).Code)
 }
 
 // repeat makes a second run: a query of its own, with its own way, units and runner, that obeys the
 // layout in force. made is false where none may be made.
 func (y *way) repeat() (err error, made bool) {
 	z := *y
-	z.lay = y.f.Hub.Layout()
-	if err := z.renewed(); err != nil || !z.lane.Repeat {
-		return err, false
+	if z.follow(y.f.Hub.Layout()) != nil || !z.lane.Repeat {
+		return nil, false
 	}
 	if c := z.car; c.st != nil {
 		if _, ok := c.st.Held(); !ok {
@@ -155,19 +159,11 @@
 	if err == nil {
 		err = z.serve()
 	}
-	if z.cost > 0 {
-		z.f.Purses.For(z.q.Tenant).Loose(z.cost)
-	}
+	z.loosen()
 	code := "done"
 	if err != nil {
-		b := &Bounce{Code: "internal"}
-		errors.As(err, &b)
-		code = b.Code
-		if s := z.q.State(); s == query.Sent || s == query.Answering {
-			z.q.Go(query.Troubled, code)
-		} else {
-			z.q.Go(query.Bounced, code)
-		}
+		code = bounceOf(err).Code
+		z.over(code)
 		z.f.Log.Add(z.q, code)
 	}
 	z.f.Trail.Add(z.q, code)
@@ -175,26 +171,6 @@
 	return err
 }
 
-// renewed finds key, tenant, mapping, lane and pool in the layout z.lay.
-func (z *way) renewed() error {
-	ten, ok := z.lay.Hashed(z.key)
-	if !ok || z.q.Tenant != "" && z.lay.Tenants[ten].Name != z.q.Tenant {
-		return bounceKey
-	}
-	z.ten, z.tn = ten, &z.lay.Tenants[ten]
-	m, _ := z.lay.Map(z.r.Method, z.r.URL.Path, z.r.Header.Get)
-	if m == nil || !z.lay.Lanes[m.Lane].Admits(ten) || z.lane != nil && z.lay.Lanes[m.Lane].Name != z.lane.Name {
-		return &Bounce{Status: 503, Code: "layout-changed"}
-	}
-	z.lane, z.pool = &z.lay.Lanes[m.Lane], &z.lay.Pools[m.Pool]
-	return nil
-}
-
-// nobody is the origin of a stream that was taken over: it comes by itself, and asks for the stream.
-type nobody struct{ http.ResponseWriter }
-
-func (nobody) Header() http.Header { return http.Header{} }
-
 // Inherit carries a stream on whose router is gone: the same query again, from what is held of it and
 // its answer. Origins read it by its id.
 //
@@ -202,32 +178,37 @@
 func (f *Front) Inherit(st *node.Stream, in *node.StreamQuery) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	y := &way{f: f, q: query.New(), w: nobody{}, body: in.Body, had: true, key: in.Key, lay: f.Hub.Layout(), skip: map[int]bool{}}
-	var err error
-	if y.r, err = http.NewRequestWithContext(f.Ctx, in.Method, in.Path, nil); err == nil {
-		y.r.Header, y.q.Tenant = in.Head, st.Tenant
-		err = y.renewed()
-	}
-	if err == nil {
-		y.q.Lane, y.kind = y.lane.Name, y.pool.Name
-		err = y.parse()
-	}
-	if err != nil {
-		b := &Bounce{Code: node.LostRouter}
-		errors.As(err, &b)
-		f.Streams.Close(f.Ctx, st, b.Code)
+	y := &way{f: f, q: query.New(), body: in.Body, had: true, key: in.Key, skip: map[int]bool{}}
+	if err := y.stand(st, in); err != nil {
+		f.Streams.Close(f.Ctx, st, bounceOf(err).Code)
 		return
 	}
-	y.kind += "/" + y.model
-	c := y.newCarry()
-	c.id, c.st, c.to.gone = st.Id, st, true
-	c.left = time.NewTimer(time.Hour) // the origin is not here, and comes when it likes
+	c := &carry{id: st.Id, st: st}
+	c.life, c.die = context.WithCancelCause(f.Ctx)
 	y.car = c
 	if f.Streams.Guard(c.life, st) == nil {
 		y.carryOn(&Bounce{Code: node.LostRouter, Unknown: true})
 	}
 }
 
+// stand brings a query that another router read to where it would be queued.
+func (y *way) stand(st *node.Stream, in *node.StreamQuery) error {
+	r, err := http.NewRequestWithContext(y.f.Ctx, in.Method, in.Path, nil)
+	if err != nil {
+		return &Bounce{Code: node.LostRouter}
+	}
+	r.Header = in.Head
+	y.r, y.q.Tenant = r, st.Tenant
+	if b := y.follow(y.f.Hub.Layout()); b != nil {
+		return b
+	}
+	if err := y.parse(); err != nil {
+		return err
+	}
+	y.q.Lane, y.kind = y.lane.Name, y.pool.Name+"/"+y.model
+	return nil
+}
+
 // Open counts the queries under way.
 //
 //	for front.Open() > 0 { ... }
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/strike"
+	"yarrowridge/internal/wire"
 )
 
 // Sender is the one place that sends queries to runners. It is built on net/http rather than httpc:
@@ -27,13 +28,7 @@
 // From dials over TCP from an IP number; from the system's choice where it is "".
 //
 //	s := runner.NewSender(runner.From("10.1.0.7"))
-func From(ip string) Dial {
-	d := &net.Dialer{Timeout: time.Second}
-	if n := net.ParseIP(ip); n != nil {
-		d.LocalAddr = &net.TCPAddr{IP: n}
-	}
-	return d.DialContext
-}
+func From(ip string) Dial { return wire.Dialer(ip, time.Second).DialContext }
 
 // NewSender makes a sender. dial may be nil for TCP.
 //
--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,10 +140,7 @@
 
 // drawn is the course that a seed gives.
 func drawn(seed uint64) []string {
-	var names []string
-	for _, n := range []string{"router", "routers", "runners", "dark", "primary", "cores", "wipe", "swap", "stall", "full", "cut", "oneway"} {
-		names = append(names, n)
-	}
+	names := []string{"router", "routers", "runners", "dark", "primary", "cores", "wipe", "swap", "stall", "full", "cut", "oneway"}
 	rnd := rand.New(rand.NewPCG(seed, 21))
 	var out []string
 	for range 6 {
@@ -164,24 +162,16 @@
 		lay := strings.Replace(repeatLay(true), `"poor":`, `"metered":{"funded":true,"keys":["`+key("metered")+`"],"quota":{"units":30,"window_s":5}},"poor":`, 1)
 		w := newWhole(t, seed, 8, lay, append(all, orders(), orders())...)
 		l := &ledger{}
-		over := make(chan struct{})
-		done := func() bool {
-			select {
-			case <-over:
-				return true
-			default:
-				return false
-			}
-		}
+		var over atomic.Bool
 		var wg sync.WaitGroup
 		for i := range 6 {
 			wg.Go(func() {
-				w.origin(i, l, done)
+				w.origin(i, l, over.Load)
 			})
 		}
 		for i := range 3 {
 			wg.Go(func() {
-				for k := uint64(1); !done(); k++ {
+				for k := uint64(1); !over.Load(); k++ {
 					o := w.stream(i*3+int(k), uint64(900+i)*100000+k, "/ask", 60, never)
 					if bad := o.judge(); bad != "" {
 						t.Errorf("stream %s %s", o.id, bad)
@@ -202,7 +192,7 @@
 				return w.send(w.ctx, r, ask{n: n, tenant: "rich", path: "/orders", key: fmt.Sprintf("end%d-%d", i, n), body: map[string]any{"n": n}}).status == 200
 			})
 		}
-		close(over)
+		over.Store(true)
 		wg.Wait()
 		w.honest(l)
 		if n := w.rolling("metered", 5*time.Second); n > 30 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -138,7 +138,11 @@
 	}
 	for i := len(need) - 1; i >= 0; i-- {
 		b := need[i]
-		if first := max(b.From, 1); !b.Base && (b.From > 0 && first != s.seq+1 || b.From == 0 && b.Seq != s.seq+1) {
+		first := b.From
+		if first == 0 {
+			first = b.Seq
+		}
+		if !b.Base && first != s.seq+1 {
 			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.seq+1)
 		}
 		s.take(b)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,11 +46,18 @@
 //
 //	con, err := wire.TCP{}.Dial(ctx, "127.0.0.1:7401")
 func (t TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: 2 * time.Second}
-	if ip := net.ParseIP(t.From); ip != nil {
+	return Dialer(t.From, 2*time.Second).DialContext(ctx, "tcp", addr)
+}
+
+// Dialer dials within a time from an IP number; from the system's choice where it is "".
+//
+//	d := wire.Dialer("10.1.0.7", time.Second)
+func Dialer(from string, wait time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: wait}
+	if ip := net.ParseIP(from); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	return d
 }
 
 // Listen binds addr.
