A hall cut off serves streams on repeatable lanes: an understudy is greeted first

Cause: a stream handed its query, and with it the right to carry on, to an understudy in its very first call. In a hall cut off that call is not answered; the right had to be taken back at the core, which can't be asked there either, so every stream on a repeatable lane broke off. Change: a new understudy is greeted without the query first. One that does not answer costs no turn. Streams whose understudy is across the link at the cut still end in the cut hall.

--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -331,7 +331,8 @@
 
 // copy hands a change to the understudy; a new one gets the whole stream. Where a second run is
 // allowed, an understudy that did not answer may believe us gone: before anything is shown without it,
-// its turn has to be ours.
+// its turn has to be ours. A new one is greeted first without the query, which alone gives the right to
+// carry on: one that is out of reach costs no turn, so that a hall cut off from the core serves on.
 func (s *Streams) copy(ctx context.Context, st *Stream, in StreamCopy) error {
 	if st.over {
 		return nil
@@ -349,15 +350,23 @@
 			out.From, out.Pieces, out.Query = 0, st.pieces, st.query
 		}
 		st.mu.Unlock()
-		short, end := context.WithTimeout(context.WithoutCancel(ctx), copyWait)
-		err := s.hub.Call(short, st.study, "stream.copy", &out, nil)
-		end()
+		var err error
+		met := !fresh || out.Query == nil
+		if !met {
+			err = s.hold(ctx, st, &StreamCopy{Id: in.Id, Tenant: in.Tenant, Owner: in.Owner, Addr: in.Addr, Turn: out.Turn})
+			met = err == nil
+		}
+		if err == nil {
+			err = s.hold(ctx, st, &out)
+		}
 		if err == nil {
 			return nil
 		}
 		s.ctx.Log.Warn("Understudy did not take a piece.", "query", st.Id, "peer", st.study, "trouble", err.Error())
-		if err := s.sever(ctx, st); err != nil {
-			return err
+		if met {
+			if err := s.sever(ctx, st); err != nil {
+				return err
+			}
 		}
 		st.study = ""
 		st.failed++
@@ -365,6 +374,13 @@
 	return nil
 }
 
+// hold asks the understudy to hold something, for a short time.
+func (s *Streams) hold(ctx context.Context, st *Stream, in *StreamCopy) error {
+	short, end := context.WithTimeout(context.WithoutCancel(ctx), copyWait)
+	defer end()
+	return s.hub.Call(short, st.study, "stream.copy", in, nil)
+}
+
 // Held is one stream as an operator may read it.
 type Held struct {
 	Query  string `json:"query"`
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -186,6 +186,27 @@
 
 func env50(ctx context.Context) { time.Sleep(50 * time.Millisecond) }
 
+// sides lists the addresses of a hall's processes, and those of all others.
+func (w *whole) sides(hall string) (in, out []string) {
+	put := func(at, addr string) {
+		if at == hall {
+			in = append(in, addr)
+		} else {
+			out = append(out, addr)
+		}
+	}
+	for _, c := range w.cores {
+		put(c.hall, c.addr)
+	}
+	for _, r := range w.full {
+		put(r.hall, r.addr)
+	}
+	for _, s := range w.runners {
+		put(s.hall, s.addr)
+	}
+	return in, out
+}
+
 // A hall is cut off for long: it serves on with its last layout, marked stale, spends its own share
 // of quotas, bounces keyed once-only queries as not run, and upon rejoining obeys the newest layout.
 func TestCutHall(t *testing.T) {
@@ -195,29 +216,8 @@
 		}
 		w := newWhole(t, seed, 8, plainLay(quota(40)), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), model(8, 10*time.Millisecond), orders(), orders())
 		time.Sleep(3 * time.Second)
-		var in, out []string
 		inside := map[string]bool{"east": true}
-		for _, c := range w.cores {
-			if inside[c.hall] {
-				in = append(in, c.addr)
-			} else {
-				out = append(out, c.addr)
-			}
-		}
-		for _, r := range w.full {
-			if inside[r.hall] {
-				in = append(in, r.addr)
-			} else {
-				out = append(out, r.addr)
-			}
-		}
-		for _, s := range w.runners {
-			if inside[s.hall] {
-				in = append(in, s.addr)
-			} else {
-				out = append(out, s.addr)
-			}
-		}
+		in, out := w.sides("east")
 		l := &ledger{}
 		n := uint64(0)
 		round := func(path, tenant string, keyed bool) map[string]int {
--- a/internal/sim/stream_test.go
+++ b/internal/sim/stream_test.go
@@ -253,7 +253,7 @@
 			}
 			w.within(9*time.Second, "taken over and guarded again", func() bool {
 				n, s := w.holders(id)
-				return n != nil && n != c && s != nil && s.now() != nil
+				return n != nil && n != c && s != nil && slices.ContainsFunc(s.now().Streams.List(), func(h node.Held) bool { return h.Query == id && h.Repeat })
 			})
 			n, _ := w.holders(id)
 			w.crashFull(n)
@@ -576,3 +576,52 @@
 		}
 	})
 }
+
+// A hall cut off serves streams on, on repeatable lanes too: those that begin during the cut end whole on
+// both sides, those that run when it comes are told to nobody as joined or as whole before their end.
+func TestCutStreams(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		var all []*simRunner
+		for range 8 {
+			m := model(16, 20*time.Millisecond)
+			m.differ = int(seed%2) * (1 + int(seed*13%60))
+			all = append(all, m)
+		}
+		w := newWhole(t, seed, 8, repeatLay(true), all...)
+		w.earn()
+		n := uint64(0)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		slow := map[string]time.Duration{}
+		round := func(whole bool) {
+			for i, r := range w.full {
+				n++
+				no := n
+				wg.Go(func() {
+					begun := time.Now()
+					o := w.stream(i, no, "/ask", 100, never)
+					if bad := o.judge(); bad != "" || o.end == "" {
+						t.Errorf("a stream begun in hall %s ended %q: %s", r.hall, o.end, bad)
+					}
+					if whole && (o.end != "done" || o.asked != 1) {
+						t.Errorf("a stream begun in hall %s ended %q with %d pieces after %d asks", r.hall, o.end, len(o.pieces), o.asked)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if side := fmt.Sprint("inside ", r.hall == "east"); whole {
+						slow[side] = max(slow[side], time.Since(begun))
+					}
+				})
+			}
+		}
+		round(false)
+		time.Sleep(time.Duration(w.chance(2000)) * time.Millisecond)
+		w.w.Split(w.sides("east"))
+		time.Sleep(7 * time.Second) // silent runners are found out
+		round(true)
+		time.Sleep(time.Duration(w.chance(9000)) * time.Millisecond)
+		w.w.Heal()
+		wg.Wait()
+		t.Logf("slowest stream of 2 s: %v", slow)
+	})
+}
