One search for the primary and one dial to an address serve all who wait

Cause: each call to the core looked for a primary by itself, every 50 ms, at every member, seed and six peers, and each dialled by itself. With a hundred keyed queries waiting at a router that is some 10,000 dials a second from each; a rehearsal machine ran out of ports, and other fleets on it with it. Ruled out: the calls themselves; a fleet that has a core dials nothing. All wait as long as before, and are served once there is a core. A connection's liveness is read without its lock, which a slow write may hold.

--- a/internal/core/client.go
+++ b/internal/core/client.go
@@ -22,6 +22,7 @@
 	mu    sync.Mutex
 	view  view.View
 	peers []string
+	hunt  chan struct{} // closed when the search under way ends; nil: there is none
 }
 
 // NewClient makes a client that starts from the seeds: addresses of any processes of the fleet.
@@ -60,6 +61,32 @@
 	c.peers = addrs
 }
 
+// look joins the search for the primary that is under way, or begins one, and waits until it has ended:
+// however many calls wait for a primary, the fleet is asked as for one.
+func (c *Client) look(ctx context.Context) bool {
+	c.mu.Lock()
+	done := c.hunt
+	if done == nil {
+		done = make(chan struct{})
+		c.hunt = done
+		go func() {
+			c.find(c.ctx)
+			env.Wait(c.ctx, 50*time.Millisecond)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.hunt = nil
+			close(done)
+		}()
+	}
+	c.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // find asks members, seeds and peers which view they know.
 func (c *Client) find(ctx context.Context) {
 	c.mu.Lock()
@@ -122,11 +149,7 @@
 				last = err
 			}
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		c.find(ctx)
-		if !env.Wait(ctx, 50*time.Millisecond) {
+		if ctx.Err() != nil || !c.look(ctx) {
 			break
 		}
 	}
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -181,6 +181,49 @@
 	}
 }
 
+// While there is no core, what each router asks of the fleet does not grow with the queries that wait for
+// it: a hundred look for a primary as one does, and are served once there is one.
+func TestNoHerd(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		w := newWhole(t, seed, 4, plainLay(""), model(200, 5*time.Millisecond), orders())
+		time.Sleep(2 * time.Second)
+		for _, c := range w.cores {
+			w.crashCore(c)
+		}
+		l := &ledger{}
+		n := uint64(0)
+		var all sync.WaitGroup
+		cost := func(more int) (sent, dialled int) {
+			for range more {
+				n++
+				a := ask{n: n, tenant: "rich", path: "/notes", body: prompt(2), key: fmt.Sprint("k", n)}
+				r := w.full[n%4]
+				all.Go(func() { l.add(w.send(w.ctx, r, a)) })
+			}
+			time.Sleep(300 * time.Millisecond)
+			sent, dialled = w.w.Sent(), w.w.Dialled()
+			time.Sleep(time.Second)
+			return w.w.Sent() - sent, w.w.Dialled() - dialled
+		}
+		s1, d1 := cost(4)
+		s2, d2 := cost(400)
+		t.Logf("a second without a core: one query at each router, %d messages and %d dials; a hundred more, %d and %d", s1, d1, s2, d2)
+		if s2 > 2*s1+100 || d2 > 2*d1+100 {
+			t.Errorf("%d messages and %d dials a second, %d and %d with one query at each router", s2, d2, s1, d1)
+		}
+		for _, c := range w.cores {
+			w.startCore(c)
+		}
+		all.Wait()
+		for _, g := range l.list() {
+			if g.status != 200 {
+				t.Fatalf("a query that waited for the core was answered %d %s", g.status, g.code)
+			}
+		}
+		w.honest(l)
+	})
+}
+
 // A layout near the largest size goes through, one beyond it does not.
 func TestLargeLayout(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -25,6 +25,7 @@
 	cuts map[[2]string]bool // from, to: nothing gets through
 	lag  time.Duration      // the most that a piece is under way
 	sent int
+	dial int
 }
 
 // NewWorld makes a world whose delays come from the seed.
@@ -108,6 +109,15 @@
 	return w.sent
 }
 
+// Dialled counts the connections tried so far.
+//
+//	before := w.Dialled()
+func (w *World) Dialled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dial
+}
+
 // Split cuts two groups off each other, both ways.
 //
 //	w.Split([]string{a}, []string{b, c})
@@ -173,6 +183,9 @@
 // Dial connects, after a delay; through a cut it waits until the context ends.
 func (m *machine) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	wait := m.w.delay()
+	m.w.mu.Lock()
+	m.w.dial++
+	m.w.mu.Unlock()
 	for {
 		t := time.NewTimer(wait)
 		select {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -184,6 +185,15 @@
 	net  Net
 	mu   sync.Mutex
 	open map[string]*link
+	dial map[string]*dial
+	shut bool
+}
+
+// dial is a connection being opened, for all who wait for it.
+type dial struct {
+	done chan struct{}
+	l    *link
+	err  error
 }
 
 type link struct {
@@ -191,13 +201,15 @@
 	con  net.Conn
 	next uint64
 	wait map[uint64]chan Frame
-	dead bool
+	dead atomic.Bool // read without the lock, which a slow write may hold
 }
 
 // NewCaller makes a caller over a net.
 //
 //	cal := wire.NewCaller(wire.TCP{})
-func NewCaller(n Net) *Caller { return &Caller{net: n, open: map[string]*link{}} }
+func NewCaller(n Net) *Caller {
+	return &Caller{net: n, open: map[string]*link{}, dial: map[string]*dial{}}
+}
 
 // Close ends all connections.
 //
@@ -205,6 +217,7 @@
 func (c *Caller) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.shut = true
 	for k, l := range c.open {
 		l.kill()
 		delete(c.open, k)
@@ -214,10 +227,9 @@
 func (l *link) kill() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead {
+	if l.dead.Swap(true) {
 		return
 	}
-	l.dead = true
 	l.con.Close()
 	for _, ch := range l.wait {
 		close(ch)
@@ -242,41 +254,46 @@
 	}
 }
 
-func (c *Caller) dial(ctx context.Context, addr string) (*link, error) {
+// reach gives the open connection to an address. However many want one, it is dialled once at a time.
+func (c *Caller) reach(ctx context.Context, addr string) (*link, error) {
 	c.mu.Lock()
-	l := c.open[addr]
-	c.mu.Unlock()
-	if l != nil {
-		l.mu.Lock()
-		dead := l.dead
-		l.mu.Unlock()
-		if !dead {
-			return l, nil
-		}
+	if l := c.open[addr]; l != nil && !l.dead.Load() {
+		c.mu.Unlock()
+		return l, nil
 	}
-	// A dark machine must not eat the caller's whole time: there may be another to ask.
-	short, end := context.WithTimeout(ctx, dialWait)
-	con, err := c.net.Dial(short, addr)
-	end()
-	if err != nil {
-		return nil, err
+	d := c.dial[addr]
+	if d == nil {
+		d = &dial{done: make(chan struct{})}
+		c.dial[addr] = d
+		go c.connect(context.WithoutCancel(ctx), addr, d)
 	}
-	l = &link{con: con, wait: map[uint64]chan Frame{}}
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.l, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// connect dials. A dark machine must not eat a caller's whole time: there may be another to ask.
+func (c *Caller) connect(ctx context.Context, addr string, d *dial) {
+	ctx, end := context.WithTimeout(ctx, dialWait)
+	defer end()
+	con, err := c.net.Dial(ctx, addr)
 	c.mu.Lock()
-	if old := c.open[addr]; old != nil {
-		old.mu.Lock()
-		dead := old.dead
-		old.mu.Unlock()
-		if !dead {
-			c.mu.Unlock()
-			con.Close()
-			return old, nil
-		}
+	defer c.mu.Unlock()
+	if err == nil && c.shut {
+		con.Close()
+		err = net.ErrClosed
 	}
-	c.open[addr] = l
-	c.mu.Unlock()
-	go l.loop()
-	return l, nil
+	if d.err = err; err == nil {
+		d.l = &link{con: con, wait: map[uint64]chan Frame{}}
+		c.open[addr] = d.l
+		go d.l.loop()
+	}
+	delete(c.dial, addr)
+	close(d.done)
 }
 
 // Call sends in to addr and reads the answer into out (nil where none is wanted).
@@ -291,13 +308,13 @@
 			return err
 		}
 	}
-	l, err := c.dial(ctx, addr)
+	l, err := c.reach(ctx, addr)
 	if err != nil {
 		return eris.Wrapf(errors.Join(ErrUnsent, err), "%s to %s", kind, addr)
 	}
 	ch := make(chan Frame, 1)
 	l.mu.Lock()
-	if l.dead {
+	if l.dead.Load() {
 		l.mu.Unlock()
 		return eris.Wrapf(ErrUnsent, "%s to %s", kind, addr)
 	}
