A runner's speed is measured for each fill of its batch, from answers whole and under way

Cause: one rate a runner, over all the time it was in use: after half a load it says what half a batch makes, and a whole answer brings its tokens in one lump after time that was counted without any. Ruled out: tokens that are lost or counted twice (TestStreamsCountOnce). Change: tokens over the seconds that each answer took, apart for each power of two of the fill; the estimate asks for the rate at the fill there will be. Places on a runner are a struct of their own now. What is left is output that runs beside a newcomer, and counted as if before it.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -13,7 +13,7 @@
 	reg       *prometheus.Registry
 	Queries   *prometheus.CounterVec
 	Allowance *prometheus.CounterVec
-	Wait      prometheus.Histogram
+	Wait      *prometheus.HistogramVec
 	Dispatch  *prometheus.HistogramVec
 	Firsts    *prometheus.CounterVec
 	Seconds   *prometheus.CounterVec
@@ -29,7 +29,7 @@
 	m := &Meter{reg: prometheus.NewRegistry(),
 		Queries:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_queries_total", Help: "Queries ended, by lane and code."}, []string{"lane", "code"}),
 		Allowance: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_allowance_decisions_total", Help: "Decisions of the free output allowance."}, []string{"tenant_kind", "outcome", "asked", "allowance"}),
-		Wait:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "yarrowridge_allowance_wait_seconds", Help: "Estimated wait that sized an allowance.", Buckets: spans}),
+		Wait:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "yarrowridge_allowance_wait_seconds", Help: "Estimated wait that sized an allowance.", Buckets: spans}, []string{"tenant_kind"}),
 		Dispatch:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "yarrowridge_dispatch_wait_seconds", Help: "Time from arrival to dispatch.", Buckets: spans}, []string{"tenant_kind"}),
 		Firsts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_first_tries_total", Help: "First tries, by service."}, []string{"service"}),
 		Seconds:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_tries_total", Help: "Second tries, by service and whether they were let through."}, []string{"service", "let"}),
--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -48,8 +48,8 @@
 }
 
 // send sends the query to one runner and carries its answer. left says a byte may have left us.
-func (y *way) send(e *runner.Entry) (left bool, err error) {
-	rest, ok := y.tokens, false
+func (y *way) send(e *runner.Seat) (left bool, err error) {
+	ok := false
 	// A query that may run only once, or whose stream may be resumed, runs on without its origin.
 	ctx, end := context.WithCancelCause(y.r.Context())
 	switch {
@@ -60,7 +60,7 @@
 	}
 	defer func() {
 		end(nil)
-		e.Leave(rest, ok, y.due)
+		e.Leave(ok)
 		y.f.Desk.Wake()
 	}()
 	if y.claim == nil {
@@ -104,11 +104,11 @@
 		if y.car == nil {
 			y.car = y.newCarry()
 		}
-		rest, err = y.stream(ctx, e, ans, dog)
+		err = y.stream(ctx, e, ans, dog)
 	case y.car != nil && y.car.st != nil:
 		err = y.lost(e, ctx, errNoStream) // a second run that is no stream carries nothing on
 	default:
-		rest, err = y.whole(ctx, e, ans, dog)
+		err = y.whole(ctx, e, ans, dog)
 	}
 	ok = err == nil
 	return true, err
@@ -154,7 +154,7 @@
 var bounceKey = &Bounce{Status: 401, Code: "key-withdrawn", Unknown: true, Text: "The key was withdrawn while the query ran."}
 
 // lost says what became of a query whose runner broke off.
-func (y *way) lost(e *runner.Entry, ctx context.Context, err error) error {
+func (y *way) lost(e *runner.Seat, ctx context.Context, err error) error {
 	if context.Cause(ctx) == errKey {
 		return bounceKey
 	}
@@ -182,7 +182,7 @@
 }
 
 // whole reads the answer to its framed end before a byte of it is handed over.
-func (y *way) whole(ctx context.Context, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
+func (y *way) whole(ctx context.Context, e *runner.Seat, ans *http.Response, dog *time.Timer) (err error) {
 	var raw []byte
 	buf := make([]byte, 32<<10)
 	for err == nil {
@@ -191,22 +191,21 @@
 		raw = append(raw, buf[:n]...)
 		dog.Reset(y.lane.Silence)
 		if n > 0 {
-			e.Token(0, 0)
+			e.Token(0)
 		}
 		if len(raw) > answerMost {
-			return y.tokens, &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
+			return &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
 		}
 	}
 	if err != io.EOF && !strike.Out("frame") {
-		return y.tokens, y.lost(e, ctx, err)
+		return y.lost(e, ctx, err)
 	}
 	if !y.lane.Plain {
 		n := int(gjson.GetBytes(raw, "usage.completion_tokens").Int())
 		if n <= 0 || n > y.tokens {
 			n = min(y.tokens, len(raw)/4) // the runner does not say: about four bytes a token
 		}
-		e.Token(n, n)
-		rest = y.tokens - n
+		e.Token(n)
 	}
 	if ans.StatusCode >= 500 {
 		e.Fail()
@@ -215,14 +214,14 @@
 		y.claim.done(ans.StatusCode, ans.Header.Get("Content-Type"), raw)
 	}
 	if y.withdrawn() {
-		return rest, bounceKey // what became of it is known, but not for this origin
+		return bounceKey // what became of it is known, but not for this origin
 	}
 	if err := y.q.Go(query.Done, ""); err != nil {
-		return rest, err
+		return err
 	}
 	y.pass(ans)
 	y.w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	y.w.WriteHeader(ans.StatusCode)
 	y.outlet().put(raw)
-	return rest, nil
+	return nil
 }
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -97,7 +97,6 @@
 	cost     int // quota units reserved
 	claim    *claim
 	wait     time.Duration // estimated
-	due      time.Time     // by when the nominated runner should have sent something
 	kind     string
 	torn     bool
 }
@@ -387,23 +386,23 @@
 func (y *way) allowed() error {
 	note := ""
 	if !y.lane.Plain {
+		// Routers that queue for the same runners drain alike, so beside each token ahead here
+		// others go ahead elsewhere, as far as there are any.
+		ahead := y.f.Desk.Ahead(y.kind, y.lane.Rank, y.ten)
+		far, routers := y.f.Yard.Waiting(y.kind)
+		waiting := float64(ahead + min(far, ahead*routers))
 		var feeds []allow.Feed
 		for _, e := range y.could() {
 			if e.Standing() == "" {
-				queued, rate := e.Feed()
+				queued, rate := e.Feed(waiting > 0)
 				feeds = append(feeds, allow.Feed{Queued: queued, Rate: rate})
 			}
 		}
-		// Routers that queue for the same runners drain alike, so beside each token ahead here
-		// others go ahead elsewhere, as far as there are any.
-		ahead := y.f.Desk.Ahead(y.kind, y.lane.Rank, y.ten)
-		far, routers := y.f.Yard.Waiting(y.kind)
-		waiting := float64(ahead + min(far, ahead*routers))
 		ask := allow.Ask{Funded: y.tn.Funded, Tokens: y.tokens, Lower: gjson.GetBytes(y.body, "allow_downgrade").Bool()}
 		v := allow.Decide(y.lay.Allowance, ask, feeds, waiting)
 		y.wait = v.Wait
 		y.f.Meter.Allowance.WithLabelValues(y.kindOf(), string(v.Outcome), allow.Bucket(y.tokens), allow.Bucket(v.Size)).Inc()
-		y.f.Meter.Wait.Observe(v.Wait.Seconds())
+		y.f.Meter.Wait.WithLabelValues(y.kindOf()).Observe(v.Wait.Seconds())
 		switch v.Outcome {
 		case allow.NoFunds:
 			return &Bounce{Status: 402, Code: "no-funds", Retry: y.again(),
@@ -501,7 +500,6 @@
 		if err := y.q.Go(query.Nominated, e.Addr); err != nil {
 			return err
 		}
-		y.due = wait.Due
 		if try == 0 && !y.second {
 			y.f.Meter.Dispatch.WithLabelValues(y.kindOf()).Observe(y.q.Age().Seconds())
 			y.f.Again.First(svc, y.f.Hub.Part(svc.Spare))
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -77,8 +77,7 @@
 // stream carries one run of a stream piece by piece: each is numbered, held by the understudy, and
 // only then shown. A second run has to repeat, byte for byte, what is held, before it adds to it. The
 // end event is handed over only after the runner's own end has been read to its frame.
-func (y *way) stream(ctx context.Context, e *runner.Entry, ans *http.Response, dog *time.Timer) (rest int, err error) {
-	rest = y.tokens
+func (y *way) stream(ctx context.Context, e *runner.Seat, ans *http.Response, dog *time.Timer) (err error) {
 	c := y.car
 	if c.st == nil {
 		c.open(y, ans)
@@ -106,7 +105,7 @@
 			if p := number(ev, seen); seen > held {
 				batch = append(batch, p)
 			} else if !c.st.Same(seen-1, p) && !strike.Out("same") {
-				return rest, errDiffers
+				return errDiffers
 			}
 			if in.Buffered() == 0 || came >= 64 {
 				break
@@ -114,13 +113,11 @@
 		}
 		dog.Reset(y.lane.Silence)
 		if came > 0 {
-			settle := min(came, rest)
-			rest -= settle
-			e.Token(came, settle)
+			e.Token(came)
 		}
 		if len(batch) > 0 {
 			if err := y.f.Streams.Add(ctx, c.st, batch); err != nil {
-				return rest, errTaken
+				return errTaken
 			}
 			c.show(bytes.Join(batch, nil))
 		}
@@ -132,20 +129,20 @@
 			if !errors.As(err, &b) {
 				err = y.lost(e, ctx, err)
 			}
-			return rest, err
+			return err
 		}
 	}
 	if seen < held {
-		return rest, errDiffers
+		return errDiffers
 	}
 	if y.f.Streams.Close(ctx, c.st, "") != nil {
-		return rest, errTaken
+		return errTaken
 	}
 	if err := y.q.Go(query.Done, ""); err != nil {
-		return rest, err
+		return err
 	}
 	c.show([]byte(endEvent))
-	return rest, nil
+	return nil
 }
 
 var errLeft = errors.New("the origin left")
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -30,9 +30,7 @@
 	Skip   map[int]bool           // runs tried already
 	Check  func() error           // asked again before it goes; an error ends the wait
 
-	Due time.Time // with the runner: by when it should have sent something
-
-	ch   chan *runner.Entry
+	ch   chan *runner.Seat
 	over bool // set under the desk's lock: given a runner, or ended
 	out  error
 }
@@ -123,9 +121,9 @@
 // Enter waits for a runner, for at most patience. most bounds all queues of this router together:
 // beyond it the newest of the lowest rank is bounced, be it this one or another.
 //
-//	e, err := desk.Enter(ctx, w, 2*time.Second, 1000)
-func (d *Desk) Enter(ctx context.Context, w *Wait, patience time.Duration, most int) (*runner.Entry, error) {
-	w.ch = make(chan *runner.Entry, 1)
+//	seat, err := desk.Enter(ctx, w, 2*time.Second, 1000)
+func (d *Desk) Enter(ctx context.Context, w *Wait, patience time.Duration, most int) (*runner.Seat, error) {
+	w.ch = make(chan *runner.Seat, 1)
 	w.over, w.out = false, nil
 	d.mu.Lock()
 	if d.n >= most && !d.evict(w.Rank) {
@@ -161,7 +159,7 @@
 		return nil, w.out
 	}
 	if err == ErrGone {
-		e.Leave(w.Tokens, false, w.Due)
+		e.Leave(false)
 		d.Wake()
 		return nil, ErrGone
 	}
@@ -286,7 +284,7 @@
 	}
 }
 
-func (d *Desk) pick(w *Wait, full map[int]bool) *runner.Entry {
+func (d *Desk) pick(w *Wait, full map[int]bool) *runner.Seat {
 	var all []One
 	for _, e := range w.Could() {
 		if w.Skip[e.Idx] || full[e.Idx] {
@@ -306,10 +304,9 @@
 			return nil
 		}
 		e := all[i].Entry
-		if due, ok := e.Seat(w.Tokens, w.Quiet); ok {
-			w.Due = due
+		if s := e.Sit(w.Tokens, w.Quiet); s != nil {
 			d.mem.Note(w.Keys, e.Idx)
-			return e
+			return s
 		}
 		full[e.Idx] = true
 		all = append(all[:i], all[i+1:]...)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -34,8 +34,8 @@
 			defer end()
 			d := NewDesk("east", NewMemory(100))
 			y, e := one(1, d.Wake)
-			due, ok := e.Seat(1, 0)
-			if !ok {
+			seat := e.Sit(1, 0)
+			if seat == nil {
 				rt.Fatal("the runner takes no query")
 			}
 			type ask struct{ no, rank, ten int }
@@ -52,13 +52,13 @@
 					}
 					order = append(order, a.no)
 					time.Sleep(time.Second)
-					got.Leave(1, true, w.Due)
+					got.Leave(true)
 					d.Wake()
 				}()
 				synctest.Wait()
 			}
 			go d.Run(ctx)
-			e.Leave(1, true, due)
+			seat.Leave(true)
 			d.Wake()
 			stop := time.Now().Add(time.Duration(len(asks)+2) * 1100 * time.Millisecond)
 			for time.Now().Before(stop) {
@@ -111,8 +111,8 @@
 		d := NewDesk("east", NewMemory(100))
 		y, e := one(1, d.Wake)
 		go d.Run(ctx)
-		due, ok := e.Seat(1, 0)
-		if !ok {
+		seat := e.Sit(1, 0)
+		if seat == nil {
 			t.Fatal("the runner takes no query")
 		}
 		enter := func(ctx context.Context, rank int, patience time.Duration) chan error {
@@ -142,7 +142,7 @@
 		if err := <-gone; !errors.Is(err, ErrGone) {
 			t.Errorf("an origin that left: %v", err)
 		}
-		e.Leave(1, true, due)
+		seat.Leave(true)
 		d.Wake()
 		if err := <-high; err != nil {
 			t.Errorf("the highest rank: %v", err)
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -247,7 +247,7 @@
 			out := []any{}
 			for _, e := range r.Yard.List() {
 				n, room := e.Load()
-				queued, rate := e.Feed()
+				queued, rate := e.Feed(false)
 				why := e.Standing()
 				if why == "" {
 					why = "ready"
--- a/internal/runner/face_test.go
+++ b/internal/runner/face_test.go
@@ -50,8 +50,8 @@
 // A failing runner is barred for longer each time, and tried with one query before it counts again.
 func TestFailingRunner(t *testing.T) {
 	e := &Entry{Addr: "10.0.0.1:1", news: News{State: "ready", Room: 9}, heard: time.Now()}
-	seat := func() bool { _, ok := e.Seat(1, 0); return ok }
-	leave := func(ok bool) { e.Leave(1, ok, e.dues[0]) }
+	seat := func() bool { return e.Sit(1, 0) != nil }
+	leave := func(ok bool) { e.seats[0].Leave(ok) }
 	if !seat() {
 		t.Fatal("a ready runner takes no query")
 	}
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -3,7 +3,6 @@
 package runner
 
 import (
-	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -36,47 +35,17 @@
 	heard   time.Time
 	told    time.Time // last late report
 	gone    bool
-	streams int
-	tokens  int
-	dues    []time.Time // by when each query under way should have sent something
-	prog    time.Time   // last byte from it, or start of work after idling
+	seats   []*Seat   // our queries on it
+	prog    time.Time // last byte from it, or start of work after idling
 	fails   int
 	bar     time.Time // no new queries before
 	trial   bool      // one query is out to see whether it serves again
-	done    int       // completed streams
-	meter   meter
+	pace    pace
 	far     node.Load // what other routers say they have sent
 	farRate float64
 	farBusy int // other routers that lately had streams on it
 }
 
-// meter measures a runner's whole output a second from our own streams: tokens over busy time,
-// scaled by how many of the runner's streams were ours.
-type meter struct {
-	at                       time.Time
-	tokens, busy, mine, all_ float64
-}
-
-func (m *meter) step(now time.Time, own, far int) {
-	if own > 0 && !m.at.IsZero() {
-		d := now.Sub(m.at).Seconds()
-		m.busy += d
-		m.mine += float64(own) * d
-		m.all_ += float64(own+far) * d
-		if m.busy > 30 { // older half fades
-			m.tokens, m.busy, m.mine, m.all_ = m.tokens/2, m.busy/2, m.mine/2, m.all_/2
-		}
-	}
-	m.at = now
-}
-
-func (m *meter) rate() float64 {
-	if m.busy <= 0 || m.mine <= 0 {
-		return 0
-	}
-	return m.tokens / m.busy * m.all_ / m.mine
-}
-
 // Yard is all runners known to this router.
 type Yard struct {
 	me   string // this router's name
@@ -192,7 +161,7 @@
 	now := time.Now()
 	for _, e := range all {
 		e.mu.Lock()
-		e.meter.step(now, e.streams, e.far.Streams)
+		e.pace.step(now, e.fill())
 		e.far, e.farBusy = sum[e.Addr], busy[e.Addr]
 		e.farRate = 0
 		if n[e.Addr] > 0 {
@@ -225,10 +194,7 @@
 	w := node.Work{Runners: map[string]node.Load{}, Queued: map[string]int{}}
 	for _, e := range y.List() {
 		e.mu.Lock()
-		l := node.Load{Streams: e.streams, Tokens: e.tokens}
-		if e.done > 0 {
-			l.Rate = e.meter.rate()
-		}
+		l := node.Load{Streams: len(e.seats), Tokens: e.owed(), Rate: e.rate(e.most())}
 		e.mu.Unlock()
 		if l.Streams > 0 || l.Rate > 0 {
 			w.Runners[e.Addr] = l
@@ -259,7 +225,7 @@
 	defer y.mu.Unlock()
 	for a, e := range y.by {
 		e.mu.Lock()
-		if time.Since(e.heard) > d && e.streams == 0 {
+		if time.Since(e.heard) > d && len(e.seats) == 0 {
 			e.gone = true
 			delete(y.by, a)
 		}
@@ -306,8 +272,8 @@
 // late tells whether a query under way should have sent something by now. A whole answer says
 // nothing until it is finished, so its time is that of the length asked for.
 func (e *Entry) late(now time.Time) bool {
-	for _, d := range e.dues {
-		if now.After(d) {
+	for _, s := range e.seats {
+		if now.After(s.due) {
 			return true
 		}
 	}
@@ -332,7 +298,7 @@
 func (e *Entry) Load() (n, room int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.streams + e.far.Streams, e.news.Room
+	return e.fill(), e.news.Room
 }
 
 // Roomy tells whether the runner has room for one more query of ours.
@@ -346,20 +312,21 @@
 
 // Feed tells the output ahead on the runner and its measured rate. Each stream counts once: our
 // own by our own count, others' by their routers' news. The runner's late report, less what it
-// should have worked off since, only raises the sum where the news know too little.
+// should have worked off since, only raises the sum where the news know too little. The rate is that of
+// as many streams as will run: one more than now, or, where queries wait, all that the runner takes.
 //
-//	queued, rate := e.Feed()
-func (e *Entry) Feed() (queued, rate float64) {
+//	queued, rate := e.Feed(true)
+func (e *Entry) Feed(wait bool) (queued, rate float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.done > 0 {
-		e.meter.step(time.Now(), e.streams, e.far.Streams)
-		rate = e.meter.rate()
+	fill := e.most()
+	if !wait {
+		fill = min(fill, e.fill()+1)
 	}
-	if rate == 0 {
+	if rate = e.rate(fill); rate == 0 {
 		rate = e.farRate
 	}
-	queued = float64(e.tokens + e.far.Tokens)
+	queued = float64(e.owed() + e.far.Tokens)
 	if n := e.news; n.Room > 0 && n.Most > 0 && n.Queued > n.Room*n.Most {
 		return queued, rate // more than it can hold: not believed
 	}
@@ -380,73 +347,12 @@
 // late, so routers that fill a runner together would overfill it: near its limit each keeps to
 // an equal part.
 func (e *Entry) roomy() bool {
-	room, n := e.news.Room, e.streams+e.far.Streams
+	room, n := e.news.Room, e.fill()
 	if room <= 0 {
 		return true
 	}
 	part := (room + e.farBusy) / (1 + e.farBusy)
-	return n < room && (e.streams < part || 2*n < room)
-}
-
-// Seat takes a place on the runner for one query, if it may have one now. quiet is how long its
-// answer takes before anything of it is sent: zero for one that comes piece by piece.
-//
-//	if due, ok := e.Seat(512, 0); ok { defer e.Leave(512, false, due) }
-func (e *Entry) Seat(tokens int, quiet time.Duration) (due time.Time, ok bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	if e.standing(now) != "" || !e.roomy() {
-		return due, false
-	}
-	if e.fails > 0 {
-		e.trial = true
-	}
-	e.meter.step(now, e.streams, e.far.Streams)
-	if e.streams == 0 {
-		e.prog = now
-	}
-	e.streams++
-	e.tokens += tokens
-	due = now.Add(Stuck + quiet)
-	e.dues = append(e.dues, due)
-	return due, true
-}
-
-// Token notes output that has come for one query, and how much of its promise that settles.
-//
-//	e.Token(1, 1)
-func (e *Entry) Token(n, settle int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	e.meter.step(now, e.streams, e.far.Streams)
-	e.meter.tokens += float64(n)
-	e.tokens = max(0, e.tokens-settle)
-	e.prog = now
-}
-
-// Leave ends a query's place: rest is what was promised and has not come, ok whether the runner
-// answered in full, due what Seat gave.
-//
-//	e.Leave(412, true, due)
-func (e *Entry) Leave(rest int, ok bool, due time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	e.meter.step(now, e.streams, e.far.Streams)
-	e.streams--
-	if i := slices.Index(e.dues, due); i >= 0 {
-		e.dues = slices.Delete(e.dues, i, i+1)
-	}
-	e.tokens = max(0, e.tokens-rest)
-	e.trial = false
-	if ok {
-		e.done++
-		e.fails = 0
-		e.prog = now
-		return
-	}
+	return n < room && (len(e.seats) < part || 2*n < room)
 }
 
 // Fail notes trouble of the runner's making: it gets no new queries for a while, longer each time.
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	dto "github.com/prometheus/client_model/go"
 )
@@ -378,13 +380,35 @@
 	})
 }
 
-// waits is the sum of all waits that a router has estimated.
-func waits(r *fullRouter) float64 {
-	var m dto.Metric
-	if err := r.r.Meter.Wait.Write(&m); err != nil {
-		return 0
+// probe sends one query, and tells the wait it was estimated, at once, and the one it has until a runner
+// sees it, in time.
+func (w *whole) probe(r *fullRouter, a ask) (est time.Duration, wait chan time.Duration) {
+	sum := func() (all float64) {
+		for _, kind := range []string{"funded", "unfunded"} {
+			var m dto.Metric
+			if err := r.r.Meter.Wait.WithLabelValues(kind).(prometheus.Metric).Write(&m); err != nil {
+				w.t.Error(err)
+			}
+			all += m.Histogram.GetSampleSum()
+		}
+		return all
 	}
-	return m.Histogram.GetSampleSum()
+	before := sum()
+	wait = make(chan time.Duration, 1)
+	go func() {
+		g := w.send(w.ctx, r, a)
+		if g.status != 200 {
+			w.t.Errorf("a probe was answered %d %s", g.status, g.body)
+		}
+		for _, s := range w.seen() {
+			if s.n == a.n {
+				wait <- s.at.Sub(g.begun)
+			}
+		}
+		close(wait)
+	}()
+	synctest.Wait() // it is judged by now, and nothing else has happened
+	return time.Duration((sum() - before) * float64(time.Second)), wait
 }
 
 // The allowance's estimate against the wait then seen, for new runners, full batches, prefix hits
@@ -432,19 +456,8 @@
 			time.Sleep(1500 * time.Millisecond)
 			// One more: its estimate at arrival, and its dispatch as seen.
 			n++
-			before := waits(w.full[0])
-			g := w.send(w.ctx, w.full[0], ask{n: n, tenant: "poor", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 41, "prompt": text(int(n))}})
-			if g.status != 200 {
-				t.Fatalf("%s: %d %s", c.name, g.status, g.body)
-			}
-			est := time.Duration((waits(w.full[0]) - before) * float64(time.Second))
-			var at time.Time
-			for _, s := range w.seen() {
-				if s.n == n {
-					at = s.at
-				}
-			}
-			wait := at.Sub(g.begun)
+			est, ch := w.probe(w.full[0], ask{n: n, tenant: "poor", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 41, "prompt": text(int(n))}})
+			wait := <-ch
 			wg.Wait()
 			ratio := est.Seconds() / wait.Seconds()
 			t.Logf("%s: estimated %.1f s, waited %.1f s, ratio %.2f", c.name, est.Seconds(), wait.Seconds(), ratio)
@@ -461,3 +474,70 @@
 		}
 	})
 }
+
+// The estimate where it decides something: waits of a minute and more, behind a tenant's own backlog of each
+// kind of query that the deployments have, on runners that were measured under half a load of the same. The
+// log gives the ratio of estimate to wait.
+func TestEstimateBacklog(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		for _, c := range []struct {
+			name   string
+			tokens int
+			stream bool
+			docs   int           // shared prompts
+			every  time.Duration // under half a load
+			crowd  int
+		}{
+			{"checks", 2, false, 24, 90 * time.Millisecond, 1500},
+			{"notes", 12, false, 40, 500 * time.Millisecond, 500},
+			{"write-ups", 60, true, 4, 2500 * time.Millisecond, 150},
+			{"long whole answers", 60, false, 4, 2500 * time.Millisecond, 150},
+		} {
+			var all []*simRunner
+			for range 4 {
+				m := model(8, 400*time.Millisecond)
+				m.slow, m.cold = 0.1, 100*time.Millisecond
+				all = append(all, m)
+			}
+			lay := strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":1000000`)
+			w := newWhole(t, seed, 4, strings.Replace(lay, `{"services"`, `{"limits":{"queue":100000,"open":100000},"services"`, 1), all...)
+			rnd := rand.New(rand.NewPCG(seed, 5))
+			n := uint64(0)
+			next := func() ask {
+				n++
+				text := strings.Repeat(fmt.Sprintf("sheet %d line; ", rnd.IntN(c.docs)), 500) + fmt.Sprint(" question ", n)
+				return ask{n: n, tenant: "poor", path: "/ask", body: map[string]any{"model": "m", "max_tokens": c.tokens, "stream": c.stream, "prompt": text}}
+			}
+			var wg sync.WaitGroup
+			for begun := time.Now(); time.Since(begun) < 60*time.Second; time.Sleep(time.Duration(rnd.ExpFloat64() * float64(c.every))) {
+				a, r := next(), w.full[rnd.IntN(4)]
+				wg.Go(func() { w.send(w.ctx, r, a) })
+			}
+			for range c.crowd {
+				a, r := next(), w.full[rnd.IntN(4)]
+				wg.Go(func() { w.send(w.ctx, r, a) })
+			}
+			var out []string
+			worst := 0.0
+			for range 4 {
+				time.Sleep(5 * time.Second)
+				est, ch := w.probe(w.full[0], next())
+				wg.Go(func() {
+					wait := <-ch
+					ratio := est.Seconds() / wait.Seconds()
+					out = append(out, fmt.Sprintf("%.0f/%.0f s", est.Seconds(), wait.Seconds()))
+					worst = max(worst, ratio, 1/ratio)
+				})
+			}
+			wg.Wait()
+			t.Logf("%s: estimate and wait %v, off by %.2f at worst", c.name, out, worst)
+			for _, r := range w.full {
+				w.crashFull(r)
+			}
+			for _, s := range w.runners {
+				s.stop()
+			}
+			w.stop()
+		}
+	})
+}
