What runs beside a newcomer in a batch is not counted as before it

Cause: the source's workers run one query at a time, so all that is queued on one is ahead. Here eight or 64 run at once: a newcomer needs one place, and what the others still give comes beside it. Counted in full it made short waits look long, and was a fifth of long ones. Ruled out: whole answers settled only at their end; letting them shrink by the measured pace would mend the same part of the sum again, and what is left of it weighs little now. Change: with a place free nothing on a runner is ahead; with none, of what runs 2 parts in one more than the places, which for one place is the source's rule (TestFeedAsSource).

--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -247,12 +247,13 @@
 			out := []any{}
 			for _, e := range r.Yard.List() {
 				n, room := e.Load()
-				queued, rate := e.Feed(false)
+				queued, more := e.Owed()
+				_, rate := e.Feed(false)
 				why := e.Standing()
 				if why == "" {
 					why = "ready"
 				}
-				out = append(out, map[string]any{"runner": e.News(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued), "rate": rate})
+				out = append(out, map[string]any{"runner": e.News(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued + more), "rate": rate})
 			}
 			return out
 		},
--- a/internal/runner/seat.go
+++ b/internal/runner/seat.go
@@ -12,7 +12,7 @@
 	*Entry
 	at   time.Time
 	area float64 // of the runner's fill over time, when the place was taken
-	rest int     // output promised that has not come
+	most int     // output promised
 	came int
 	due  time.Time // by when it should have sent something
 }
@@ -35,26 +35,25 @@
 		e.prog = now
 	}
 	e.pace.step(now, e.fill())
-	s := &Seat{Entry: e, at: now, area: e.pace.area, rest: tokens, due: now.Add(Stuck + quiet)}
+	s := &Seat{Entry: e, at: now, area: e.pace.area, most: tokens, due: now.Add(Stuck + quiet)}
 	e.seats = append(e.seats, s)
 	return s
 }
 
-// Token notes output that has come. What comes beyond the promise settles no more of it.
+// Token notes output that has come.
 //
 //	s.Token(1)
 func (s *Seat) Token(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.came += n
-	s.rest = max(0, s.rest-n)
 	s.prog = time.Now()
 }
 
-// Leave ends a query's place; ok says whether the runner answered in full.
+// Leave ends a query's place; ok says whether the runner answered in full. came is the output there was.
 //
-//	s.Leave(true)
-func (s *Seat) Leave(ok bool) {
+//	came := s.Leave(true)
+func (s *Seat) Leave(ok bool) (came int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -66,6 +65,7 @@
 		s.prog = now
 		s.pace.add(s.came, now.Sub(s.at), s.pace.area-s.area)
 	}
+	return s.came
 }
 
 // fill is how many streams are on the runner by all accounts.
@@ -82,7 +82,7 @@
 // owed is the output that our queries on the runner still have to come.
 func (e *Entry) owed() (n int) {
 	for _, s := range e.seats {
-		n += s.rest
+		n += max(0, s.most-s.came)
 	}
 	return n
 }
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -310,13 +310,32 @@
 	return e.roomy()
 }
 
-// Feed tells the output ahead on the runner and its measured rate. Each stream counts once: our
-// own by our own count, others' by their routers' news. The runner's late report, less what it
-// should have worked off since, only raises the sum where the news know too little. The rate is that of
-// as many streams as will run: one more than now, or, where queries wait, all that the runner takes.
+// Owed is the output that the runner still has to give. Each stream counts once: our own by our own
+// count, others' by their routers' news. more is what its late report says beyond that, less what it should have
+// worked off since.
 //
-//	queued, rate := e.Feed(true)
-func (e *Entry) Feed(wait bool) (queued, rate float64) {
+//	queued, more := e.Owed()
+func (e *Entry) Owed() (queued, more float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.promised(e.rate(e.fill()))
+}
+
+func (e *Entry) promised(rate float64) (queued, more float64) {
+	queued = float64(e.owed() + e.far.Tokens)
+	if n := e.news; n.Room > 0 && n.Most > 0 && n.Queued > n.Room*n.Most {
+		return queued, 0 // more than it can hold: not believed
+	}
+	return queued, max(0, float64(e.news.Queued)-time.Since(e.told).Seconds()*max(rate, 1)-queued)
+}
+
+// Feed tells the output ahead of a newcomer on the runner, and its measured rate. A runner that batches
+// gives what it owes beside the newcomer, not before it: with a place free nothing is ahead, with none what
+// the first place to come free still has to give, which is all of it where one runs at a time. The rate is
+// that of as many streams as will run: one more than now, or, where queries wait, all that it takes.
+//
+//	ahead, rate := e.Feed(true)
+func (e *Entry) Feed(wait bool) (ahead, rate float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	fill := e.most()
@@ -326,12 +345,12 @@
 	if rate = e.rate(fill); rate == 0 {
 		rate = e.farRate
 	}
-	queued = float64(e.owed() + e.far.Tokens)
-	if n := e.news; n.Room > 0 && n.Most > 0 && n.Queued > n.Room*n.Most {
-		return queued, rate // more than it can hold: not believed
+	queued, more := e.promised(rate)
+	ahead = more
+	if !e.roomy() {
+		ahead += queued * 2 / float64(e.news.Room+1)
 	}
-	late := float64(e.news.Queued) - time.Since(e.told).Seconds()*max(rate, 1)
-	return max(queued, late), rate
+	return ahead, rate
 }
 
 // Hall is where the runner stands.
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -461,7 +461,7 @@
 			wg.Wait()
 			ratio := est.Seconds() / wait.Seconds()
 			t.Logf("%s: estimated %.1f s, waited %.1f s, ratio %.2f", c.name, est.Seconds(), wait.Seconds(), ratio)
-			if ratio < 0.2 || ratio > 8 {
+			if ratio < 0.4 || ratio > 5 {
 				t.Errorf("%s: the estimate is off by a factor of %.2f", c.name, ratio)
 			}
 			for _, r := range w.full {
@@ -487,16 +487,19 @@
 			docs   int           // shared prompts
 			every  time.Duration // under half a load
 			crowd  int
+			step   time.Duration
+			odd    int     // so many pieces fewer than were asked for
+			most   float64 // that the estimate may be off by
 		}{
-			{"checks", 2, false, 24, 90 * time.Millisecond, 1500},
-			{"notes", 12, false, 40, 500 * time.Millisecond, 500},
-			{"write-ups", 60, true, 4, 2500 * time.Millisecond, 150},
-			{"long whole answers", 60, false, 4, 2500 * time.Millisecond, 150},
+			{"checks", 2, false, 24, 90 * time.Millisecond, 1500, 400 * time.Millisecond, 0, 3},
+			{"notes", 12, false, 40, 500 * time.Millisecond, 500, 400 * time.Millisecond, 0, 3},
+			{"write-ups", 600, true, 4, 2500 * time.Millisecond, 150, 40 * time.Millisecond, 0, 3},
+			{"long whole answers", 600, false, 4, 2500 * time.Millisecond, 150, 40 * time.Millisecond, 0, 3},
 		} {
 			var all []*simRunner
 			for range 4 {
-				m := model(8, 400*time.Millisecond)
-				m.slow, m.cold = 0.1, 100*time.Millisecond
+				m := model(8, c.step)
+				m.slow, m.cold, m.odd = 0.1, c.step/4, c.odd
 				all = append(all, m)
 			}
 			lay := strings.ReplaceAll(plainLay(""), `"patience_ms":20000`, `"patience_ms":1000000`)
@@ -506,7 +509,7 @@
 			next := func() ask {
 				n++
 				text := strings.Repeat(fmt.Sprintf("sheet %d line; ", rnd.IntN(c.docs)), 500) + fmt.Sprint(" question ", n)
-				return ask{n: n, tenant: "poor", path: "/ask", body: map[string]any{"model": "m", "max_tokens": c.tokens, "stream": c.stream, "prompt": text}}
+				return ask{n: n, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": c.tokens, "stream": c.stream, "prompt": text}}
 			}
 			var wg sync.WaitGroup
 			for begun := time.Now(); time.Since(begun) < 60*time.Second; time.Sleep(time.Duration(rnd.ExpFloat64() * float64(c.every))) {
@@ -531,6 +534,9 @@
 			}
 			wg.Wait()
 			t.Logf("%s: estimate and wait %v, off by %.2f at worst", c.name, out, worst)
+			if !(worst < c.most) {
+				t.Errorf("%s: the estimate is off by %.2f", c.name, worst)
+			}
 			for _, r := range w.full {
 				w.crashFull(r)
 			}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -530,7 +530,7 @@
 				t.Errorf("%s counts %d streams on the runner, there are 6", r.name, n)
 			}
 			// Whole answers settle at their end, so all that was asked is still ahead.
-			if q, _ := e.Feed(false); q != 600 {
+			if q, _ := e.Owed(); q != 600 {
 				t.Errorf("%s counts %g tokens ahead, there are 600", r.name, q)
 			}
 		}
