What is ahead counts as what answers come to, not as the most they may

Cause: origins ask for the most they would take, and a piece of a stream may hold many tokens; the queue was counted in the one unit and the runners' speed in the other. Write-ups a tenth as long as asked for made a wait of 75 s look like 1100 to 1200 s, which is the floor for everybody. Ruled out: counting asked lengths as worked off when an answer ends; then the measured speed would no longer be tokens a second, and what is under way could not be measured. Habits only at the queue: the runners' reports, in asked lengths too, still made it 900 s. Queries are judged and paid for at the length they ask for, as before.

--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -60,7 +60,9 @@
 	}
 	defer func() {
 		end(nil)
-		e.Leave(ok)
+		if came := e.Leave(ok); ok && came > 0 {
+			y.f.Desk.Habits.Add(y.lane.Name, y.tokens, came)
+		}
 		y.f.Desk.Wake()
 	}()
 	if y.claim == nil {
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -484,7 +484,7 @@
 		if err := y.q.Go(query.Queued, y.kind); err != nil {
 			return err
 		}
-		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Quiet: y.quiet(), Keys: keys, Could: y.could, Skip: y.skip, Check: y.renew}
+		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Lane: y.lane.Name, Quiet: y.quiet(), Keys: keys, Could: y.could, Skip: y.skip, Check: y.renew}
 		e, err := y.f.Desk.Enter(ctx, wait, time.Until(until), y.lay.Limits.Queue)
 		var b *Bounce
 		switch {
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"yarrowridge/internal/allow"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/runner"
 )
@@ -21,6 +22,7 @@
 // Wait is one query's wait for a runner.
 type Wait struct {
 	Kind   string // pool and model
+	Lane   string
 	Rank   int
 	Ten    int
 	Tokens int
@@ -51,14 +53,16 @@
 	mu   sync.Mutex
 	all  []*line // by rank, then kind
 	n    int
-	sum  map[string]int // tokens waiting, by kind
+
+	// Habits tells what the queries of a lane come to, of what they ask for.
+	Habits *allow.Habits
 }
 
 // NewDesk makes a desk for a router of the hall.
 //
 //	d := place.NewDesk("north", place.NewMemory(1<<18))
 func NewDesk(hall string, mem *Memory) *Desk {
-	return &Desk{hall: hall, mem: mem, bell: make(chan struct{}, 1), sum: map[string]int{}}
+	return &Desk{hall: hall, mem: mem, bell: make(chan struct{}, 1), Habits: allow.NewHabits()}
 }
 
 // Wake has the desk look again: a runner may have room.
@@ -78,22 +82,24 @@
 	env.Loop(ctx, d.bell, 50*time.Millisecond, func(struct{}) { d.pump() }, d.pump)
 }
 
-// Waiting tells how many queries wait, and the tokens waiting by kind.
+// Waiting tells how many queries wait, and the tokens that those of each kind will come to.
 //
 //	n, sum := desk.Waiting()
 func (d *Desk) Waiting() (int, map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[string]int{}
-	for k, v := range d.sum {
-		if v > 0 {
-			out[k] = v
+	for _, l := range d.all {
+		for _, q := range l.tens {
+			for _, w := range q {
+				out[l.kind] += d.Habits.Expect(w.Lane, w.Tokens)
+			}
 		}
 	}
 	return d.n, out
 }
 
-// Ahead tells the tokens waiting for a kind that would go before a newcomer: all of higher ranks,
+// Ahead tells the tokens of those waiting for a kind that would go before a newcomer: all of higher ranks,
 // in its own rank all of its tenant's and, since tenants take turns, as many queries of each other
 // tenant as it must itself wait turns.
 //
@@ -110,7 +116,7 @@
 		for who, q := range l.tens {
 			for i, w := range q {
 				if l.rank < rank || who == ten || i < turns {
-					sum += w.Tokens
+					sum += d.Habits.Expect(w.Lane, w.Tokens)
 				}
 			}
 		}
@@ -188,7 +194,6 @@
 	}
 	l.tens[w.Ten] = append(l.tens[w.Ten], w)
 	d.n++
-	d.sum[w.Kind] += w.Tokens
 }
 
 // cut takes a wait out of its line; the caller holds the lock.
@@ -219,9 +224,6 @@
 		}
 	}
 	d.n--
-	if d.sum[w.Kind] -= w.Tokens; d.sum[w.Kind] <= 0 {
-		delete(d.sum, w.Kind)
-	}
 	w.over = true
 }
 
--- a/internal/runner/seat.go
+++ b/internal/runner/seat.go
@@ -5,6 +5,8 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"yarrowridge/internal/allow"
 )
 
 // Seat is one query's place on a runner.
@@ -64,6 +66,9 @@
 		s.fails = 0
 		s.prog = now
 		s.pace.add(s.came, now.Sub(s.at), s.pace.area-s.area)
+		if s.came > 0 {
+			s.pace.use.Add(s.most, s.came)
+		}
 	}
 	return s.came
 }
@@ -92,6 +97,7 @@
 	at    time.Time
 	area  float64  // fill times seconds
 	cells [12]cell // by the fill's power of two
+	use   allow.Habit
 }
 
 type cell struct{ runs, tokens, secs, fills float64 }
--- a/internal/runner/yard.go
+++ b/internal/runner/yard.go
@@ -321,12 +321,13 @@
 	return e.promised(e.rate(e.fill()))
 }
 
+// promised is all in the unit of what was asked for; the rate is not.
 func (e *Entry) promised(rate float64) (queued, more float64) {
 	queued = float64(e.owed() + e.far.Tokens)
 	if n := e.news; n.Room > 0 && n.Most > 0 && n.Queued > n.Room*n.Most {
 		return queued, 0 // more than it can hold: not believed
 	}
-	return queued, max(0, float64(e.news.Queued)-time.Since(e.told).Seconds()*max(rate, 1)-queued)
+	return queued, max(0, float64(e.news.Queued)-time.Since(e.told).Seconds()*max(rate/e.pace.use.Share(), 1)-queued)
 }
 
 // Feed tells the output ahead of a newcomer on the runner, and its measured rate. A runner that batches
@@ -350,7 +351,7 @@
 	if !e.roomy() {
 		ahead += queued * 2 / float64(e.news.Room+1)
 	}
-	return ahead, rate
+	return ahead * e.pace.use.Share(), rate
 }
 
 // Hall is where the runner stands.
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -495,6 +495,7 @@
 			{"notes", 12, false, 40, 500 * time.Millisecond, 500, 400 * time.Millisecond, 0, 3},
 			{"write-ups", 600, true, 4, 2500 * time.Millisecond, 150, 40 * time.Millisecond, 0, 3},
 			{"long whole answers", 600, false, 4, 2500 * time.Millisecond, 150, 40 * time.Millisecond, 0, 3},
+			{"write-ups a tenth as long as asked for", 4000, true, 4, 2500 * time.Millisecond, 150, 40 * time.Millisecond, 3600, 8},
 		} {
 			var all []*simRunner
 			for range 4 {
