--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidwall/gjson"
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"yarrowridge/internal/layout"
@@ -95,6 +96,15 @@
 			for _, b := range Check(Evidence{Mix: mix, Outs: outs, Seen: f.Diary.All()}) {
 				t.Errorf("%s: %s", b.Promise, b.What)
 			}
+			// The fleet's state tells with whom each router exchanges news, and the routers say the same.
+			_, whole, err := f.Ask(t.Context(), "GET", f.Cores[0].Operator, "/v1/fleet", nil, nil)
+			for _, r := range f.Routers {
+				_, own, e := f.Ask(t.Context(), "GET", r.Operator, "/v1/relays", nil, nil)
+				a, b := gjson.GetBytes(whole, "relays."+r.Name).Raw, gjson.GetBytes(own, "near.#.Name").Raw
+				if err != nil || e != nil || a == "[]" || a != b {
+					t.Errorf("%s: relays %s by the fleet's state, %s by itself", r.Name, a, b)
+				}
+			}
 		})
 	}
 }
--- a/internal/operator/face.go
+++ b/internal/operator/face.go
@@ -17,6 +17,7 @@
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/layout"
+	"yarrowridge/internal/relay"
 	"yarrowridge/internal/web"
 	"yarrowridge/internal/wire"
 )
@@ -183,5 +184,19 @@
 		no(w, 503, "no-core", "The core did not answer in time. GET /v1/standing tells what this process knows.", 1)
 		return
 	}
-	say(w, 200, out)
+	seats := make([]relay.Seat, len(out.Nodes))
+	for i, n := range out.Nodes {
+		seats[i] = relay.Seat{Name: n.Name, Hall: n.Hall, Addr: n.Addr}
+	}
+	near := map[string][]string{}
+	for _, n := range seats {
+		near[n.Name] = []string{}
+		for _, o := range relay.Near(n.Name, seats) {
+			near[n.Name] = append(near[n.Name], o.Name)
+		}
+	}
+	say(w, 200, struct {
+		core.State
+		Relays map[string][]string `json:"relays"` // with whom each router exchanges news, as all work it out from the roll
+	}{out, near})
 }
