--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/router"
 	"yarrowridge/internal/sim"
 )
 
@@ -102,27 +104,35 @@
 		}
 	},
 	"cut": func(w *whole) {
-		hall := w.halls[w.chance(4)]
-		var in, out []string
-		add := func(h, addr string) {
-			if h == hall {
-				in = append(in, addr)
-			} else {
-				out = append(out, addr)
-			}
-		}
-		for _, c := range w.cores {
-			add(c.hall, c.addr)
+		w.w.Split(w.sides(w.halls[w.chance(4)]))
+		w.pass(30000)
+		w.w.Heal()
+	},
+	"leave": func(w *whole) {
+		s := w.runners[w.chance(len(w.runners))]
+		s.mu.Lock()
+		s.state = "leaving" // the next beat says so; ServeHTTP minds the two seconds
+		s.mu.Unlock()
+		w.pass(8000)
+		s.stop()
+		s.start()
+	},
+	"deaf": func(w *whole) {
+		for _, s := range w.runners[1:4] {
+			s.deaf()
 		}
-		for _, r := range w.full {
-			add(r.hall, r.addr)
+		w.pass(6000)
+		for _, s := range w.runners[1:4] {
+			s.hear()
 		}
-		for _, s := range w.runners {
-			add(s.hall, s.addr)
+	},
+	"crowd": func(w *whole) {
+		for range 400 {
+			machines++
+			n := uint64(80000000 + machines)
+			go w.send(w.ctx, w.full[w.chance(len(w.full))], ask{n: n, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 5, "prompt": fmt.Sprint(n)}})
 		}
-		w.w.Split(in, out)
-		w.pass(30000)
-		w.w.Heal()
+		w.pass(3000)
 	},
 	"oneway": func(w *whole) {
 		for range 4 {
@@ -140,7 +150,7 @@
 
 // drawn is the course that a seed gives.
 func drawn(seed uint64) []string {
-	names := []string{"router", "routers", "runners", "dark", "primary", "cores", "wipe", "swap", "stall", "full", "cut", "oneway"}
+	names := []string{"router", "routers", "runners", "dark", "primary", "cores", "wipe", "swap", "stall", "full", "cut", "oneway", "leave", "crowd", "deaf"}
 	rnd := rand.New(rand.NewPCG(seed, 21))
 	var out []string
 	for range 6 {
@@ -149,6 +159,28 @@
 	return append(out, []string{"cores", "routers", "cut"}[rnd.IntN(3)]) // the closing fault
 }
 
+// mind looks at every router all the time: none goes back to an older layout in one life.
+func (w *whole) mind(over func() bool) {
+	type life struct {
+		run *router.Router
+		seq uint64
+	}
+	was := make([]life, len(w.full))
+	for ; !over(); time.Sleep(20 * time.Millisecond) {
+		for i, r := range w.full {
+			run := r.now()
+			if run == nil || run.Hub.Layout() == nil {
+				continue
+			}
+			seq := run.Hub.Layout().Seq
+			if was[i].run == run && seq < was[i].seq {
+				w.t.Errorf("%s went back from sequence %d to %d", r.name, was[i].seq, seq)
+			}
+			was[i] = life{run, seq}
+		}
+	}
+}
+
 // day plays a course under traffic of every kind and holds all promises that the simulated origins and
 // runners can see.
 func day(t *testing.T, seed uint64, course []string) {
@@ -179,6 +211,25 @@
 				}
 			})
 		}
+		b := &book{}
+		var mark atomic.Int64
+		for range 2 {
+			wg.Go(func() {
+				for o := w.operator(); !over.Load(); w.pass(1500) {
+					// Whole layouts, each unlike all others; half of them on condition of what was read last.
+					in := &core.Write{Raw: []byte(strings.Replace(lay, `{"services"`, fmt.Sprintf(`{"limits":{"queue":%d},"services"`, 2000+mark.Add(1)), 1)), Any: w.chance(2) == 0}
+					if o.look(b); !in.Any {
+						b.mu.Lock()
+						if n := len(b.looks); n > 0 {
+							in.Match = b.looks[n-1].seq
+						}
+						b.mu.Unlock()
+					}
+					b.add(o.write(in))
+				}
+			})
+		}
+		wg.Go(func() { w.mind(over.Load) })
 		time.Sleep(2 * time.Second)
 		for _, n := range course {
 			happenings[n](w)
@@ -194,7 +245,9 @@
 		}
 		over.Store(true)
 		wg.Wait()
+		w.put(lay) // obeyed everywhere within 2 s
 		w.honest(l)
+		w.check(b)
 		if n := w.rolling("metered", 5*time.Second); n > 30 {
 			t.Errorf("%d queries in a window of a quota of 30", n)
 		}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -267,6 +267,7 @@
 	begun, end time.Time
 	code       int // 200, 412, 503 surely not taken, 504 in doubt
 	seq        uint64
+	raw        string
 }
 
 func (o *operator) put(mark int, match uint64, id string) put {
@@ -281,7 +282,7 @@
 }
 
 func (o *operator) write(in *core.Write) put {
-	p := put{begun: time.Now()}
+	p := put{begun: time.Now(), raw: string(in.Raw)}
 	ctx, end := context.WithTimeout(o.f.ctx, 6*time.Second)
 	defer end()
 	var out core.Wrote
@@ -339,10 +340,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	acked := map[uint64]put{}
-	byMark := map[string]put{}
+	byRaw := map[string]put{}
 	var done []put
 	for _, p := range b.all {
-		byMark[string(sheet(p.mark))] = p
+		byRaw[p.raw] = p
 		if p.code != 200 {
 			continue
 		}
@@ -365,10 +366,10 @@
 			t.Errorf("%s: sequence %d is %q here, %q elsewhere", who, seq, raw, was)
 		}
 		told[seq] = raw
-		if p, ok := byMark[raw]; ok && (p.code == 412 || p.code == 503) {
+		if p, ok := byRaw[raw]; ok && (p.code == 412 || p.code == 503) {
 			t.Errorf("%s obeyed mark %d, which was answered %d", who, p.mark, p.code)
 		}
-		if p, ok := acked[seq]; ok && string(sheet(p.mark)) != raw {
+		if p, ok := acked[seq]; ok && p.raw != raw {
 			t.Errorf("%s: sequence %d is %q, acknowledged was mark %d", who, seq, raw, p.mark)
 		}
 	}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -89,6 +89,7 @@
 	turn   int
 	long   int // queries that asked for more than it serves
 	state  string
+	said   time.Time // when its word that it leaves was first taken
 	active int
 	peak   int // the most that were active at once
 	over   int // queries that came while the room was full
@@ -214,7 +215,7 @@
 	s.mu.Lock()
 	s.ear = l
 	s.born++
-	s.state, s.up, s.active, s.queued = "ready", true, 0, 0
+	s.state, s.said, s.up, s.active, s.queued = "ready", time.Time{}, true, 0, 0
 	s.cache = map[[32]byte]bool{}
 	s.mu.Unlock()
 	srv := &http.Server{Handler: s, BaseContext: func(net.Listener) context.Context { return ctx }, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
@@ -277,6 +278,7 @@
 	}
 	s.mu.Lock()
 	s.turn++
+	state := s.state
 	raw, _ := json.Marshal(map[string]any{"name": s.name, "addr": s.addr, "born": strconv.Itoa(s.born), "turn": s.turn, "labels": s.labels,
 		"state": s.state, "room": s.room, "max_length": max(s.most, 1), "queued_tokens": s.queued})
 	s.mu.Unlock()
@@ -289,6 +291,11 @@
 	}
 	io.Copy(io.Discard, ans.Body)
 	ans.Body.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == "leaving" && ans.StatusCode == 200 && s.said.IsZero() {
+		s.said = time.Now()
+	}
 	return ans.StatusCode == 200
 }
 
@@ -303,6 +310,9 @@
 	}
 	tokens := int(gjson.GetBytes(body, "max_tokens").Int())
 	s.mu.Lock()
+	if !s.said.IsZero() && time.Since(s.said) > 2*time.Second {
+		s.w.t.Errorf("%s got a query %s after its word that it leaves", s.addr, time.Since(s.said))
+	}
 	hang := s.hang
 	if tokens > max(s.most, 1) {
 		s.long++
