--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -464,12 +464,7 @@
 			if ratio < 0.4 || ratio > 5 {
 				t.Errorf("%s: the estimate is off by a factor of %.2f", c.name, ratio)
 			}
-			for _, r := range w.full {
-				w.crashFull(r)
-			}
-			for _, s := range w.runners {
-				s.stop()
-			}
+			w.shut()
 			w.stop()
 		}
 	})
@@ -538,12 +533,7 @@
 			if !(worst < c.most) {
 				t.Errorf("%s: the estimate is off by %.2f", c.name, worst)
 			}
-			for _, r := range w.full {
-				w.crashFull(r)
-			}
-			for _, s := range w.runners {
-				s.stop()
-			}
+			w.shut()
 			w.stop()
 		}
 	})
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -618,3 +618,63 @@
 		}
 	})
 }
+
+// Standing does not flap: beats that come late but within 5 s change nothing, and a runner that
+// refuses every connection while it beats on is tried ever more rarely.
+func TestStandingHolds(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		var all []*simRunner
+		for range 4 {
+			all = append(all, model(50, 5*time.Millisecond))
+		}
+		w := newWhole(t, seed, 4, plainLay(""), all...)
+		late, deaf := all[0], all[1]
+		deaf.deaf()
+		l := &ledger{}
+		turns := map[string]int{}
+		was := map[string]string{}
+		mute := time.Now()
+		for i, begun := uint64(1), time.Now(); time.Since(begun) < 60*time.Second; i++ {
+			if time.Now().After(mute) {
+				late.mu.Lock()
+				late.mute = !late.mute
+				mute = time.Now().Add(1100 * time.Millisecond)
+				if late.mute {
+					mute = time.Now().Add(time.Duration(1+w.chance(2300)) * time.Millisecond)
+				}
+				late.mu.Unlock()
+			}
+			go func() {
+				l.add(w.send(w.ctx, w.full[i%4], ask{n: i, tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": fmt.Sprint(i)}}))
+			}()
+			time.Sleep(20 * time.Millisecond)
+			for _, r := range w.full {
+				for _, e := range r.r.Yard.List() {
+					key := r.name + " " + e.Addr
+					now := e.Standing()
+					if old, ok := was[key]; ok && old != now && now != "on trial" {
+						turns[e.Addr]++
+					}
+					was[key] = now
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		done := 0
+		for _, g := range l.list() {
+			if g.status == 200 {
+				done++
+			}
+		}
+		t.Logf("in 60 s, over 4 routers: %d changes for a runner of late beats, %d for one that refuses all; %d of %d queries answered", turns[late.addr], turns[deaf.addr], done, len(l.list()))
+		if turns[late.addr] > 0 {
+			t.Errorf("the standing of a runner whose beats are late changed %d times", turns[late.addr])
+		}
+		if turns[deaf.addr] > 4*16 {
+			t.Errorf("the standing of a runner that refuses all changed %d times", turns[deaf.addr])
+		}
+		if done < len(l.list())*99/100 {
+			t.Errorf("%d of %d queries answered", done, len(l.list()))
+		}
+	})
+}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -121,14 +121,7 @@
 		w.runners = append(w.runners, s)
 		s.start()
 	}
-	t.Cleanup(func() {
-		for _, r := range w.full {
-			w.crashFull(r)
-		}
-		for _, s := range w.runners {
-			s.stop()
-		}
-	})
+	t.Cleanup(w.shut)
 	w.within(5*time.Second, "founding", func() bool { return w.primary() != nil })
 	w.within(5*time.Second, "the roll is known", func() bool {
 		for _, r := range w.full {
@@ -142,6 +135,16 @@
 	return w
 }
 
+// shut ends all routers and runners.
+func (w *whole) shut() {
+	for _, r := range w.full {
+		w.crashFull(r)
+	}
+	for _, s := range w.runners {
+		s.stop()
+	}
+}
+
 // put puts a layout and waits until every router that is up obeys it.
 func (w *whole) put(lay string) uint64 {
 	w.t.Helper()
