A line as long as the reader's buffer no longer cuts an event in two

Cause: an event is read line by line from a buffer of 16 KiB. Of a line of just that length, or a multiple, the end came as a part of its own, and was taken for the blank line that ends an event: an event of more lines became two, with a number in its middle, and one of a single line was followed by an empty piece. Ruled out: the numbers (number adds one line and no more) and pieces larger than allowed.

--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -39,18 +39,22 @@
 // event reads one server-sent event, its blank line included.
 func event(r *bufio.Reader) ([]byte, error) {
 	var out []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		out = append(out, line...)
+	for line := 0; ; { // where the present line begins: a long one comes in several reads
+		part, err := r.ReadSlice('\n')
+		out = append(out, part...)
 		if err != nil && err != bufio.ErrBufferFull {
 			return out, err
 		}
 		if len(out) > pieceMost {
 			return nil, errLong
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if err != nil {
+			continue
+		}
+		if len(bytes.TrimRight(out[line:], "\r\n")) == 0 {
 			return out, nil
 		}
+		line = len(out)
 	}
 }
 
