--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,460 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/balance"
+	"yarrowridge/internal/routing"
+	"yarrowridge/internal/upstream"
+)
+
+// testDialect is a dialect of the tests' own.
+type testDialect struct{}
+
+func (testDialect) ReadRequest(h http.Header) (RequestMeta, error) {
+	ms, _ := strconv.Atoi(h.Get("Test-Deadline"))
+	return RequestMeta{Key: h.Get("Test-Key"), AttemptID: h.Get("Test-Id"), LastEventID: h.Get("Last-Event-Id"),
+		Deadline: time.Duration(ms) * time.Millisecond}, nil
+}
+
+func (testDialect) WriteRunner(h http.Header, m RunnerMeta) {
+	h.Del("Test-Key")
+	h.Del("Test-Tenant")
+	if m.Tenant != "" {
+		h.Set("Test-Tenant", m.Tenant)
+	}
+	h.Set("Test-Runner", m.RunnerID)
+	if m.LastEventID != "" {
+		h.Set("Last-Event-Id", m.LastEventID)
+	}
+}
+
+func (testDialect) ReadAnswer(status int, h http.Header) AnswerMeta {
+	return AnswerMeta{AttemptID: h.Get("Test-Id"), NotExecuted: h.Get("Test-Not-Run") != "", Sealed: h.Get("Test-Seal") != "",
+		OtherRunner: status == http.StatusMisdirectedRequest}
+}
+
+// freeQuotas lets everything through but what is listed as spent.
+type freeQuotas struct {
+	empty                     map[string]bool
+	reserved, spent, released atomic.Int64
+}
+
+func (q *freeQuotas) Reserve(_ context.Context, tenant string) bool {
+	if q.empty[tenant] {
+		return false
+	}
+	q.reserved.Add(1)
+	return true
+}
+func (q *freeQuotas) Spend(string)        { q.spent.Add(1) }
+func (q *freeQuotas) Release(string)      { q.released.Add(1) }
+func (q *freeQuotas) InBurst(string) bool { return false }
+
+// fleet is a gateway before runners of the test's making.
+type fleet struct {
+	*testing.T
+	gateway  *Gateway
+	balancer *balance.Balancer
+	quotas   *freeQuotas
+	url      string
+	table    atomic.Pointer[routing.Table]
+	mu       sync.Mutex
+	runners  []routing.Runner
+}
+
+const testHost = "desk.example"
+
+func newFleet(t *testing.T, routes ...routing.RouteSpec) *fleet {
+	f := &fleet{T: t, balancer: balance.New("north"), quotas: &freeQuotas{empty: map[string]bool{}}}
+	f.put(1, routes...)
+	pool := upstream.New(upstream.Options{})
+	t.Cleanup(pool.Close)
+	f.gateway = New(Options{Dialect: testDialect{}, Table: f.table.Load, Ready: func() string { return "" }, Balancer: f.balancer, Pool: pool,
+		Quotas: f.quotas, Retries: RetryBounds{Ratio: 1, Allowance: 10}, Part: func(n int) int { return n }, Log: slog.New(slog.DiscardHandler)})
+	server := httptest.NewServer(f.gateway)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func (f *fleet) put(revision uint64, routes ...routing.RouteSpec) {
+	spec := routing.Spec{Revision: revision, Routes: routes, Services: []routing.Service{{Name: "desk"}},
+		Tenants: []routing.TenantSpec{{Name: "yard", Keys: []string{"k1"}, Rate: 100}},
+		Limits:  routing.Limits{BodyBytes: 1000}}
+	table, flaws := routing.Build(spec)
+	if len(flaws) > 0 {
+		f.Fatal(flaws)
+	}
+	f.table.Store(table)
+}
+
+func route(kind routing.Kind, attempts int, resume bool) routing.RouteSpec {
+	return routing.RouteSpec{Name: "r", Host: testHost, Prefix: "/a/", Kind: kind, Resume: resume, MaxAttempts: attempts,
+		Timeout: 5 * time.Second, TargetLatency: time.Second, Split: []routing.SplitSpec{{Service: "desk", Weight: 1}}}
+}
+
+// runner adds a runner that answers with handler.
+func (f *fleet) runner(id string, handler http.HandlerFunc) {
+	server := httptest.NewServer(handler)
+	f.Cleanup(server.Close)
+	f.at(id, server.Listener.Addr().String())
+}
+
+// raw adds a runner that does with each connection's requests what answer says.
+func (f *fleet) raw(id string, answer func(con net.Conn, request *http.Request)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			con, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer con.Close()
+				reader := bufio.NewReader(con)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, request.Body)
+					answer(con, request)
+				}
+			}()
+		}
+	}()
+	f.at(id, listener.Addr().String())
+}
+
+func (f *fleet) at(id, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners = append(f.runners, routing.Runner{ID: id, Service: "desk", Address: address, Zone: "north", State: routing.RunnerReady, Slots: 8})
+	f.balancer.Update(f.runners)
+}
+
+func (f *fleet) send(id, path, key, body string, header ...string) (*http.Response, string, error) {
+	request, _ := http.NewRequest("POST", f.url+path, strings.NewReader(body))
+	request.Host = testHost
+	request.Header.Set("Test-Id", id)
+	if key != "" {
+		request.Header.Set("Test-Key", key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	raw, err := io.ReadAll(answer.Body)
+	return answer, string(raw), err
+}
+
+// good answers in full, with seal and id.
+func good(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+		w.Header().Set("Test-Seal", "s")
+		io.WriteString(w, text)
+	}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	var seen http.Header
+	var path, body string
+	f.runner("one", func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		seen, path, body = r.Header.Clone(), r.RequestURI, string(raw)
+		good("text")(w, r)
+	})
+	answer, text, err := f.send("7", "/a/b%20c?x=1&y", "k1", "asked", "Test-Tenant", "other", "X-More", "kept")
+	if err != nil || answer.StatusCode != 200 || text != "text" || answer.Header.Get("Test-Seal") != "s" {
+		t.Fatal(answer, text, err)
+	}
+	if path != "/a/b%20c?x=1&y" || body != "asked" {
+		t.Errorf("the runner got %q with %q", path, body)
+	}
+	if seen.Get("Test-Tenant") != "yard" || seen.Get("Test-Key") != "" || seen.Get("X-More") != "kept" || seen.Get("Test-Runner") != "one" {
+		t.Errorf("the runner got headers %v", seen)
+	}
+	if f.quotas.spent.Load() != 1 || f.quotas.released.Load() != 0 {
+		t.Error("one request of the quota is spent, none released")
+	}
+}
+
+func TestOwnAnswers(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.runner("one", good("text"))
+	f.quotas.empty["yard"] = true
+	for _, c := range []struct {
+		path, key, body string
+		want            int
+	}{
+		{"/a/x", "k1", "asked", 429},
+		{"/a/x", "k2", "asked", 401},
+		{"/a/x", "", "asked", 401},
+		{"/b/x", "k1", "asked", 404},
+	} {
+		if answer, _, err := f.send("1", c.path, c.key, c.body); err != nil || answer.StatusCode != c.want {
+			t.Error(c, answer, err)
+		}
+	}
+	f.quotas.empty["yard"] = false
+	if answer, _, err := f.send("1", "/a/x", "k1", strings.Repeat("x", 1001)); err != nil || answer.StatusCode != 413 {
+		t.Error(answer, err)
+	}
+	if f.quotas.reserved.Load() != f.quotas.released.Load() {
+		t.Error("what was reserved for requests that did not leave is released")
+	}
+}
+
+// A runner that promises that it did not run a request leaves room for another one, as far as attempts go.
+func TestTurnedAway(t *testing.T) {
+	full := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Test-Not-Run", "1")
+		w.WriteHeader(503)
+	}
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.runner("full", full)
+	answer, _, err := f.send("1", "/a/x", "k1", "")
+	if err != nil || answer.StatusCode != 503 || answer.Header.Get("Retry-After") == "" {
+		t.Fatal(answer, err)
+	}
+	f = newFleet(t, route(routing.Unsafe, 3, false))
+	f.runner("full", full)
+	f.runner("moved", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(421) })
+	f.runner("free", good("text"))
+	for i := range 5 {
+		if answer, text, err := f.send(fmt.Sprint(i), "/a/x", "k1", ""); err != nil || text != "text" {
+			t.Fatal(i, answer, err)
+		}
+	}
+}
+
+// Once a byte may have left, only what may be repeated goes to another runner.
+func TestLostAfterSending(t *testing.T) {
+	for _, c := range []struct {
+		kind     routing.Kind
+		attempts int
+		want     int
+	}{{routing.Unsafe, 3, 502}, {routing.Safe, 1, 502}, {routing.Safe, 2, 200}} {
+		f := newFleet(t, route(c.kind, c.attempts, false))
+		var ran atomic.Int64
+		f.raw("cuts", func(con net.Conn, _ *http.Request) { ran.Add(1); con.Close() })
+		f.raw("cuts too", func(con net.Conn, _ *http.Request) { ran.Add(1); con.Close() })
+		if c.want == 200 {
+			f.mu.Lock()
+			f.runners = f.runners[:1]
+			f.mu.Unlock()
+			f.runner("good", good("text"))
+		}
+		answer, _, err := f.send("1", "/a/x", "k1", "")
+		if err != nil || answer.StatusCode != c.want {
+			t.Error(c, answer, err)
+		}
+		if c.want == 502 && ran.Load() != 1 {
+			t.Errorf("%v: it ran %d times", c, ran.Load())
+		}
+	}
+}
+
+// A runner that cannot be reached got nothing: another one is tried, whatever the attempts.
+func TestNotReached(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.at("down", closed.Addr().String())
+	closed.Close()
+	f.runner("good", good("text"))
+	for i := range 4 {
+		if answer, text, err := f.send(fmt.Sprint(i), "/a/x", "k1", ""); err != nil || text != "text" {
+			t.Fatal(i, answer, text, err)
+		}
+	}
+}
+
+// What is not the runner's whole sealed answer to this request is never shown as a success.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"unsealed":   "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 2\r\n\r\nok",
+		"cut":        "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Seal: s\r\nContent-Length: 9\r\n\r\nok",
+		"cut chunks": "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"unframed":   "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Seal: s\r\n\r\nok",
+		"no answer":  "\x00\x01\x02 what\r\n\r\n",
+		"other's":    "HTTP/1.1 200 OK\r\nTest-Id: 9\r\nTest-Seal: s\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		f := newFleet(t, route(routing.Unsafe, 1, false))
+		f.raw("bad", func(con net.Conn, _ *http.Request) { io.WriteString(con, bytes); con.Close() })
+		if answer, text, err := f.send("1", "/a/x", "k1", ""); err == nil && answer.StatusCode < 500 {
+			t.Error(name, answer, text)
+		}
+	}
+}
+
+// An extra answer to an earlier request, in the place where ours is due, is passed over.
+func TestLateExtraAnswer(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.raw("late", func(con net.Conn, r *http.Request) {
+		own := "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 4\r\nTest-Id: " + r.Header.Get("Test-Id") + "\r\n\r\nmine"
+		io.WriteString(con, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 5\r\nTest-Id: 0\r\n\r\nother"+own)
+	})
+	for i := 1; i < 4; i++ {
+		if answer, text, err := f.send(fmt.Sprint(i), "/a/x", "k1", ""); err != nil || text != "mine" {
+			t.Fatal(answer, text, err)
+		}
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// streamer sends the events after Last-Event-Id up to its own end, and closes there if that is not the last.
+func streamer(end, last int, askedFor *[]string) func(net.Conn, *http.Request) {
+	return func(con net.Conn, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		*askedFor = append(*askedFor, r.Header.Get("Last-Event-Id"))
+		text := events(from+1, end)
+		fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nTest-Seal: s%d\r\nTest-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+			end, r.Header.Get("Test-Id"), len(text), text)
+		if end == last {
+			io.WriteString(con, "0\r\n\r\n")
+			return
+		}
+		io.WriteString(con, "20\r\nid: 99\nda")
+		con.Close()
+	}
+}
+
+// A stream that its runner breaks off goes on at another one inside one answer where the route allows it,
+// with no piece missing or doubled; elsewhere it never ends as if it were complete.
+func TestStreams(t *testing.T) {
+	for _, resume := range []bool{true, false} {
+		f := newFleet(t, route(routing.Streaming, 3, resume))
+		var asked []string
+		f.raw("cuts", streamer(3, 9, &asked))
+		answer, text, err := f.send("1", "/a/x", "k1", "")
+		if answer == nil || answer.Header.Get("Test-Seal") != "s3" || text != events(1, 3) || err == nil {
+			t.Fatal(resume, answer, text, err)
+		}
+		f.raw("whole", streamer(9, 9, &asked))
+		for range 6 { // whichever runner comes first
+			asked = nil
+			_, text, err = f.send("2", "/a/x", "k1", "")
+			if resume && (err != nil || text != events(1, 9)) {
+				t.Fatal(text, err, asked)
+			}
+			if err == nil && text != events(1, 9) {
+				t.Fatal("a cut stream ends as if complete", text)
+			}
+			if len(asked) > 1 && (!resume || asked[1] != "3") {
+				t.Fatal("second run asked for", asked)
+			}
+			time.Sleep(400 * time.Millisecond) // until the bar on the runner that failed has passed
+		}
+	}
+}
+
+// Where a client goes away its runner is told.
+func TestClientLeaves(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	began, left := make(chan bool, 1), make(chan bool, 1)
+	f.runner("slow", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		began <- true
+		<-r.Context().Done()
+		left <- true
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, _ := http.NewRequestWithContext(ctx, "POST", f.url+"/a/x", nil)
+	request.Host = testHost
+	request.Header.Set("Test-Key", "k1")
+	go func() {
+		<-began
+		cancel()
+	}()
+	if _, err := http.DefaultTransport.RoundTrip(request); !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	<-left
+}
+
+// The deadline ends a request whose runner says nothing, as one that may have run.
+func TestDeadline(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.runner("silent", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	answer, _, err := f.send("1", "/a/x", "k1", "", "Test-Deadline", "80")
+	if err != nil || answer.StatusCode != 504 {
+		t.Fatal(answer, err)
+	}
+}
+
+// Before a further attempt the newest table is obeyed.
+func TestWithdrawnBetweenAttempts(t *testing.T) {
+	f := newFleet(t, route(routing.Safe, 3, false))
+	f.raw("cuts", func(con net.Conn, _ *http.Request) {
+		moved := route(routing.Safe, 3, false)
+		moved.Prefix = "/elsewhere/"
+		f.put(2, moved)
+		con.Close()
+	})
+	answer, _, err := f.send("1", "/a/x", "k1", "")
+	if err != nil || answer.StatusCode != 502 {
+		t.Fatal(answer, err)
+	}
+}
+
+func TestJourney(t *testing.T) {
+	way := func(j journey, states ...State) error {
+		for _, s := range states {
+			if err := j.advance(s); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	begin := []State{Routed, Authenticated, Admitted, Selected, Sent}
+	if err := way(journey{}, append(begin, Admitted)...); err == nil {
+		t.Error("a request that may have run once only goes back")
+	}
+	if err := way(journey{}, append(begin, Refused)...); err == nil {
+		t.Error("a request that may have run is refused as not run")
+	}
+	if err := way(journey{repeatable: true}, append(begin, Admitted, Selected, Sent, Answering, Done)...); err != nil {
+		t.Error(err)
+	}
+	if err := way(journey{}, Selected); err == nil {
+		t.Error("a step that the chart lacks")
+	}
+}
