The core reads configurations through a codec; layouts are the default

Cause: the core called the layout package itself, so no other document could be kept by it. A document may number itself now. Its sequences are uneven, so older copies and write ids are bounded by a count of writes kept beside them (core/history.go), not by arithmetic on sequences. Ruled out: such a record for layouts too. They are counted as before, so an older core beside a newer one prunes the same keys. Also: no copy of a document above 1 MiB is kept, else document and copy do not fit one frame.

--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"yarrowridge/internal/layout"
 	"yarrowridge/internal/store"
 )
 
@@ -169,16 +168,16 @@
 	s.mu.Lock()
 	sheet := s.sheet
 	s.mu.Unlock()
-	if lay := s.parsed(sheet); lay != nil {
-		return lay.Limits.RanMost
+	if doc := s.parsed(sheet); doc != nil {
+		return doc.Claims.RanMost
 	}
-	return layout.RanMost
+	return defaultRanMost
 }
 
 // sweepClaims ends claims that have had their time. Of each whose query may have run the hash stays.
 // Age is counted from when this run of this process first saw a claim or a part: a hand-over only
 // makes them last longer.
-func (s *Server) sweepClaims(lim layout.Limits) {
+func (s *Server) sweepClaims(lim ClaimLimits) {
 	var gone []string
 	now := s.swept10
 	aged := make(map[string]time.Time, len(s.claims))
--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -1,9 +1,10 @@
 package core
 
+import "time"
+
 // Codec reads the configuration documents that operators write. The core keeps them as they came.
 type Codec interface {
-	// Check reads a whole document. sequence is the number that the document gives itself; 0: the core
-	// counts on from the current one. With any flaw the document is invalid.
+	// Check reads a whole document. With any flaw the document is invalid.
 	Check(raw []byte) (doc Document, flaws []Flaw)
 	// Merge applies a partial change to the current document.
 	Merge(current, change []byte) (raw []byte, err error)
@@ -13,6 +14,31 @@
 
 // Document is what the core itself needs to know of a configuration.
 type Document struct {
-	Sequence uint64         // 0: the core counts
-	Quotas   map[string]int // units of each tenant that has a quota
+	// Sequence is the number that the document gives itself; it must be above the current one.
+	// 0: the core counts on from the current one.
+	Sequence uint64
+	Quotas   map[string]int           // units of each tenant that has a quota
+	Windows  map[string]time.Duration // in which a tenant's units may be spent once
+	Claims   ClaimLimits
+}
+
+// ClaimLimits bound how long and how many once-only keys are kept. Zeros mean the defaults.
+type ClaimLimits struct {
+	Keep    time.Duration // how long a claim is kept with what became of it
+	RanKeep time.Duration // how long it is kept that a key ran
+	RanMost int           // how many such keys are kept at the most
+}
+
+// withDefaults puts defaults where nothing is set.
+func (l ClaimLimits) withDefaults() ClaimLimits {
+	if l.Keep == 0 {
+		l.Keep = time.Hour
+	}
+	if l.RanKeep == 0 {
+		l.RanKeep = 48 * time.Hour
+	}
+	if l.RanMost == 0 {
+		l.RanMost = defaultRanMost
+	}
+	return l
 }
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"sort"
 	"strconv"
 	"strings"
@@ -11,7 +12,6 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"yarrowridge/internal/layout"
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/store"
@@ -305,7 +305,7 @@
 // hall's first relays have it, or a short time for that has passed.
 func (s *Server) write(ctx context.Context, in *Write) (*Wrote, error) {
 	out := &Wrote{Code: 200}
-	if len(in.Raw) > layout.Most {
+	if len(in.Raw) > s.set.Codec.MaxBytes() {
 		return &Wrote{Code: 413}, nil
 	}
 	sum := sha256.Sum256(in.Raw)
@@ -338,52 +338,23 @@
 		}
 		raw := in.Raw
 		if in.Patch {
-			if raw, err = layout.Merge(cur.Raw, in.Raw); err != nil {
+			if raw, err = s.set.Codec.Merge(cur.Raw, in.Raw); err != nil {
 				out.Code, out.Flaws = 400, []Flaw{{Text: "valid JSON expected"}}
 				return nil
 			}
-			if len(raw) > layout.Most {
+			if len(raw) > s.set.Codec.MaxBytes() {
 				out.Code = 413
 				return nil
 			}
 		}
-		if _, bad := layout.Parse(raw); len(bad) > 0 {
-			out.Code = 400
-			for _, t := range bad {
-				out.Flaws = append(out.Flaws, Flaw{t.Path, t.Text})
-			}
+		next, numbered, flaws := s.check(cur, raw)
+		if len(flaws) > 0 {
+			out.Code, out.Flaws = 400, flaws
 			return nil
 		}
-		sheet = Sheet{Seq: cur.Seq + 1, Raw: raw}
+		sheet = next
 		out.Seq = sheet.Seq
-		if err := tx.Put("layout", &sheet); err != nil {
-			return err
-		}
-		if err := tx.Put(pastKey(sheet.Seq), &sheet); err != nil {
-			return err
-		}
-		if sheet.Seq > past {
-			tx.Drop(pastKey(sheet.Seq - past))
-		}
-		if in.Id != "" {
-			if err := tx.Put("mark/"+in.Id, &Mark{sheet.Seq, hash}); err != nil {
-				return err
-			}
-			if err := tx.Put("marked/"+strconv.FormatUint(sheet.Seq, 10), &Claim{Id: in.Id}); err != nil {
-				return err
-			}
-		}
-		if sheet.Seq > marks {
-			key := "marked/" + strconv.FormatUint(sheet.Seq-marks, 10)
-			if raw, ok := tx.Get(key); ok {
-				var c Claim
-				if _, err := c.UnmarshalMsg(raw); err == nil {
-					tx.Drop("mark/" + c.Id)
-				}
-				tx.Drop(key)
-			}
-		}
-		return nil
+		return tx.record(cur, sheet, numbered, in.Id, hash)
 	})
 	if err != nil {
 		return nil, err
@@ -398,6 +369,44 @@
 	return out, nil
 }
 
+// check reads a new configuration and gives it its sequence. numbered: the document numbers itself.
+func (s *Server) check(cur Sheet, raw []byte) (next Sheet, numbered bool, flaws []Flaw) {
+	doc, flaws := s.set.Codec.Check(raw)
+	if len(flaws) > 0 {
+		return Sheet{}, false, flaws
+	}
+	if doc.Sequence == 0 {
+		return Sheet{Seq: cur.Seq + 1, Raw: raw}, false, nil
+	}
+	if doc.Sequence <= cur.Seq {
+		text := fmt.Sprintf("a sequence above %d, the current one, is expected; the document has %d", cur.Seq, doc.Sequence)
+		return Sheet{}, true, []Flaw{{Path: "sequence", Text: text}}
+	}
+	return Sheet{Seq: doc.Sequence, Raw: raw}, true, nil
+}
+
+// record puts the new sheet, a copy for reading back and the write's id.
+func (t *Tx) record(cur, sheet Sheet, numbered bool, id, hash string) error {
+	h, known, err := t.history(cur.Seq)
+	if err != nil {
+		return err
+	}
+	h.Count++
+	if err := t.Put("layout", &sheet); err != nil {
+		return err
+	}
+	if err := t.keepPast(&h, &sheet, numbered); err != nil {
+		return err
+	}
+	if err := t.keepMark(h.Count, id, Mark{sheet.Seq, hash}); err != nil {
+		return err
+	}
+	if known || numbered {
+		return t.Put(historyKey, &h)
+	}
+	return nil
+}
+
 // push hands a layout to the first nodes of every hall and waits a quarter second at most, so
 // that the news outlives us once we have answered.
 func (s *Server) push(sheet Sheet) {
@@ -446,12 +455,8 @@
 			return err
 		}
 		units := 0
-		if lay := s.parsed(cur); lay != nil {
-			for _, t := range lay.Tenants {
-				if t.Name == in.Tenant {
-					units = t.Quota.Units
-				}
-			}
+		if doc := s.parsed(cur); doc != nil {
+			units = doc.Quotas[in.Tenant]
 		}
 		p, err := tx.pot(in.Tenant)
 		if err != nil {
@@ -482,17 +487,17 @@
 	return out, nil
 }
 
-// parsed keeps the last layout read, since shares ask for it often. Only the run loop calls it.
-func (s *Server) parsed(sheet Sheet) *layout.Layout {
-	if s.lay == nil || s.lay.Seq != sheet.Seq {
-		lay, bad := layout.Parse(sheet.Raw)
-		if len(bad) > 0 {
+// parsed keeps the last document read, since shares ask for it often. Only the run loop calls it.
+func (s *Server) parsed(sheet Sheet) *Document {
+	if s.doc == nil || s.docSeq != sheet.Seq {
+		doc, flaws := s.set.Codec.Check(sheet.Raw)
+		if len(flaws) > 0 {
 			return nil
 		}
-		lay.Seq = sheet.Seq
-		s.lay = lay
+		doc.Claims = doc.Claims.withDefaults()
+		s.doc, s.docSeq = &doc, sheet.Seq
 	}
-	return s.lay
+	return s.doc
 }
 
 // retire sets a holder's units cooling: its process is surely gone.
@@ -540,14 +545,11 @@
 		return
 	}
 	s.greet(at)
-	lay := s.parsed(sheet)
-	if lay == nil {
+	doc := s.parsed(sheet)
+	if doc == nil {
 		return
 	}
-	win := map[string]time.Duration{}
-	for _, t := range lay.Tenants {
-		win[t.Name] = t.Quota.Window
-	}
+	win := doc.Windows
 	old := func(key string, d time.Duration) bool {
 		at, ok := s.aged[key]
 		if !ok {
@@ -561,7 +563,7 @@
 	// There may be very many claims, and none is kept by the second.
 	if time.Since(s.swept10) > 10*time.Second {
 		s.swept10 = time.Now()
-		s.sweepClaims(lay.Limits)
+		s.sweepClaims(doc.Claims)
 	}
 	var thaw, out [][2]string
 	st.Each("share/", func(k string, raw []byte) {
--- /dev/null
+++ b/internal/core/history.go
@@ -0,0 +1,73 @@
+package core
+
+import "strconv"
+
+// What is kept of older configurations and of write ids is bounded by counting writes, not by
+// arithmetic on sequences, where documents number themselves.
+
+const (
+	historyKey = "history"
+	pastFew    = 3        // copies kept of large documents
+	pastLarge  = 64 << 10 // documents above this size are large
+	pastNone   = 1 << 20  // of documents above this size no copy is kept: a batch has to fit one frame
+)
+
+// history reads what is kept of earlier writes. known is false where the core has counted all along, and
+// a write's count is its sequence.
+func (t *Tx) history(current uint64) (h History, known bool, err error) {
+	raw, known := t.Get(historyKey)
+	if known {
+		_, err = h.UnmarshalMsg(raw)
+		return h, known, err
+	}
+	h.Count = current
+	for sequence := current - min(current, past-1); sequence <= current; sequence++ {
+		if sequence > 0 {
+			h.Past = append(h.Past, sequence)
+		}
+	}
+	return h, false, nil
+}
+
+// keepPast keeps a copy of the new sheet for reading back, and drops the oldest copies beyond the bound.
+func (t *Tx) keepPast(h *History, sheet *Sheet, numbered bool) error {
+	if len(sheet.Raw) <= pastNone {
+		if err := t.Put(pastKey(sheet.Seq), sheet); err != nil {
+			return err
+		}
+		h.Past = append(h.Past, sheet.Seq)
+	}
+	most := past
+	if numbered && len(sheet.Raw) > pastLarge {
+		most = pastFew
+	}
+	for len(h.Past) > most {
+		t.Drop(pastKey(h.Past[0]))
+		h.Past = h.Past[1:]
+	}
+	return nil
+}
+
+// keepMark remembers the id of the write with this count, and forgets the id of one long ago.
+func (t *Tx) keepMark(count uint64, id string, mark Mark) error {
+	if id != "" {
+		if err := t.Put("mark/"+id, &mark); err != nil {
+			return err
+		}
+		if err := t.Put("marked/"+strconv.FormatUint(count, 10), &Claim{Id: id}); err != nil {
+			return err
+		}
+	}
+	if count <= marks {
+		return nil
+	}
+	key := "marked/" + strconv.FormatUint(count-marks, 10)
+	if raw, ok := t.Get(key); ok {
+		var c Claim
+		if _, err := c.UnmarshalMsg(raw); err == nil {
+			t.Drop("mark/" + c.Id)
+		}
+		t.Drop(key)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/layoutcodec.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"time"
+
+	"yarrowridge/internal/layout"
+)
+
+const defaultRanMost = layout.RanMost
+
+// layoutCodec reads layouts. A layout does not number itself: the core counts.
+type layoutCodec struct{}
+
+// Check reads a whole layout.
+func (layoutCodec) Check(raw []byte) (Document, []Flaw) {
+	lay, troubles := layout.Parse(raw)
+	if len(troubles) > 0 {
+		flaws := make([]Flaw, len(troubles))
+		for i, trouble := range troubles {
+			flaws[i] = Flaw{Path: trouble.Path, Text: trouble.Text}
+		}
+		return Document{}, flaws
+	}
+	doc := Document{
+		Quotas:  map[string]int{},
+		Windows: map[string]time.Duration{},
+		Claims:  ClaimLimits{Keep: lay.Limits.Keep, RanKeep: lay.Limits.RanKeep, RanMost: lay.Limits.RanMost},
+	}
+	for _, tenant := range lay.Tenants {
+		doc.Quotas[tenant.Name] = tenant.Quota.Units
+		doc.Windows[tenant.Name] = tenant.Quota.Window
+	}
+	return doc, nil
+}
+
+// Merge applies a JSON merge patch.
+func (layoutCodec) Merge(current, change []byte) ([]byte, error) {
+	return layout.Merge(current, change)
+}
+
+// MaxBytes is the size of the largest layout.
+func (layoutCodec) MaxBytes() int { return layout.Most }
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -106,6 +106,12 @@
 	Sum string `msg:"h"`
 }
 
+// History counts the writes of documents that number themselves, and names the older ones still kept.
+type History struct {
+	Count uint64   `msg:"c"`
+	Past  []uint64 `msg:"p"`
+}
+
 // Claim is the durable record of a once-only key.
 type Claim struct {
 	Sum    string `msg:"h"` // hash of what was asked
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -548,6 +548,91 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *History) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Count)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Past)))
+	for za0001 := range z.Past {
+		o = msgp.AppendUint64(o, z.Past[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *History) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Past")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Past) >= int(zb0002) {
+				z.Past = (z.Past)[:zb0002]
+			} else {
+				z.Past = make([]uint64, zb0002)
+			}
+			for za0001 := range z.Past {
+				z.Past[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Past", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *History) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Past) * (msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -16,7 +16,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"yarrowridge/internal/env"
-	"yarrowridge/internal/layout"
 	"yarrowridge/internal/lease"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/strike"
@@ -31,6 +30,9 @@
 	Seeds    []string
 	Term     time.Duration // lease of the primacy
 	Lost     time.Duration // silence after which a member is replaced by a waiting spare
+	Codec    Codec         // reads the configuration; nil: layouts
+
+	RunnerSilence time.Duration // a runner without a heartbeat for so long is silent
 }
 
 // Fill puts defaults where nothing is set.
@@ -43,6 +45,12 @@
 	if s.Lost == 0 {
 		s.Lost = 10 * time.Second
 	}
+	if s.Codec == nil {
+		s.Codec = layoutCodec{}
+	}
+	if s.RunnerSilence == 0 {
+		s.RunnerSilence = 4 * time.Second
+	}
 	return s
 }
 
@@ -92,8 +100,9 @@
 	swept10 time.Time            // of the claims
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
-	ranTurn int // parts put by this run
-	lay     *layout.Layout
+	ranTurn int       // parts put by this run
+	doc     *Document // the last document read, and whose it is
+	docSeq  uint64
 
 	mu     sync.Mutex
 	epoch  uint64
