Registry of runners at the primary, its copy at every router, and documents at the hub

Cause: heartbeats of runners may come to any core, and routers must know a draining one soon after it was acknowledged, also when the primary changes right then. How: core/registry.go keeps runners by ID in the primary's memory, with a version that goes up with each change that routers must know. Beats bring what changed; a changed state is also pushed to the first two routers of each zone before it is acknowledged. Changes within 5 ms share one push. Ruled out: the view's epoch alone as the registry's. A primary that restarts and leads the same view again would count anew under the old name; the run is part of it. The hub keeps sequence and raw text itself, so a document other than a layout can be obeyed.

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -68,6 +68,8 @@
 		return wire.On(body, s.takeJoin)
 	case "core.beat":
 		return wire.On(body, func(in *Beat) (*Told, error) { return s.takeBeat(ctx, in) })
+	case "core.runner":
+		return wire.On(body, s.takeRunner)
 	case "core.layout":
 		return wire.On(body, s.giveLayout)
 	case "core.write":
@@ -218,6 +220,7 @@
 		out.Whole = true
 		out.Nodes = s.live()
 	}
+	s.runners.Tell(in, out, time.Now())
 	for t, at := range s.short {
 		if time.Since(at) < 5*time.Second {
 			out.Short = append(out.Short, t)
@@ -361,7 +364,7 @@
 	}
 	if sheet.Seq > 0 {
 		s.ctx.Log.Info("Layout taken.", "sequence", sheet.Seq)
-		s.push(sheet)
+		s.push(relay.LayoutRec(sheet.Seq, sheet.Raw))
 		if !s.stands(s.vot.View()) {
 			return nil, wire.Fault{Code: InDoubt}
 		}
@@ -407,14 +410,14 @@
 	return nil
 }
 
-// push hands a layout to the first nodes of every hall and waits a quarter second at most, so
+// push hands records to the first nodes of every hall and waits a quarter second at most, so
 // that the news outlives us once we have answered.
-func (s *Server) push(sheet Sheet) {
+func (s *Server) push(recs ...relay.Rec) {
 	ctx, end := context.WithTimeout(s.ctx, 250*time.Millisecond)
 	s.mu.Lock()
 	all := s.live()
 	s.mu.Unlock()
-	tell := relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}}
+	tell := relay.Tell{Recs: recs}
 	halls := map[string]int{}
 	done := make(chan bool, len(all))
 	sent := 0
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"yarrowridge/internal/routing"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/view"
 )
@@ -54,6 +55,10 @@
 	Node  Node   `msg:"n"`
 	Roll  uint64 `msg:"r"` // the roll of nodes it has
 	Leave bool   `msg:"l"` // it stops now: no lease, and its unspent units are free after a window
+
+	RunnersWanted  bool   `msg:"w"` // it keeps a copy of the registry of runners
+	RunnersEpoch   uint64 `msg:"e"` // what it has of it; zeros: nothing
+	RunnersVersion uint64 `msg:"v"`
 }
 
 // Told answers a Beat.
@@ -64,6 +69,16 @@
 	Nodes []Node    `msg:"n"` // all live nodes, where the roll changed
 	Whole bool      `msg:"w"` // Nodes is set
 	Short []string  `msg:"h"` // tenants whose units are wanted back where idle
+
+	RunnersEpoch   uint64           `msg:"re"` // one primary's count of versions
+	RunnersVersion uint64           `msg:"rv"`
+	Runners        []routing.Runner `msg:"rr"` // those changed since the version it had
+	RunnersWhole   bool             `msg:"rw"` // Runners are all: one that is not named is to be dropped
+}
+
+// RunnerBeat is a runner's heartbeat.
+type RunnerBeat struct {
+	Runner routing.Runner `msg:"r"`
 }
 
 // Want asks for the layout: the newest, or an older one by sequence.
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"yarrowridge/internal/routing"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/view"
 
@@ -18,9 +19,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 6
 	// string "n"
-	o = append(o, 0x83, 0xa1, 0x6e)
+	o = append(o, 0x86, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -32,6 +33,15 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Leave)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.RunnersWanted)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.RunnersEpoch)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.RunnersVersion)
 	return
 }
 
@@ -75,6 +85,24 @@
 				err = msgp.WrapError(err, "Leave")
 				return
 			}
+		case "w":
+			z.RunnersWanted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersWanted")
+				return
+			}
+		case "e":
+			z.RunnersEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersEpoch")
+				return
+			}
+		case "v":
+			z.RunnersVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersVersion")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -89,7 +117,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1156,6 +1184,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RunnerBeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o, err = z.Runner.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Runner")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunnerBeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			bts, err = z.Runner.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runner")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunnerBeat) Msgsize() (s int) {
+	s = 1 + 2 + z.Runner.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1713,9 +1801,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 10
 	// string "v"
-	o = append(o, 0x86, 0xa1, 0x76)
+	o = append(o, 0x8a, 0xa1, 0x76)
 	o, err = z.View.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -1746,6 +1834,25 @@
 	for za0002 := range z.Short {
 		o = msgp.AppendString(o, z.Short[za0002])
 	}
+	// string "re"
+	o = append(o, 0xa2, 0x72, 0x65)
+	o = msgp.AppendUint64(o, z.RunnersEpoch)
+	// string "rv"
+	o = append(o, 0xa2, 0x72, 0x76)
+	o = msgp.AppendUint64(o, z.RunnersVersion)
+	// string "rr"
+	o = append(o, 0xa2, 0x72, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runners)))
+	for za0003 := range z.Runners {
+		o, err = z.Runners[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Runners", za0003)
+			return
+		}
+	}
+	// string "rw"
+	o = append(o, 0xa2, 0x72, 0x77)
+	o = msgp.AppendBool(o, z.RunnersWhole)
 	return
 }
 
@@ -1841,6 +1948,47 @@
 					return
 				}
 			}
+		case "re":
+			z.RunnersEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersEpoch")
+				return
+			}
+		case "rv":
+			z.RunnersVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersVersion")
+				return
+			}
+		case "rr":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runners")
+				return
+			}
+			if zb0004 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runners) >= int(zb0004) {
+				z.Runners = (z.Runners)[:zb0004]
+			} else {
+				z.Runners = make([]routing.Runner, zb0004)
+			}
+			for za0003 := range z.Runners {
+				bts, err = z.Runners[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runners", za0003)
+					return
+				}
+			}
+		case "rw":
+			z.RunnersWhole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersWhole")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1863,6 +2011,11 @@
 	for za0002 := range z.Short {
 		s += msgp.StringPrefixSize + len(z.Short[za0002])
 	}
+	s += 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Runners {
+		s += z.Runners[za0003].Msgsize()
+	}
+	s += 3 + msgp.BoolSize
 	return
 }
 
--- /dev/null
+++ b/internal/core/registry.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/routing"
+	"yarrowridge/internal/wire"
+)
+
+const (
+	runnerForget  = 60 * time.Second       // a runner unheard for so long is forgotten
+	runnerSettle  = 5 * time.Second        // a new primary has heard every living runner by then
+	runnerCheck   = 100 * time.Millisecond // between two looks for silent runners
+	runnerGather  = 5 * time.Millisecond   // changes that come this close together are pushed as one
+	registryBegun = 1                      // the first version; 0 stands for "none"
+)
+
+// RunnerRegistry is the primary's knowledge of runners, in memory only. Its version goes up with every
+// change that routers must know. A new primary begins an empty registry with an epoch of its own.
+type RunnerRegistry struct {
+	silence time.Duration
+
+	mu      sync.Mutex
+	epoch   uint64
+	begun   time.Time // of heartbeats being taken in this epoch
+	version uint64
+	settled uint64 // the version at which every living runner had been heard; 0: not yet
+	checked time.Time
+	runners map[string]*registered
+}
+
+// registered is one known runner.
+type registered struct {
+	runner  routing.Runner
+	heard   time.Time // its last heartbeat
+	version uint64    // of its last change
+}
+
+// NewRunnerRegistry makes an empty registry. A runner unheard for the silence span is silent.
+//
+//	registry := core.NewRunnerRegistry(4 * time.Second)
+func NewRunnerRegistry(silence time.Duration) *RunnerRegistry {
+	return &RunnerRegistry{silence: silence, runners: map[string]*registered{}}
+}
+
+// registryEpoch names one primary's count of versions. A primary that restarts and leads the same view
+// again counts anew, so the run is part of it.
+func registryEpoch(view, born uint64) uint64 { return view<<32 | born&(1<<32-1) }
+
+// Begin starts taking heartbeats. A new epoch starts an empty registry. In the same epoch, after a pause in
+// which no heartbeat was taken, all runners get time to be heard again.
+//
+//	registry.Begin(epoch, time.Now())
+func (r *RunnerRegistry) Begin(epoch uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.epoch != epoch {
+		r.epoch, r.version, r.runners = epoch, registryBegun, map[string]*registered{}
+	}
+	r.begun, r.settled = now, 0
+	for _, known := range r.runners {
+		known.heard = now
+	}
+}
+
+// Heartbeat takes one heartbeat and tells whether routers must know of it at once. A heartbeat that is not
+// later than the last one changes nothing, and a runner that has left stays gone.
+//
+//	if registry.Heartbeat(runner, time.Now()) { ... }
+func (r *RunnerRegistry) Heartbeat(runner routing.Runner, now time.Time) (urgent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.runners[runner.ID]
+	if known == nil {
+		r.version++
+		r.runners[runner.ID] = &registered{runner: runner, heard: now, version: r.version}
+		return true
+	}
+	old := known.runner
+	if old.State == routing.RunnerGone || runner.Sequence <= old.Sequence {
+		return false
+	}
+	known.runner, known.heard = runner, now
+	if !sameForRouters(old, runner) {
+		r.version++
+		known.version = r.version
+	}
+	return old.State != runner.State || old.Address != runner.Address
+}
+
+// sameForRouters tells whether two heartbeats of a runner say the same to routers.
+func sameForRouters(a, b routing.Runner) bool {
+	return a.State == b.State && a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone &&
+		a.Slots == b.Slots && a.Phase == b.Phase && (a.WarmupLeftMs > 0) == (b.WarmupLeftMs > 0) &&
+		slices.Equal(a.Models, b.Models)
+}
+
+// check marks silent runners and forgets those unheard for long; the caller holds the lock.
+func (r *RunnerRegistry) check(now time.Time) {
+	if now.Sub(r.checked) < runnerCheck {
+		return
+	}
+	r.checked = now
+	for id, known := range r.runners {
+		unheard := now.Sub(known.heard)
+		if unheard > runnerForget {
+			delete(r.runners, id)
+			continue
+		}
+		state := known.runner.State
+		if unheard > r.silence && state != routing.RunnerGone && state != routing.RunnerSilent {
+			known.runner.State = routing.RunnerSilent
+			r.version++
+			known.version = r.version
+		}
+	}
+}
+
+// Tell answers a router's beat with the runners changed since the version that it has, or with all.
+// Only a list sent once the registry has settled lets the router drop runners that are not named.
+//
+//	registry.Tell(&beat, &told, time.Now())
+func (r *RunnerRegistry) Tell(beat *Beat, told *Told, now time.Time) {
+	if !beat.RunnersWanted {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.check(now)
+	if r.settled == 0 && now.Sub(r.begun) >= runnerSettle {
+		r.version++ // so that a router which has the registry from before gets a whole list
+		r.settled = r.version
+	}
+	has := beat.RunnersVersion
+	all := beat.RunnersEpoch != r.epoch || has == 0 || has < r.settled || has > r.version
+	told.RunnersEpoch, told.RunnersVersion = r.epoch, r.version
+	told.RunnersWhole = all && r.settled > 0
+	for _, known := range r.runners {
+		if all || known.version > has {
+			told.Runners = append(told.Runners, known.runner)
+		}
+	}
+	sort.Slice(told.Runners, func(i, j int) bool { return told.Runners[i].ID < told.Runners[j].ID })
+}
+
+// List names all known runners, sorted by ID.
+//
+//	for _, runner := range registry.List(time.Now()) { ... }
+func (r *RunnerRegistry) List(now time.Time) []routing.Runner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.check(now)
+	out := make([]routing.Runner, 0, len(r.runners))
+	for _, known := range r.runners {
+		out = append(out, known.runner)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// takeRunner takes a runner's heartbeat. A change of state is handed to the first routers of every zone
+// before it is acknowledged, so that it outlives us.
+func (s *Server) takeRunner(in *RunnerBeat) (*Done, error) {
+	if err := s.prime(); err != nil {
+		return nil, err
+	}
+	switch in.Runner.State {
+	case routing.RunnerReady, routing.RunnerDraining, routing.RunnerGone:
+	default:
+		return nil, wire.Fault{Code: BadRunner}
+	}
+	if in.Runner.ID == "" {
+		return nil, wire.Fault{Code: BadRunner}
+	}
+	if !s.runners.Heartbeat(in.Runner, time.Now()) {
+		return &Done{}, nil
+	}
+	body, err := in.Runner.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	<-s.news.add(relay.Rec{Key: relay.RunnerHead + in.Runner.ID, Turn: in.Runner.Sequence, Body: body}, s.push)
+	return &Done{}, nil
+}
+
+// runnerNews gathers changes of runners that come close together, and pushes them as one.
+type runnerNews struct {
+	mu   sync.Mutex
+	next *runnerBatch
+}
+
+type runnerBatch struct {
+	recs []relay.Rec
+	done chan struct{} // closed once the push has ended
+}
+
+// add puts a record into the next batch. The channel is closed once the batch has been pushed.
+func (n *runnerNews) add(rec relay.Rec, push func(...relay.Rec)) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	batch := n.next
+	if batch == nil {
+		batch = &runnerBatch{done: make(chan struct{})}
+		n.next = batch
+		go n.send(batch, push)
+	}
+	batch.recs = append(batch.recs, rec)
+	return batch.done
+}
+
+// send waits a moment for more changes, and pushes the batch. Batches don't wait for each other.
+func (n *runnerNews) send(batch *runnerBatch, push func(...relay.Rec)) {
+	time.Sleep(runnerGather)
+	n.mu.Lock()
+	n.next = nil
+	n.mu.Unlock()
+	push(batch.recs...)
+	close(batch.done)
+}
+
+// ReportRunner tells the primary a runner's heartbeat, whichever core that is. It may be repeated: a
+// heartbeat that was taken before changes nothing.
+//
+//	err := client.ReportRunner(ctx, runner)
+func (c *Client) ReportRunner(ctx context.Context, runner routing.Runner) error {
+	return c.Call(ctx, "core.runner", &RunnerBeat{Runner: runner}, &Done{}, true)
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -74,6 +74,7 @@
 	OldEpoch   = "old-epoch"
 	DiskBad    = "disk-trouble"
 	NameTaken  = "name-taken" // another node with this name holds a lease
+	BadRunner  = "bad-runner" // a heartbeat without an ID or with a state that no runner has
 )
 
 // Server is one core process.
@@ -120,6 +121,9 @@
 	short  map[string]time.Time
 	spare  map[string]spare
 	copied *copying
+
+	runners *RunnerRegistry
+	news    runnerNews
 }
 
 type seat struct {
@@ -219,7 +223,7 @@
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
-		short: map[string]time.Time{}, spare: map[string]spare{}}
+		short: map[string]time.Time{}, spare: map[string]spare{}, runners: NewRunnerRegistry(set.RunnerSilence)}
 	s.st.Store(st)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
 	return s, nil
@@ -604,6 +608,7 @@
 		}
 	}
 	s.ran.load(s.st.Load())
+	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), time.Now())
 	s.mu.Lock()
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -14,6 +14,7 @@
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/layout"
+	"yarrowridge/internal/registry"
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
@@ -38,10 +39,13 @@
 	Core  *core.Client
 	Board *relay.Board
 	box   chan relay.Tell
-	lay   atomic.Pointer[layout.Layout]
+	now   atomic.Pointer[configuration] // in force; nil before the first
 	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
+	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
+	runners  *registry.Registry                      // nil: none is kept
+
 	mu    sync.Mutex
 	roll  uint64
 	nodes []core.Node
@@ -55,56 +59,122 @@
 	more  map[string]wire.Hand
 }
 
-// NewHub makes a hub. hook sees every record of news that is taken, besides the layout.
+// configuration is what the core gave and this router obeys.
+type configuration struct {
+	sequence uint64
+	raw      []byte
+	layout   *layout.Layout // nil where the configuration is another document
+}
+
+// Option changes what a hub does with its news.
+type Option func(*Hub)
+
+// Document has the hub pass on configurations in place of reading them as layouts. take is called for
+// each newer one, in order, under the board's lock. With an error the old one stays in force.
+//
+//	hub := node.NewHub(ctx, addr, face, seeds, hook, node.Document(take))
+func Document(take func(sequence uint64, raw []byte) error) Option {
+	return func(h *Hub) { h.document = take }
+}
+
+// Runners has the hub keep a copy of the core's registry of runners.
+//
+//	hub := node.NewHub(ctx, addr, face, seeds, hook, node.Runners(registry.New(nil)))
+func Runners(reg *registry.Registry) Option {
+	return func(h *Hub) { h.runners = reg }
+}
+
+// NewHub makes a hub. hook sees every record of news that is taken, besides the configuration and the
+// registered runners.
 //
 //	hub := node.NewHub(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, hook)
-func NewHub(ctx env.Ctx, addr, face string, seeds []string, hook func(relay.Rec)) *Hub {
+func NewHub(ctx env.Ctx, addr, face string, seeds []string, hook func(relay.Rec), options ...Option) *Hub {
 	h := &Hub{ctx: ctx, addr: addr, face: face, seeds: seeds, cal: wire.NewCaller(ctx.Net), hook: hook,
 		box: make(chan relay.Tell, 1024), begun: time.Now(), more: map[string]wire.Hand{}}
 	h.Core = core.NewClient(ctx, h.cal, seeds)
 	h.Board = relay.NewBoard(h.see)
 	next := make(chan struct{})
 	h.turn.Store(&next)
+	for _, option := range options {
+		option(h)
+	}
 	return h
 }
 
 // see runs under the board's lock, for one key from older to newer.
 func (h *Hub) see(r relay.Rec) {
-	if r.Key != relay.LayoutKey {
-		if h.hook != nil {
-			h.hook(r)
-		}
+	switch {
+	case r.Key == relay.LayoutKey && h.document != nil:
+		h.takeDocument(r)
+	case r.Key == relay.LayoutKey:
+		h.takeLayout(r)
+	case h.runners != nil && registry.Owns(r):
+		h.runners.See(r)
+	case h.hook != nil:
+		h.hook(r)
+	}
+}
+
+func (h *Hub) takeDocument(r relay.Rec) {
+	if err := h.document(r.Turn, r.Body); err != nil {
+		h.ctx.Log.Error("Configuration from the core is not understood. The old one stays.", "sequence", r.Turn, "trouble", err.Error())
 		return
 	}
+	h.obey(&configuration{sequence: r.Turn, raw: r.Body})
+	h.ctx.Log.Info("Configuration taken up.", "sequence", r.Turn)
+}
+
+func (h *Hub) takeLayout(r relay.Rec) {
 	lay, bad := layout.Parse(r.Body)
 	if len(bad) > 0 {
 		h.ctx.Log.Error("Layout from the core is not understood. The old one stays.", "sequence", r.Turn, "trouble", bad[0].Path+": "+bad[0].Text)
 		return
 	}
 	lay.Seq = r.Turn
-	if old := h.lay.Load(); strike.Out("late") && old != nil {
-		time.AfterFunc(12*time.Second, func() { h.lay.Store(lay) })
+	next := &configuration{sequence: lay.Seq, raw: lay.Raw, layout: lay}
+	if old := h.now.Load(); strike.Out("late") && old != nil {
+		time.AfterFunc(12*time.Second, func() { h.now.Store(next) })
 		return
 	} else if strike.Out("slip") && old != nil {
-		time.AfterFunc(time.Second, func() { h.lay.Store(old) })
+		time.AfterFunc(time.Second, func() { h.now.Store(old) })
 	}
-	h.lay.Store(lay)
+	h.obey(next)
+	h.ctx.Log.Info("Layout taken up.", "sequence", r.Turn)
+}
+
+// obey puts a configuration in force and wakes those who wait for the next.
+func (h *Hub) obey(c *configuration) {
+	h.now.Store(c)
 	next := make(chan struct{})
 	close(*h.turn.Swap(&next))
-	h.ctx.Log.Info("Layout taken up.", "sequence", r.Turn)
 }
 
-// Layout is the newest layout held; nil before the first.
+// Layout is the newest layout held; nil before the first, and where the configuration is another document.
 //
 //	lay := hub.Layout()
-func (h *Hub) Layout() *layout.Layout { return h.lay.Load() }
+func (h *Hub) Layout() *layout.Layout {
+	if c := h.now.Load(); c != nil {
+		return c.layout
+	}
+	return nil
+}
 
-// Hash is the hex SHA-256 of the layout obeyed, as it was put; "" before the first.
+// Sequence is the sequence of the configuration obeyed; 0 before the first.
+//
+//	seq := hub.Sequence()
+func (h *Hub) Sequence() uint64 {
+	if c := h.now.Load(); c != nil {
+		return c.sequence
+	}
+	return 0
+}
+
+// Hash is the hex SHA-256 of the configuration obeyed, as it was put; "" before the first.
 //
 //	same := hub.Hash() == layout.HashKey(string(raw))
 func (h *Hub) Hash() string {
-	if lay := h.Layout(); lay != nil {
-		return layout.HashKey(string(lay.Raw))
+	if c := h.now.Load(); c != nil {
+		return layout.HashKey(string(c.raw))
 	}
 	return ""
 }
@@ -119,9 +189,7 @@
 //	n := hub.Me()
 func (h *Hub) Me() core.Node {
 	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
-	if lay := h.Layout(); lay != nil {
-		n.Seq = lay.Seq
-	}
+	n.Seq = h.Sequence()
 	n.Ready = h.Ready() == ""
 	return n
 }
@@ -155,7 +223,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.lay.Load() == nil:
+	case h.now.Load() == nil:
 		return "no layout yet"
 	case !h.asked:
 		return "neither the core nor the hall's nodes have been asked yet"
@@ -348,7 +416,12 @@
 	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
 	defer end()
 	var out core.Told
-	if err := h.Core.Call(ctx, "core.beat", &core.Beat{Node: h.Me(), Roll: roll}, &out, true); err != nil {
+	in := core.Beat{Node: h.Me(), Roll: roll}
+	if h.runners != nil {
+		in.RunnersWanted = true
+		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
+	}
+	if err := h.Core.Call(ctx, "core.beat", &in, &out, true); err != nil {
 		if wire.Is(err, core.NameTaken) {
 			h.ctx.Log.Error("Another router has our name. Each needs its own.", "name", h.ctx.Name)
 			return
@@ -370,14 +443,17 @@
 	if was {
 		h.ctx.Log.Info("The core is heard again.")
 	}
-	lay := h.Layout()
-	if out.Seq > 0 && (lay == nil || lay.Seq < out.Seq) {
+	if h.runners != nil {
+		h.runners.Apply(&out)
+	}
+	// One that was not understood is not fetched again and again.
+	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
 		var sheet core.Sheet
 		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
 			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
 		}
 	}
-	if lay = h.Layout(); lay == nil || lay.Seq < out.Seq {
+	if h.now.Load() == nil || h.Sequence() < out.Seq {
 		return // asked, but not answered in full
 	}
 	h.mu.Lock()
@@ -423,7 +499,7 @@
 			h.mendWith(ctx, n.Addr)
 		}
 	}
-	if h.Layout() == nil {
+	if h.now.Load() == nil {
 		return
 	}
 	h.ctx.Log.Warn("No core to be found. Serving with the hall's layout.")
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,160 @@
+// Package registry is a router's copy of the runners that the core knows by their heartbeats.
+package registry
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/routing"
+)
+
+const (
+	refreshEvery = 10 * time.Second // a whole list is asked for
+	pushedKeep   = 2 * time.Second  // a list that was made before a push does not undo it
+)
+
+// Registry keeps the newest word of each runner. Its methods may be called by many at once.
+type Registry struct {
+	hook     func([]routing.Runner)
+	snapshot atomic.Pointer[[]routing.Runner]
+
+	mu        sync.Mutex
+	epoch     uint64 // of the primary's registry that we follow, and how far
+	version   uint64
+	refreshed time.Time // when a whole list was last asked for
+	runners   map[string]entry
+}
+
+type entry struct {
+	runner routing.Runner
+	pushed time.Time // when relays last brought it
+}
+
+// New makes an empty registry. hook (may be nil) gets the list after every change, in order. It runs under
+// the registry's lock: of the registry it may call List only.
+//
+//	reg := registry.New(func(runners []routing.Runner) { ... })
+func New(hook func([]routing.Runner)) *Registry {
+	r := &Registry{hook: hook, runners: map[string]entry{}}
+	r.snapshot.Store(&[]routing.Runner{})
+	return r
+}
+
+// List names the runners sorted by ID. The list is shared: it must not be changed.
+//
+//	for _, runner := range reg.List() { ... }
+func (r *Registry) List() []routing.Runner { return *r.snapshot.Load() }
+
+// Position is how much of the primary's registry we have, for the next beat to the core. Every ten seconds
+// it is none, so that a whole list mends whatever went wrong.
+//
+//	beat.RunnersEpoch, beat.RunnersVersion = reg.Position()
+func (r *Registry) Position() (epoch, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.refreshed) > refreshEvery {
+		r.refreshed = time.Now()
+		return r.epoch, 0
+	}
+	return r.epoch, r.version
+}
+
+// See takes a record that relays brought.
+//
+//	reg.See(rec)
+func (r *Registry) See(rec relay.Rec) {
+	var runner routing.Runner
+	if _, err := runner.UnmarshalMsg(rec.Body); err != nil || relay.RunnerHead+runner.ID != rec.Key {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.take(runner) {
+		return
+	}
+	r.runners[runner.ID] = entry{runner: runner, pushed: time.Now()}
+	r.publish()
+}
+
+// Apply takes the core's answer to a beat.
+//
+//	reg.Apply(&told)
+func (r *Registry) Apply(told *core.Told) {
+	if told.RunnersEpoch == 0 {
+		return // a core that keeps no registry
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch, r.version = told.RunnersEpoch, told.RunnersVersion
+	changed := false
+	for _, runner := range told.Runners {
+		changed = r.take(runner) || changed
+	}
+	if told.RunnersWhole {
+		changed = r.dropOthers(told.Runners) || changed
+	}
+	if changed {
+		r.publish()
+	}
+}
+
+// take keeps a runner's word if it is newer than the one known; the caller holds the lock.
+func (r *Registry) take(runner routing.Runner) bool {
+	old, known := r.runners[runner.ID]
+	if known && !supersedes(runner, old.runner) {
+		return false
+	}
+	r.runners[runner.ID] = entry{runner: runner, pushed: old.pushed}
+	return true
+}
+
+// supersedes tells whether a word of a runner replaces the one known. A runner that has left stays gone.
+// Silent is the core's own finding: it has the sequence of the last heartbeat heard.
+func supersedes(next, known routing.Runner) bool {
+	if known.State == routing.RunnerGone {
+		return false
+	}
+	if next.Sequence != known.Sequence {
+		return next.Sequence > known.Sequence
+	}
+	return next.State == routing.RunnerSilent && known.State != routing.RunnerSilent
+}
+
+// dropOthers drops the runners that a whole list does not name; the caller holds the lock.
+func (r *Registry) dropOthers(named []routing.Runner) bool {
+	keep := make(map[string]bool, len(named))
+	for _, runner := range named {
+		keep[runner.ID] = true
+	}
+	dropped := false
+	for id, known := range r.runners {
+		if !keep[id] && time.Since(known.pushed) > pushedKeep {
+			delete(r.runners, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// publish makes the new list the one that is read; the caller holds the lock.
+func (r *Registry) publish() {
+	list := make([]routing.Runner, 0, len(r.runners))
+	for _, known := range r.runners {
+		list = append(list, known.runner)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	r.snapshot.Store(&list)
+	if r.hook != nil {
+		r.hook(list)
+	}
+}
+
+// Owns tells whether a record is about a registered runner.
+//
+//	if registry.Owns(rec) { ... }
+func Owns(rec relay.Rec) bool { return strings.HasPrefix(rec.Key, relay.RunnerHead) }
--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -21,6 +21,9 @@
 //	rec := relay.LayoutRec(7, raw)
 func LayoutRec(seq uint64, raw []byte) Rec { return Rec{Key: LayoutKey, Turn: seq, Body: raw} }
 
+// RunnerHead begins the key of a registered runner's record; its ID follows.
+const RunnerHead = "runners/"
+
 // Newer tells whether a is newer than b.
 //
 //	if relay.Newer(a, b) { ... }
