Large bodies are compressed between processes that both read it; forgotten records stay so

Cause: a configuration of 150 KB and more goes to every router with each change. How: every frame says whether its sender reads compressed bodies. An answer is compressed (s2, above 4 KB) where its call said so, a call once an answer on the connection did. An older build passes the new fields over and is never sent a compressed body, so the frame's format number stays. Ruled out: compressing the record's body. Records are handed on, and an older router would read it. Board: a record dropped for its age came back from a neighbour that drops it a moment later, with a new age, and so for ever. Registered runners are many short lives, so they would pile up. A board now refuses exactly what it dropped, for as long again.

--- a/internal/relay/board.go
+++ b/internal/relay/board.go
@@ -42,11 +42,18 @@
 	at  time.Time
 }
 
+// dropped is a record that was forgotten. A neighbour that still has it must not bring it back.
+type dropped struct {
+	gen, turn uint64
+	at        time.Time
+}
+
 // Board is one node's copy of the news, in shards with a lock each.
 type Board struct {
 	shard [Ranges]struct {
 		mu  sync.RWMutex
 		all map[string]held
+		old map[string]dropped
 	}
 	see func(Rec)
 }
@@ -59,6 +66,7 @@
 	b := &Board{see: see}
 	for i := range b.shard {
 		b.shard[i].all = map[string]held{}
+		b.shard[i].old = map[string]dropped{}
 	}
 	return b
 }
@@ -83,6 +91,11 @@
 		s := &b.shard[rangeOf(r.Key)]
 		s.mu.Lock()
 		old, ok := s.all[r.Key]
+		gone, was := s.old[r.Key]
+		if was && gone.gen == r.Gen && gone.turn == r.Turn {
+			s.mu.Unlock()
+			continue
+		}
 		if !ok || Newer(r, old.rec) {
 			s.all[r.Key] = held{r, time.Now()}
 			fresh = append(fresh, r)
@@ -132,6 +145,12 @@
 		for k, h := range s.all {
 			if k != LayoutKey && time.Since(h.at) > d {
 				delete(s.all, k)
+				s.old[k] = dropped{h.rec.Gen, h.rec.Turn, time.Now()}
+			}
+		}
+		for k, gone := range s.old {
+			if time.Since(gone.at) > d {
+				delete(s.old, k)
 			}
 		}
 		s.mu.Unlock()
--- a/internal/wire/msgs.go
+++ b/internal/wire/msgs.go
@@ -13,4 +13,7 @@
 	Kind string `msg:"k"`
 	Err  string `msg:"e"`
 	Body []byte `msg:"b"`
+
+	Packed  bool `msg:"z"` // Body is compressed
+	Unpacks bool `msg:"u"` // the sender reads compressed bodies; a build that does not passes this over
 }
--- a/internal/wire/msgs_gen.go
+++ b/internal/wire/msgs_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
+	o = append(o, 0x87, 0xa1, 0x66)
 	o = msgp.AppendUint8(o, z.Fmt)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -31,6 +31,12 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Packed)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unpacks)
 	return
 }
 
@@ -102,6 +108,18 @@
 			}
 			copy(z.Body, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "z":
+			z.Packed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		case "u":
+			z.Unpacks, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unpacks")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -116,6 +134,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Frame) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.StringPrefixSize + len(z.Err) + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.StringPrefixSize + len(z.Err) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -115,7 +115,7 @@
 	if f.Fmt+1 < Fmt || f.Fmt > Fmt+1 {
 		return eris.Errorf("wire: format %d, %d to %d expected", f.Fmt, Fmt-1, Fmt+1)
 	}
-	return nil
+	return f.unpack()
 }
 
 // Serve answers calls on l until ctx ends. Each call runs as its own task.
@@ -158,7 +158,7 @@
 			return
 		}
 		go func() {
-			out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind}
+			out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind, Unpacks: true}
 			ans, err := hand(ctx, f.Kind, f.Body)
 			if err == nil && ans != nil {
 				out.Body, err = ans.MarshalMsg(nil)
@@ -170,6 +170,9 @@
 					out.Err = far.Code
 				}
 			}
+			if f.Unpacks {
+				out.pack()
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			con.SetWriteDeadline(time.Now().Add(5 * time.Second))
@@ -202,6 +205,7 @@
 	next uint64
 	wait map[uint64]chan Frame
 	dead atomic.Bool // read without the lock, which a slow write may hold
+	pack atomic.Bool // the far side has said that it reads compressed bodies
 }
 
 // NewCaller makes a caller over a net.
@@ -244,6 +248,7 @@
 			l.kill()
 			return
 		}
+		l.pack.Store(f.Unpacks)
 		l.mu.Lock()
 		ch := l.wait[f.Id]
 		delete(l.wait, f.Id)
@@ -301,7 +306,7 @@
 //
 //	err := cal.Call(ctx, addr, "core.find", &ask, &ans)
 func (c *Caller) Call(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error {
-	f := Frame{Fmt: Fmt, Kind: kind}
+	f := Frame{Fmt: Fmt, Kind: kind, Unpacks: true}
 	if in != nil {
 		var err error
 		if f.Body, err = in.MarshalMsg(nil); err != nil {
@@ -312,6 +317,9 @@
 	if err != nil {
 		return eris.Wrapf(errors.Join(ErrUnsent, err), "%s to %s", kind, addr)
 	}
+	if l.pack.Load() {
+		f.pack()
+	}
 	ch := make(chan Frame, 1)
 	l.mu.Lock()
 	if l.dead.Load() {
