--- /dev/null
+++ b/internal/core/codec_test.go
@@ -0,0 +1,143 @@
+package core
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/store"
+)
+
+// records puts documents one by one into a store, as committed writes.
+type records struct {
+	t   *testing.T
+	st  *store.Store
+	cur Sheet
+}
+
+func newRecords(t *testing.T) *records {
+	st, err := store.Open(sim.NewDisk().Use(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &records{t: t, st: st}
+}
+
+func (r *records) put(sequence uint64, size int, numbered bool, id string) {
+	tx := &Tx{st: r.st, over: map[string]*store.Put{}}
+	next := Sheet{Seq: sequence, Raw: bytes.Repeat([]byte("x"), size)}
+	if err := tx.record(r.cur, next, numbered, id, "hash"); err != nil {
+		r.t.Fatal(err)
+	}
+	if err := r.st.Add(store.Batch{Seq: r.st.Seq() + 1, Puts: tx.puts}); err != nil {
+		r.t.Fatal(err)
+	}
+	r.cur = next
+}
+
+func (r *records) count(head string) int {
+	n := 0
+	r.st.Each(head, func(string, []byte) { n++ })
+	return n
+}
+
+func (r *records) has(key string) bool {
+	_, ok := r.st.Get(key)
+	return ok
+}
+
+// Layouts leave on disk what they always left: sixteen copies and a thousand ids, keyed by sequence, and
+// no count beside them.
+func TestLayoutsAreKeptAsBefore(t *testing.T) {
+	r := newRecords(t)
+	for i := uint64(1); i <= 1100; i++ {
+		r.put(i, 10, false, fmt.Sprint("w", i))
+	}
+	if n := r.count("past/"); n != past || !r.has(pastKey(1085)) || r.has(pastKey(1084)) {
+		t.Errorf("%d copies", n)
+	}
+	if n, m := r.count("mark/"), r.count("marked/"); n != marks || m != marks || !r.has("mark/w101") || r.has("mark/w100") || !r.has("marked/101") {
+		t.Errorf("%d ids, %d counts", n, m)
+	}
+	if r.has(historyKey) {
+		t.Error("writes of layouts are counted on disk")
+	}
+}
+
+// However uneven sequences are, as many copies and ids are kept.
+func TestUnevenSequencesAreBounded(t *testing.T) {
+	r := newRecords(t)
+	sequence := uint64(0)
+	for i := range uint64(1100) {
+		sequence += 1 + i*i%977*1000
+		r.put(sequence, 10, true, fmt.Sprint("w", i))
+	}
+	if n := r.count("past/"); n != past || !r.has(pastKey(sequence)) {
+		t.Errorf("%d copies", n)
+	}
+	if n, m := r.count("mark/"), r.count("marked/"); n != marks || m != marks || !r.has("mark/w100") || r.has("mark/w99") {
+		t.Errorf("%d ids, %d counts", n, m)
+	}
+}
+
+// A fleet that counted before takes up documents that number themselves, and the other way.
+func TestNumberingBeginsLater(t *testing.T) {
+	r := newRecords(t)
+	for i := uint64(1); i <= 20; i++ {
+		r.put(i, 10, false, fmt.Sprint("w", i))
+	}
+	for i := uint64(1); i <= 10; i++ {
+		r.put(i*1000, 10, true, "")
+	}
+	if n := r.count("past/"); n != past || !r.has(pastKey(20)) || !r.has(pastKey(15)) || r.has(pastKey(14)) {
+		t.Errorf("%d copies", n)
+	}
+	for i := uint64(1); i <= 30; i++ {
+		r.put(10_000+i, 10, false, "")
+	}
+	if n := r.count("past/"); n != past || !r.has(pastKey(10_015)) || r.has(pastKey(10_014)) {
+		t.Errorf("%d copies after counting again", n)
+	}
+}
+
+// Few copies are kept of large documents, and none of those that would not fit one frame twice.
+func TestFewCopiesOfLargeDocuments(t *testing.T) {
+	r := newRecords(t)
+	for i := uint64(1); i <= 10; i++ {
+		r.put(i*7, 100, true, "")
+	}
+	r.put(1000, 150_000, true, "")
+	if n := r.count("past/"); n != pastFew {
+		t.Errorf("%d copies of large documents", n)
+	}
+	r.put(2000, 4<<20, true, "")
+	if r.has(pastKey(2000)) || !r.has(pastKey(1000)) {
+		t.Error("a copy of a very large document is kept, or an older one is not")
+	}
+	r.put(3000, 100, true, "")
+	if !r.has(pastKey(3000)) {
+		t.Error("no copy of a small document after a large one")
+	}
+}
+
+// A layout tells the core what it read from it before.
+func TestLayoutCodec(t *testing.T) {
+	codec := Set{}.Fill().Codec
+	doc, flaws := codec.Check([]byte(`{"tenants":{"a":{"quota":{"units":7,"window_s":3}},"b":{}},"limits":{"claim_keep_s":60}}`))
+	if len(flaws) > 0 {
+		t.Fatalf("flaws %v", flaws)
+	}
+	if doc.Sequence != 0 || doc.Quotas["a"] != 7 || doc.Windows["a"].Seconds() != 3 || doc.Claims.Keep.Seconds() != 60 || doc.Claims.RanMost != defaultRanMost {
+		t.Errorf("read %+v", doc)
+	}
+	if _, flaws := codec.Check([]byte(`{"lanes":7}`)); len(flaws) == 0 || !strings.Contains(flaws[0].Path, "lanes") {
+		t.Errorf("flaws %v", flaws)
+	}
+	if got := (ClaimLimits{}).withDefaults(); got.Keep.Hours() != 1 || got.RanKeep.Hours() != 48 || got.RanMost != defaultRanMost {
+		t.Errorf("defaults %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/core/registry_test.go
@@ -0,0 +1,243 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/routing"
+	"yarrowridge/internal/wire"
+)
+
+// registryAt is a registry whose time the test sets.
+type registryAt struct {
+	*RunnerRegistry
+	now time.Time
+}
+
+func newRegistryAt() *registryAt {
+	r := &registryAt{NewRunnerRegistry(4 * time.Second), time.Unix(1000, 0)}
+	r.Begin(1, r.now)
+	return r
+}
+
+func (r *registryAt) beat(id string, sequence uint64, state routing.RunnerState) bool {
+	return r.Heartbeat(routing.Runner{ID: id, Address: id + ":1", State: state, Sequence: sequence, Slots: 4}, r.now)
+}
+
+func (r *registryAt) tell(epoch, version uint64) *Told {
+	var told Told
+	r.Tell(&Beat{RunnersWanted: true, RunnersEpoch: epoch, RunnersVersion: version}, &told, r.now)
+	return &told
+}
+
+func (r *registryAt) state(id string) routing.RunnerState {
+	for _, runner := range r.List(r.now) {
+		if runner.ID == id {
+			return runner.State
+		}
+	}
+	return ""
+}
+
+// A heartbeat that overtook another is not undone by it, and a repeated one changes nothing.
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	r := newRegistryAt()
+	if !r.beat("a", 5, routing.RunnerReady) {
+		t.Error("a new runner is not urgent")
+	}
+	if !r.beat("a", 9, routing.RunnerDraining) {
+		t.Error("draining is not urgent")
+	}
+	before := r.tell(1, 1).RunnersVersion
+	if r.beat("a", 8, routing.RunnerReady) || r.beat("a", 9, routing.RunnerReady) {
+		t.Error("a late heartbeat is urgent")
+	}
+	if got := r.state("a"); got != routing.RunnerDraining {
+		t.Errorf("a is %s after a late heartbeat", got)
+	}
+	if after := r.tell(1, 1).RunnersVersion; after != before {
+		t.Errorf("the version went from %d to %d", before, after)
+	}
+}
+
+// The version goes up with what routers must know, and not with every heartbeat.
+func TestVersionCountsChanges(t *testing.T) {
+	r := newRegistryAt()
+	runner := routing.Runner{ID: "a", State: routing.RunnerReady, WarmupLeftMs: 900, Slots: 4, Sequence: 1}
+	for _, step := range []struct {
+		what    string
+		change  func()
+		counted bool
+	}{
+		{"a new runner", func() {}, true},
+		{"nothing", func() {}, false},
+		{"less warm-up left", func() { runner.WarmupLeftMs = 400 }, false},
+		{"warm-up ended", func() { runner.WarmupLeftMs = 0 }, true},
+		{"slots", func() { runner.Slots = 8 }, true},
+		{"address", func() { runner.Address = "10.0.0.9:1" }, true},
+		{"service", func() { runner.Service = "s" }, true},
+		{"models", func() { runner.Models = []routing.RunnerModel{{Name: "m", Revision: 1}} }, true},
+		{"state", func() { runner.State = routing.RunnerDraining }, true},
+		{"nothing again", func() {}, false},
+	} {
+		before := r.version
+		step.change()
+		runner.Sequence++
+		r.Heartbeat(runner, r.now)
+		if got := r.version > before; got != step.counted {
+			t.Errorf("%s: counted %v", step.what, got)
+		}
+	}
+}
+
+// A runner unheard for the span is silent, is back with its next heartbeat, and is forgotten after a minute.
+func TestSilenceAndReturn(t *testing.T) {
+	r := newRegistryAt()
+	r.beat("a", 1, routing.RunnerReady)
+	r.beat("b", 1, routing.RunnerDraining)
+	seen := r.tell(1, 0).RunnersVersion
+	r.now = r.now.Add(4 * time.Second)
+	if got := r.state("a"); got != routing.RunnerReady {
+		t.Errorf("a is %s after just the span", got)
+	}
+	r.now = r.now.Add(200 * time.Millisecond)
+	told := r.tell(1, seen)
+	if len(told.Runners) != 2 || told.Runners[0].State != routing.RunnerSilent || told.Runners[1].State != routing.RunnerSilent {
+		t.Errorf("told %+v", told.Runners)
+	}
+	if r.beat("a", 1, routing.RunnerReady); r.state("a") != routing.RunnerSilent {
+		t.Error("a repeated heartbeat ended the silence")
+	}
+	if !r.beat("a", 2, routing.RunnerReady) {
+		t.Error("a return is not urgent")
+	}
+	if got := r.state("a"); got != routing.RunnerReady {
+		t.Errorf("a is %s after its return", got)
+	}
+	r.now = r.now.Add(56 * time.Second)
+	if got := r.state("b"); got != "" {
+		t.Errorf("b is %s a minute after its last heartbeat", got)
+	}
+	if got := r.state("a"); got != routing.RunnerSilent {
+		t.Errorf("a is %q 56 s after its last heartbeat", got)
+	}
+}
+
+// A runner that has left stays gone, whatever heartbeat of its life comes later.
+func TestGoneIsFinal(t *testing.T) {
+	r := newRegistryAt()
+	r.beat("a", 1, routing.RunnerReady)
+	if !r.beat("a", 2, routing.RunnerGone) {
+		t.Error("leaving is not urgent")
+	}
+	if r.beat("a", 3, routing.RunnerReady); r.state("a") != routing.RunnerGone {
+		t.Error("a came back")
+	}
+	r.now = r.now.Add(30 * time.Second)
+	if got := r.state("a"); got != routing.RunnerGone {
+		t.Errorf("a is %q half a minute later", got)
+	}
+	if !r.beat("b", 1, routing.RunnerGone) || r.state("b") != routing.RunnerGone {
+		t.Error("an unknown runner that leaves is not noted")
+	}
+}
+
+// Another epoch begins an empty registry and sends all of it; within one, what changed.
+func TestEpochBeginsAnew(t *testing.T) {
+	r := newRegistryAt()
+	r.now = r.now.Add(runnerSettle)
+	for i := range 5 {
+		r.beat(fmt.Sprint("r", i), 1, routing.RunnerReady)
+	}
+	told := r.tell(0, 0)
+	if len(told.Runners) != 5 || !told.RunnersWhole {
+		t.Errorf("a router without any gets %d, whole %v", len(told.Runners), told.RunnersWhole)
+	}
+	r.beat("r3", 2, routing.RunnerDraining)
+	told = r.tell(told.RunnersEpoch, told.RunnersVersion)
+	if len(told.Runners) != 1 || told.Runners[0].ID != "r3" || told.RunnersWhole {
+		t.Errorf("one change told as %+v, whole %v", told.Runners, told.RunnersWhole)
+	}
+	r.Begin(2, r.now)
+	r.beat("r1", 7, routing.RunnerReady)
+	// The router's version is above the new epoch's: the epoch counts.
+	next := r.tell(told.RunnersEpoch, told.RunnersVersion)
+	if next.RunnersEpoch == told.RunnersEpoch || len(next.Runners) != 1 || next.RunnersWhole {
+		t.Errorf("a new primary told %+v", next)
+	}
+	var none Told
+	r.Tell(&Beat{}, &none, r.now)
+	if none.RunnersEpoch != 0 || none.Runners != nil {
+		t.Errorf("a router that keeps no registry was told %+v", none)
+	}
+	if registryEpoch(7, 1) == registryEpoch(7, 2) {
+		t.Error("two runs of a primary share an epoch")
+	}
+}
+
+// Only a list sent five seconds into the primary's time is whole, and a router that had one before gets it.
+func TestWholeListRule(t *testing.T) {
+	r := newRegistryAt()
+	r.beat("a", 1, routing.RunnerReady)
+	early := r.tell(0, 0)
+	if early.RunnersWhole || len(early.Runners) != 1 {
+		t.Errorf("an early list is whole %v with %d", early.RunnersWhole, len(early.Runners))
+	}
+	r.now = r.now.Add(runnerSettle - time.Millisecond)
+	r.beat("a", 2, routing.RunnerReady)
+	if told := r.tell(early.RunnersEpoch, early.RunnersVersion); told.RunnersWhole || len(told.Runners) > 0 {
+		t.Errorf("told %+v before the span was over", told)
+	}
+	r.now = r.now.Add(time.Millisecond)
+	whole := r.tell(early.RunnersEpoch, early.RunnersVersion)
+	if !whole.RunnersWhole || len(whole.Runners) != 1 {
+		t.Errorf("after the span: whole %v with %d", whole.RunnersWhole, len(whole.Runners))
+	}
+	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersWhole || len(told.Runners) > 0 {
+		t.Errorf("the whole list came twice: %+v", told)
+	}
+	// A pause in the same epoch: nobody is silent for what the primary did not hear.
+	r.now = r.now.Add(20 * time.Second)
+	r.Begin(1, r.now)
+	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersWhole || len(told.Runners) > 0 {
+		t.Errorf("right after a pause told %+v", told)
+	}
+	if got := r.state("a"); got != routing.RunnerReady {
+		t.Errorf("a is %s right after a pause", got)
+	}
+}
+
+// Changes that come together are pushed together, and each is answered after its push.
+func TestChangesShareOnePush(t *testing.T) {
+	var news runnerNews
+	pushes := make(chan int, 100)
+	push := func(recs ...relay.Rec) { pushes <- len(recs) }
+	var waits []<-chan struct{}
+	for range 50 {
+		waits = append(waits, news.add(relay.Rec{}, push))
+	}
+	for _, wait := range waits {
+		<-wait
+	}
+	sum := 0
+	for len(pushes) > 0 {
+		sum += <-pushes
+	}
+	if sum != 50 {
+		t.Errorf("%d of 50 records pushed", sum)
+	}
+}
+
+// The wire's limits have room for what a primary tells and pushes.
+func TestRegistryFitsAFrame(t *testing.T) {
+	r := newRegistryAt()
+	for i := range 10_000 {
+		r.Heartbeat(routing.Runner{ID: fmt.Sprintf("runner-%032d", i), Address: "10.100.100.100:10000", Zone: "zone", Service: "service-name", State: routing.RunnerReady, Sequence: 1}, r.now)
+	}
+	told := r.tell(0, 0)
+	if size := told.Msgsize(); size > wire.Most {
+		t.Errorf("ten thousand runners take %d bytes, a frame %d", size, wire.Most)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,110 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/routing"
+)
+
+func runner(id string, sequence uint64, state routing.RunnerState) routing.Runner {
+	return routing.Runner{ID: id, Sequence: sequence, State: state}
+}
+
+func record(t *testing.T, r routing.Runner) relay.Rec {
+	body, err := r.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return relay.Rec{Key: relay.RunnerHead + r.ID, Turn: r.Sequence, Body: body}
+}
+
+func states(r *Registry) string {
+	out := ""
+	for _, one := range r.List() {
+		out += fmt.Sprintf("%s:%s ", one.ID, one.State)
+	}
+	return out
+}
+
+// The newest word counts, whichever way it came; silence ends with a later word, leaving never.
+func TestNewestWordCounts(t *testing.T) {
+	reg := New(nil)
+	for _, step := range []struct {
+		word routing.Runner
+		want string
+	}{
+		{runner("a", 2, routing.RunnerReady), "a:ready "},
+		{runner("a", 1, routing.RunnerDraining), "a:ready "},
+		{runner("a", 2, routing.RunnerSilent), "a:silent "},
+		{runner("a", 2, routing.RunnerReady), "a:silent "},
+		{runner("a", 3, routing.RunnerReady), "a:ready "},
+		{runner("a", 3, routing.RunnerDraining), "a:ready "},
+		{runner("a", 4, routing.RunnerDraining), "a:draining "},
+		{runner("a", 5, routing.RunnerGone), "a:gone "},
+		{runner("a", 5, routing.RunnerSilent), "a:gone "},
+		{runner("a", 9, routing.RunnerReady), "a:gone "},
+	} {
+		reg.See(record(t, step.word))
+		if got := states(reg); got != step.want {
+			t.Errorf("after %s %d: %q, %q expected", step.word.State, step.word.Sequence, got, step.want)
+		}
+	}
+	reg.See(relay.Rec{Key: relay.RunnerHead + "b", Body: []byte("no record")})
+	wrong := record(t, runner("c", 1, routing.RunnerReady))
+	wrong.Key = relay.RunnerHead + "d"
+	reg.See(wrong)
+	if got := states(reg); got != "a:gone " {
+		t.Errorf("after broken records: %q", got)
+	}
+}
+
+// The hook gets every change, sorted, and nothing where nothing changed.
+func TestHook(t *testing.T) {
+	var lists [][]routing.Runner
+	reg := New(func(list []routing.Runner) { lists = append(lists, list) })
+	told := &core.Told{RunnersEpoch: 1, RunnersVersion: 3, Runners: []routing.Runner{runner("b", 1, routing.RunnerReady), runner("a", 1, routing.RunnerReady)}}
+	reg.Apply(told)
+	reg.Apply(told)
+	reg.See(record(t, runner("b", 2, routing.RunnerDraining)))
+	if len(lists) != 2 || len(lists[0]) != 2 || lists[0][0].ID != "a" || lists[1][1].State != routing.RunnerDraining {
+		t.Errorf("the hook got %+v", lists)
+	}
+	if lists[0][1].State != routing.RunnerReady {
+		t.Error("an older list was changed")
+	}
+}
+
+// Only a whole list drops a runner, and not one that relays brought while the list was under way.
+func TestOnlyAWholeListDrops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reg := New(nil)
+		reg.See(record(t, runner("old", 1, routing.RunnerReady)))
+		reg.Apply(&core.Told{RunnersEpoch: 1, RunnersVersion: 3, Runners: []routing.Runner{runner("a", 1, routing.RunnerReady)}})
+		time.Sleep(pushedKeep + time.Second)
+		reg.Apply(&core.Told{RunnersEpoch: 2, RunnersVersion: 2, Runners: []routing.Runner{runner("b", 1, routing.RunnerReady)}})
+		reg.Apply(&core.Told{}) // a core that keeps none
+		if got := states(reg); got != "a:ready b:ready old:ready " {
+			t.Errorf("without a whole list: %q", got)
+		}
+		reg.See(record(t, runner("new", 1, routing.RunnerReady)))
+		reg.Apply(&core.Told{RunnersEpoch: 2, RunnersVersion: 9, RunnersWhole: true, Runners: []routing.Runner{runner("b", 1, routing.RunnerReady)}})
+		if got := states(reg); got != "b:ready new:ready " {
+			t.Errorf("after a whole list: %q", got)
+		}
+		if epoch, version := reg.Position(); epoch != 2 || version != 0 {
+			t.Errorf("the first position is %d %d, a whole list expected to be asked for", epoch, version)
+		}
+		if epoch, version := reg.Position(); epoch != 2 || version != 9 {
+			t.Errorf("the second position is %d %d", epoch, version)
+		}
+		time.Sleep(refreshEvery + time.Second)
+		if _, version := reg.Position(); version != 0 {
+			t.Errorf("no whole list is asked for after %s", refreshEvery)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/drop_test.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A record nobody touches any more is forgotten by all, though they drop it one after the other and mend
+// each other's copies in between. A newer word of its key is taken.
+func TestDroppedRecordsStayAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := NewBoard(nil), NewBoard(nil)
+		rec := Rec{Key: "runners/x", Turn: 3, Body: []byte("x")}
+		a.Take([]Rec{rec})
+		time.Sleep(700 * time.Millisecond)
+		mend(a, b)
+		for range 250 {
+			time.Sleep(300 * time.Millisecond)
+			a.Drop(time.Minute)
+			mend(a, b)
+			b.Drop(time.Minute)
+			mend(b, a)
+		}
+		for _, board := range []*Board{a, b} {
+			if _, _, ok := board.Get("runners/x"); ok {
+				t.Error("the record is still there after 75 s")
+			}
+		}
+		rec.Turn = 4
+		if fresh := a.Take([]Rec{rec}); len(fresh) != 1 {
+			t.Error("a newer word is refused")
+		}
+	})
+}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -52,7 +52,9 @@
 	end     context.CancelFunc
 	lost    time.Duration
 	founder []string
-	more    []string // addresses that a fault may cut off from a core, besides cores and routers
+	codec   core.Codec                      // of the cores; nil: layouts
+	options func(*routerProc) []node.Option // of the routers' hubs
+	more    []string                        // addresses that a fault may cut off from a core, besides cores and routers
 }
 
 type coreProc struct {
@@ -74,6 +76,11 @@
 }
 
 func newFleet(t *testing.T, seed uint64, routers int) *fleet {
+	return newFleetOf(t, seed, routers, nil)
+}
+
+// newFleetOf starts a fleet that prepare has changed first.
+func newFleetOf(t *testing.T, seed uint64, routers int, prepare func(*fleet)) *fleet {
 	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), halls: []string{"east", "north", "south", "west"}, lost: 6 * time.Second}
 	out := io.Discard
 	if *loud {
@@ -81,6 +88,9 @@
 	}
 	f.log = env.NewLog(out, slog.LevelDebug)
 	f.ctx, f.end = context.WithCancel(t.Context())
+	if prepare != nil {
+		prepare(f)
+	}
 	for i := range 5 {
 		c := &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()}
 		f.cores = append(f.cores, c)
@@ -133,7 +143,7 @@
 	var srv *core.Server
 	var err error
 	for range 40 { // a stalled or full disk keeps a process from starting
-		srv, err = core.Open(ec.Part("core"), core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost}, c.disk.Use())
+		srv, err = core.Open(ec.Part("core"), core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost, Codec: f.codec}, c.disk.Use())
 		if err == nil {
 			break
 		}
@@ -164,7 +174,11 @@
 	ctx, end := context.WithCancel(f.ctx)
 	r.crash = func() { end(); crash() }
 	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
-	r.hub = node.NewHub(ec.Part("node"), r.addr, r.addr, []string{f.founder[0], f.founder[1], "10.0.1.1:1"}, func(relay.Rec) {})
+	var options []node.Option
+	if f.options != nil {
+		options = f.options(r)
+	}
+	r.hub = node.NewHub(ec.Part("node"), r.addr, r.addr, []string{f.founder[0], f.founder[1], "10.0.1.1:1"}, func(relay.Rec) {}, options...)
 	r.mu.Lock()
 	r.seen = nil
 	r.mu.Unlock()
