--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -16,7 +16,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"yarrowridge/internal/env"
-	"yarrowridge/internal/layout"
 	"yarrowridge/internal/lease"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/strike"
@@ -31,6 +30,9 @@
 	Seeds    []string
 	Term     time.Duration // lease of the primacy
 	Lost     time.Duration // silence after which a member is replaced by a waiting spare
+	Codec    Codec         // reads the configuration; nil: layouts
+
+	RunnerSilence time.Duration // a runner without a heartbeat for so long is silent
 }
 
 // Fill puts defaults where nothing is set.
@@ -43,6 +45,12 @@
 	if s.Lost == 0 {
 		s.Lost = 10 * time.Second
 	}
+	if s.Codec == nil {
+		s.Codec = layoutCodec{}
+	}
+	if s.RunnerSilence == 0 {
+		s.RunnerSilence = 4 * time.Second
+	}
 	return s
 }
 
@@ -66,6 +74,7 @@
 	OldEpoch   = "old-epoch"
 	DiskBad    = "disk-trouble"
 	NameTaken  = "name-taken" // another node with this name holds a lease
+	BadRunner  = "bad-runner" // a heartbeat without an ID or with a state that no runner has
 )
 
 // Server is one core process.
@@ -92,8 +101,9 @@
 	swept10 time.Time            // of the claims
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
-	ranTurn int // parts put by this run
-	lay     *layout.Layout
+	ranTurn int       // parts put by this run
+	doc     *Document // the last document read, and whose it is
+	docSeq  uint64
 
 	mu     sync.Mutex
 	epoch  uint64
@@ -111,6 +121,9 @@
 	short  map[string]time.Time
 	spare  map[string]spare
 	copied *copying
+
+	runners *RunnerRegistry
+	news    runnerNews
 }
 
 type seat struct {
@@ -210,7 +223,7 @@
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
-		short: map[string]time.Time{}, spare: map[string]spare{}}
+		short: map[string]time.Time{}, spare: map[string]spare{}, runners: NewRunnerRegistry(set.RunnerSilence)}
 	s.st.Store(st)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
 	return s, nil
@@ -595,6 +608,7 @@
 		}
 	}
 	s.ran.load(s.st.Load())
+	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), time.Now())
 	s.mu.Lock()
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
