Core: several backups, founding from seeds, members up to a bound

Cause: a fleet that is told three seeds and loses machines one after the other had one backup, a fixed founders' list and members that came in only for a lost one. Ruled out: a heir that stands alone although another backup lives (its loss would then take the only named copy); it keeps the other backups, copies to all, and acknowledges nothing before. One step for 'in' and another for 'out' where both are due: both majorities decide the exchange at once. Conclusion: view holds Backs and Seats beside Back (kept as the first); lead split into backups.go and members.go; a primary that no majority answers asks for signs of life in place of the lease.

--- /dev/null
+++ b/internal/core/backups.go
@@ -0,0 +1,289 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"yarrowridge/internal/lease"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
+	"yarrowridge/internal/view"
+)
+
+// How long backups are kept or left out.
+const (
+	copyWait = 2 * time.Second  // one part of a copy
+	badFor   = 5 * time.Second  // a backup that failed is not chosen again for so long
+	calmFor  = 5 * time.Second  // a primary ready for so long may look for better placed backups
+	alive    = time.Second      // a member heard within this span can be chosen
+	awayFor  = 10 * time.Second // a better placed member must not have failed within this span
+)
+
+// addrs names where identities listen, for the log.
+func addrs(v view.View, ids []string) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, v.Addr(id))
+	}
+	return out
+}
+
+// heir is the view in which a backup leads. The other backups stay: each holds every write
+// acknowledged so far, and the heir acknowledges none before it has copied its state to all of them.
+func heir(v view.View, id string) view.View {
+	next := v.WithoutBackup(id)
+	next.Prime = id
+	return next
+}
+
+// watch takes over from a primary whose lease has run out.
+func (s *Server) watch(v view.View, me string) {
+	if s.vot.Leased() || strike.Out("takeover") {
+		s.next = time.Now().Add(rand.N(100 * time.Millisecond))
+		s.look = time.Now().Add(2 * s.set.Term)
+		return
+	}
+	s.lookAround(v)
+	if !s.pause(300 * time.Millisecond) {
+		return
+	}
+	if s.decide(v, heir(v, me), false) {
+		s.deposed = v.Prime
+	}
+}
+
+// lead takes one step towards being a primary that may answer, or one step of its duties.
+func (s *Server) lead(v view.View, me string) {
+	ls, ready, vowed, began := s.leading(v)
+	if !ls.Stands(v.Most) {
+		s.setReady(false)
+		s.lookAround(v)
+		if vowed && s.pause(300*time.Millisecond) {
+			s.decide(v, v, false)
+		}
+		return
+	}
+	s.look = time.Now().Add(2 * s.set.Term)
+	keep := s.answering(v, ls, began)
+	if !ready && len(keep) == len(v.Backups()) {
+		keep = s.copyAll(v, keep)
+	}
+	if worst := s.misplaced(v, ls); len(keep) == len(v.Backups()) && worst != "" && s.pause(2*time.Second) {
+		keep = slices.DeleteFunc(keep, func(id string) bool { return id == worst })
+	}
+	switch {
+	case len(keep) < len(v.Backups()):
+		s.setReady(false)
+		s.ctx.Log.Warn("Backups are let go.", "kept", addrs(v, keep), "before", addrs(v, v.Backups()))
+		s.decide(v, v.WithBackups(keep), false)
+		return
+	case len(keep) < s.set.Losses:
+		s.setReady(false)
+		if !s.enlist(v, me, ls) {
+			s.seats(v, me, ls, began) // newcomers may be what is missing
+		}
+		return
+	case !ready:
+		s.start(v)
+	}
+	s.seats(v, me, ls, began)
+	s.sweep()
+}
+
+// leading notes the epoch that we lead, once at its beginning, and tells how we stand.
+func (s *Server) leading(v view.View) (ls *lease.Lease, ready, vowed bool, began time.Time) {
+	s.mu.Lock()
+	if s.epoch != v.Epoch {
+		if s.epoch == 0 || s.epoch+1 != v.Epoch {
+			s.began, s.ls = time.Now(), lease.New(s.set.Term)
+			clear(s.synced)
+			clear(s.joined)
+		} else {
+			s.ls = s.ls.Next() // we led the epoch before: who was silent then still is
+		}
+		s.epoch, s.ready, s.vowed = v.Epoch, false, false
+		s.mu.Unlock()
+		// What came in as backup is wholly in or wholly out before we lead on.
+		s.keep.Lock()
+		s.keep.Unlock()
+		s.renew()
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	return s.ls, s.ready, s.vowed, s.began
+}
+
+// answering are the backups that are not silent.
+func (s *Server) answering(v view.View, ls *lease.Lease, began time.Time) []string {
+	var out []string
+	for _, id := range v.Backups() {
+		if ls.Gone(id, began) <= silent {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// enlist finds a primary its missing backups, copies everything to them, and only then puts them
+// into the view. Nothing is acknowledged in between, so the copies are whole.
+func (s *Server) enlist(v view.View, me string, ls *lease.Lease) bool {
+	chosen := s.choose(v, me, ls, s.set.Losses-len(v.Backups()))
+	for _, id := range chosen {
+		delete(s.synced, id)
+	}
+	if chosen = s.copyAll(v, chosen); len(chosen) == 0 {
+		return false
+	}
+	return s.decide(v, v.WithBackups(append(slices.Clone(v.Backups()), chosen...)), false)
+}
+
+// choose picks members that answer as new backups, halls that hold no copy yet first.
+func (s *Server) choose(v view.View, me string, ls *lease.Lease, count int) []string {
+	used := map[string]bool{s.ctx.Hall: true}
+	for _, id := range v.Backups() {
+		used[v.Hall(id)] = true
+	}
+	var free []view.Member
+	for _, m := range v.Members {
+		if m.Id != me && !v.IsBackup(m.Id) && ls.Gone(m.Id, time.Time{}) <= alive && time.Since(s.bad[m.Id]) >= badFor {
+			free = append(free, m)
+		}
+	}
+	sort.Slice(free, func(i, j int) bool { return free[i].Id < free[j].Id })
+	var out []string
+	for len(out) < count && len(free) > 0 {
+		best := max(0, slices.IndexFunc(free, func(m view.Member) bool { return !used[m.Hall] }))
+		out = append(out, free[best].Id)
+		used[free[best].Hall] = true
+		free = slices.Delete(free, best, best+1)
+	}
+	return out
+}
+
+// misplaced is a backup in a hall that holds another copy, while a member of a hall without one
+// has answered steadily: a backup there outlives the loss of a whole hall.
+func (s *Server) misplaced(v view.View, ls *lease.Lease) string {
+	s.mu.Lock()
+	calm := s.ready && time.Since(s.since) > calmFor
+	s.mu.Unlock()
+	if !calm {
+		return ""
+	}
+	used, worst := map[string]bool{s.ctx.Hall: true}, ""
+	for _, id := range v.Backups() {
+		if used[v.Hall(id)] {
+			worst = id
+		}
+		used[v.Hall(id)] = true
+	}
+	for _, m := range v.Members {
+		if worst != "" && !used[m.Hall] && ls.Gone(m.Id, time.Time{}) < alive && time.Since(s.bad[m.Id]) > awayFor {
+			return worst
+		}
+	}
+	return ""
+}
+
+// copyAll brings backups to exactly our state, those that are not there yet, and tells which are.
+func (s *Server) copyAll(v view.View, ids []string) []string {
+	var todo []string
+	for _, id := range ids {
+		if !s.synced[id] {
+			todo = append(todo, id)
+		}
+	}
+	if len(todo) > 0 {
+		whole := s.st.Load().Whole()
+		s.turn++
+		failed := each(todo, func(id string) bool { return s.copyTo(v, id, whole, s.turn) })
+		for _, id := range todo {
+			s.synced[id] = true
+		}
+		s.failed(failed)
+	}
+	var out []string
+	for _, id := range ids {
+		if s.synced[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// each calls do for all identities at once and tells for which it was false.
+func each(ids []string, do func(id string) bool) []string {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var failed []string
+	for _, id := range ids {
+		all.Go(func() {
+			if !do(id) {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = append(failed, id)
+			}
+		})
+	}
+	all.Wait()
+	return failed
+}
+
+// failed notes backups that do not hold what we hold.
+func (s *Server) failed(ids []string) {
+	for _, id := range ids {
+		delete(s.synced, id)
+		s.bad[id] = time.Now()
+	}
+}
+
+// copyTo sends our whole state to one backup, in parts.
+func (s *Server) copyTo(v view.View, id string, whole store.Batch, turn uint64) bool {
+	in := Copy{View: v, From: s.vot.Id(), Turn: turn, Seq: whole.Seq}
+	size := 0
+	send := func() bool {
+		ctx, end := context.WithTimeout(s.ctx, copyWait)
+		defer end()
+		var out Held
+		err := s.call(ctx, v.Addr(id), "core.copy", &in, &out)
+		if err == nil && out.Id != id {
+			err = eris.Errorf("identity %s, %s expected", out.Id, id)
+		}
+		if err != nil {
+			s.ctx.Log.Warn("Copy to backup failed.", "peer", v.Addr(id), "trouble", err.Error())
+		}
+		in.Part++
+		in.Puts, size = nil, 0
+		return err == nil
+	}
+	for _, p := range whole.Puts {
+		in.Puts = append(in.Puts, p)
+		if size += len(p.Key) + len(p.Val); size > chunk && !send() {
+			return false
+		}
+	}
+	in.Last = true
+	return send()
+}
+
+// holdAt has every backup of the view hold a batch, and tells which did not.
+func (s *Server) holdAt(v view.View, b store.Batch) []string {
+	return each(v.Backups(), func(id string) bool {
+		ctx, end := context.WithTimeout(s.ctx, diskWait)
+		defer end()
+		var out Held
+		err := s.call(ctx, v.Addr(id), "core.hold", &Hold{View: v, From: v.Prime, Batch: b}, &out)
+		if err == nil && out.Id != id {
+			err = eris.Errorf("identity %s, %s expected", out.Id, id)
+		}
+		if err != nil {
+			s.ctx.Log.Warn("Backup did not hold a write.", "peer", v.Addr(id), "trouble", err.Error())
+		}
+		return err == nil
+	})
+}
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -65,7 +65,7 @@
 	case "core.copy":
 		return wire.On(body, s.copy)
 	case "core.join":
-		return wire.On(body, s.takeJoin)
+		return wire.On(body, func(in *Join) (*Done, error) { return s.takeJoin(ctx, in) })
 	case "core.beat":
 		return wire.On(body, func(in *Beat) (*Told, error) { return s.takeBeat(ctx, in) })
 	case "core.layout":
@@ -98,7 +98,7 @@
 		return wire.Fault{Code: OldEpoch}
 	}
 	me := s.vot.Id()
-	if cur.Back != me && (seat || cur.Back != "" || !cur.Has(me)) {
+	if !cur.IsBackup(me) && (seat || !cur.Has(me)) {
 		return wire.Fault{Code: "not-backup"}
 	}
 	return nil
@@ -173,16 +173,6 @@
 	return nil
 }
 
-func (s *Server) takeJoin(in *Join) (*Done, error) {
-	if v := s.vot.View(); v.Prime != s.vot.Id() {
-		return nil, wire.Fault{Code: NotPrimary}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spare[in.Who.Id] = spare{in.Who, time.Now()}
-	return &Done{}, nil
-}
-
 func (s *Server) takeBeat(ctx context.Context, in *Beat) (*Told, error) {
 	if err := s.prime(); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/core/members.go
@@ -0,0 +1,240 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"yarrowridge/internal/lease"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// How long the steps of membership take.
+const (
+	seekPause   = 200 * time.Millisecond // between two looks for a fleet
+	joinPause   = time.Second            // between two wishes to join that were heard
+	retryPause  = 300 * time.Millisecond // after one that was not
+	spareFor    = 2 * time.Second        // a wish to join holds for so long
+	surelyAlive = 600 * time.Millisecond // a member heard within this span counts as alive
+)
+
+// founders are the addresses that found the fleet, without doubles, the lowest first.
+func (s Set) founders() []string {
+	all := slices.Clone(s.Founders)
+	if len(all) == 0 && s.Bootstrap {
+		all = slices.Clone(s.Seeds)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// seek looks for the fleet that we may be part of, or founds one where the settings say so.
+func (s *Server) seek() {
+	if !s.pause(seekPause) {
+		return
+	}
+	low := s.set.founders()
+	told := s.ask(append(slices.Clone(low), s.set.Seeds...))
+	for _, t := range told {
+		if t.View.Epoch > 0 {
+			s.learn(t.View)
+		}
+	}
+	if s.vot.View().Epoch > 0 || len(low) == 0 || low[0] != s.set.Addr {
+		return
+	}
+	cur := view.View{}
+	for _, a := range low {
+		t, ok := told[a]
+		if !ok || t.View.Epoch > 0 || t.Id == "" {
+			return
+		}
+		cur.Members = append(cur.Members, view.Member{Id: t.Id, Addr: a, Hall: t.Hall})
+	}
+	s.decide(cur, founded(cur, s.set.Losses), true)
+}
+
+// founded is the first view: the first member leads, its backups stand in other halls than it and
+// one another where there are such.
+func founded(cur view.View, losses int) view.View {
+	next := cur
+	next.Seats = len(cur.Members)
+	next.Prime = cur.Members[0].Id
+	used := map[string]bool{cur.Members[0].Hall: true}
+	rest := slices.Clone(cur.Members[1:])
+	var backups []string
+	for len(backups) < losses && len(rest) > 0 {
+		best := max(0, slices.IndexFunc(rest, func(m view.Member) bool { return !used[m.Hall] }))
+		backups = append(backups, rest[best].Id)
+		used[rest[best].Hall] = true
+		rest = slices.Delete(rest, best, best+1)
+	}
+	return next.WithBackups(backups)
+}
+
+// join asks the primary to become a member; where it can't be asked, it asks all who the primary is.
+func (s *Server) join(v view.View) {
+	if time.Now().Before(s.next) {
+		return
+	}
+	ctx, end := context.WithTimeout(s.ctx, step)
+	err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr, Hall: s.ctx.Hall}}, nil)
+	end()
+	if err == nil {
+		s.pause(joinPause)
+		return
+	}
+	s.ctx.Log.Debug("No answer to our wish to join.", "trouble", err.Error())
+	s.pause(retryPause)
+	s.askAround(v)
+}
+
+// lookAround asks for a newer view where no lease of the primary has run here for long: we may have
+// been dropped while we were cut off.
+func (s *Server) lookAround(v view.View) {
+	if s.vot.Leased() {
+		s.look = time.Now().Add(2 * s.set.Term)
+		return
+	}
+	if time.Now().Before(s.look) {
+		return
+	}
+	s.look = time.Now().Add(s.set.Term/2 + rand.N(s.set.Term))
+	s.askAround(v)
+}
+
+func (s *Server) askAround(v view.View) {
+	to := slices.Clone(s.set.Seeds)
+	for _, m := range v.Members {
+		to = append(to, m.Addr)
+	}
+	for _, t := range s.ask(append(to, s.set.Founders...)) {
+		s.learn(t.View)
+	}
+}
+
+// takeJoin notes a process that wants to become a member, once it has answered at its address: a
+// wish that was long under way may be that of a process that is gone.
+func (s *Server) takeJoin(ctx context.Context, in *Join) (*Done, error) {
+	if v := s.vot.View(); v.Prime != s.vot.Id() {
+		return nil, wire.Fault{Code: NotPrimary}
+	}
+	if in.Who.Addr == s.set.Addr {
+		return nil, wire.Fault{Code: "own-address"}
+	}
+	ctx, end := context.WithTimeout(ctx, step)
+	defer end()
+	var told view.Told
+	if s.call(ctx, in.Who.Addr, "view.ask", &view.Ask{}, &told) != nil || told.Id != in.Who.Id {
+		return nil, wire.Fault{Code: "not-reached"}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spare[in.Who.Id] = spare{in.Who, time.Now()}
+	return &Done{}, nil
+}
+
+// newcomer is the process that is to become a member next, or nil. One that took the place of a
+// member at its address comes first.
+func (s *Server) newcomer(v view.View) *view.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var come *view.Member
+	for id, sp := range s.spare {
+		who := sp.who
+		switch {
+		case time.Since(sp.at) > spareFor || v.Addr(id) == who.Addr:
+			delete(s.spare, id)
+		case come == nil, supersedes(v, who) && !supersedes(v, *come), supersedes(v, who) == supersedes(v, *come) && id < come.Id:
+			come = &who
+		}
+	}
+	return come
+}
+
+// supersedes tells whether a newcomer proves a member gone, or is that member at a new address.
+func supersedes(v view.View, who view.Member) bool {
+	return slices.ContainsFunc(v.Members, func(m view.Member) bool { return m.Addr == who.Addr || m.Id == who.Id })
+}
+
+// seats changes the members by one step where that is due.
+func (s *Server) seats(v view.View, me string, ls *lease.Lease, began time.Time) {
+	if time.Now().Before(s.change) {
+		return
+	}
+	come := s.newcomer(v)
+	silence := func(id string) time.Duration {
+		switch id {
+		case me:
+			return 0
+		case s.deposed:
+			return ls.Gone(id, began.Add(-s.set.Term)) // its lease had run out when we took over
+		}
+		return ls.Gone(id, began)
+	}
+	next, ok := s.nextMembers(v, come, silence)
+	if !ok {
+		return
+	}
+	s.ctx.Log.Info("Members change.", "from", len(v.Members), "to", len(next.Members))
+	if !s.decide(v, next, false) {
+		s.change = time.Now().Add(retryPause)
+		return
+	}
+	if len(next.Members) > len(v.Members) {
+		s.joined[come.Id] = time.Now()
+	}
+}
+
+// nextMembers is the next view where a member comes, goes, or is replaced.
+func (s *Server) nextMembers(v view.View, come *view.Member, silence func(string) time.Duration) (view.View, bool) {
+	seats := v.Seats
+	if seats == 0 {
+		seats = len(v.Members)
+	}
+	lost, live := "", 1
+	for _, m := range v.Members {
+		quiet := silence(m.Id)
+		if quiet < surelyAlive {
+			live++
+		}
+		if quiet > s.set.Lost && (lost == "" || quiet > silence(lost)) {
+			lost = m.Id
+		}
+	}
+	next := v
+	switch {
+	case come != nil && supersedes(v, *come):
+		for _, m := range v.Members {
+			if m.Addr == come.Addr || m.Id == come.Id {
+				next = next.Without(m.Id)
+			}
+		}
+		next = next.With(*come)
+	case come != nil && lost != "":
+		next = v.Without(lost).With(*come)
+	case come != nil && len(v.Members) < s.set.MaxMembers:
+		next = v.With(*come)
+		seats = max(seats, live)
+	case lost != "" && (len(v.Members) > seats || s.replaced(silence(lost))):
+		next = v.Without(lost)
+		seats = min(seats, len(next.Members))
+	default:
+		return v, false
+	}
+	next.Seats = seats
+	return next, true
+}
+
+// replaced tells whether a newcomer was let in since a member fell silent; each counts once.
+func (s *Server) replaced(quiet time.Duration) bool {
+	for id, at := range s.joined {
+		if time.Since(at) < quiet {
+			delete(s.joined, id)
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,18 +18,20 @@
 	"yarrowridge/internal/layout"
 	"yarrowridge/internal/lease"
 	"yarrowridge/internal/store"
-	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
 
 // Set is what a core is told about its place.
 type Set struct {
-	Addr     string
-	Founders []string
-	Seeds    []string
-	Term     time.Duration // lease of the primacy
-	Lost     time.Duration // silence after which a member is replaced by a waiting spare
+	Addr       string
+	Founders   []string
+	Seeds      []string
+	Bootstrap  bool          // without founders, the seeds found the fleet
+	Losses     int           // disks that may be lost at once: so many backups hold a write before it is acknowledged
+	MaxMembers int           // the most cores that vote; more wait until one is lost
+	Term       time.Duration // lease of the primacy
+	Lost       time.Duration // silence after which a member may be replaced by a newcomer
 }
 
 // Fill puts defaults where nothing is set.
@@ -43,6 +44,12 @@
 	if s.Lost == 0 {
 		s.Lost = 10 * time.Second
 	}
+	if s.Losses == 0 {
+		s.Losses = 1
+	}
+	if s.MaxMembers == 0 {
+		s.MaxMembers = 9
+	}
 	return s
 }
 
@@ -82,7 +89,11 @@
 
 	// Only the run loop touches these.
 	top     uint64               // highest ballot number seen
-	synced  string               // the backup that holds all we hold, in this run
+	synced  map[string]bool      // the backups that hold all we hold, in this run
+	deposed string               // the primary that we took over from
+	joined  map[string]time.Time // newcomers that we let in: since when
+	change  time.Time            // earliest next change of the members
+	look    time.Time            // earliest next look for a newer view
 	turn    uint64               // copies made
 	next    time.Time            // earliest next try at taking over
 	bad     map[string]time.Time // members that lately failed as backup
@@ -209,6 +220,7 @@
 	}
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
+		synced: map[string]bool{}, joined: map[string]time.Time{},
 		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.st.Store(st)
@@ -276,16 +288,20 @@
 
 // renew asks all voters to lease us the primacy. It runs beside the run loop, so that a lease
 // goes on while a copy or a decision takes its time.
+//
+// A primary that no majority answers only asks for signs of life, until one does: a request that
+// arrives, but whose answer does not, would keep the voters from following another.
 func (s *Server) renew() {
 	v := s.vot.View()
 	s.mu.Lock()
 	lead := v.Prime == s.vot.Id() && s.epoch == v.Epoch && !s.sick && v.Epoch > 0
 	ls := s.ls
-	if ls.Stands(v.Most) {
+	heard := time.Since(s.began) < s.set.Term/2 || ls.Hears(v.Most, s.set.Term/2)
+	if !heard || ls.Stands(v.Most) {
 		s.stood = time.Now()
 	} else if time.Since(s.stood) > 2*s.set.Term && time.Since(s.began) > 2*s.set.Term {
-		// We reach too few to lead. Those we reach must not be kept from following another, so
-		// we ask for nothing for a while, then try again.
+		// A majority answers, but too few follow us. They must not be kept from following another,
+		// so we ask for nothing for a while, then try again.
 		if s.rest.Before(s.stood) || time.Since(s.rest) > 4*s.set.Term {
 			s.rest = time.Now()
 		}
@@ -296,26 +312,44 @@
 		return
 	}
 	for _, m := range v.Members {
-		go func() {
-			ctx, end := context.WithTimeout(s.ctx, s.set.Term/2)
-			defer end()
-			var g view.Grant
-			asked := time.Now()
-			if s.call(ctx, m.Addr, "view.renew", &view.Renew{View: v}, &g) != nil || g.Id != m.Id {
-				return
-			}
-			ls.Saw(m.Id)
-			switch {
-			case g.Ok:
-				ls.Grant(m.Id, asked)
-			case g.View.Epoch > v.Epoch:
-				s.learn(g.View)
-			case g.Vow:
-				s.mu.Lock()
-				s.vowed = true
-				s.mu.Unlock()
-			}
-		}()
+		if heard {
+			go s.renewAt(v, m, ls)
+		} else {
+			go s.probe(m, ls)
+		}
+	}
+}
+
+// renewAt asks one voter for the lease.
+func (s *Server) renewAt(v view.View, m view.Member, ls *lease.Lease) {
+	ctx, end := context.WithTimeout(s.ctx, s.set.Term/2)
+	defer end()
+	var g view.Grant
+	asked := time.Now()
+	if s.call(ctx, m.Addr, "view.renew", &view.Renew{View: v}, &g) != nil || g.Id != m.Id {
+		return
+	}
+	ls.Saw(m.Id)
+	switch {
+	case g.Ok:
+		ls.Grant(m.Id, asked)
+	case g.View.Epoch > v.Epoch:
+		s.learn(g.View)
+	case g.Vow:
+		s.mu.Lock()
+		s.vowed = true
+		s.mu.Unlock()
+	}
+}
+
+// probe asks one voter for a sign of life.
+func (s *Server) probe(m view.Member, ls *lease.Lease) {
+	ctx, end := context.WithTimeout(s.ctx, s.set.Term/2)
+	defer end()
+	var told view.Told
+	if s.call(ctx, m.Addr, "view.ask", &view.Ask{}, &told) == nil && told.Id == m.Id {
+		ls.Saw(m.Id)
+		s.learn(told.View)
 	}
 }
 
@@ -374,10 +408,12 @@
 		s.seek()
 	case v.Prime == me:
 		s.lead(v, me)
-	case v.Back == me:
+	case v.IsBackup(me):
 		s.watch(v, me)
-	case !v.Has(me):
+	case v.Addr(me) != s.set.Addr: // no member, or one that has moved
 		s.join(v)
+	default:
+		s.lookAround(v)
 	}
 }
 
@@ -389,45 +425,6 @@
 	return true
 }
 
-// seek looks for the fleet that we may be part of, or founds one where the settings say so.
-func (s *Server) seek() {
-	if !s.pause(400 * time.Millisecond) {
-		return
-	}
-	told := s.ask(append(append([]string{}, s.set.Founders...), s.set.Seeds...))
-	for _, t := range told {
-		if t.View.Epoch > 0 {
-			s.learn(t.View)
-		}
-	}
-	if s.vot.View().Epoch > 0 {
-		return
-	}
-	low := append([]string{}, s.set.Founders...)
-	sort.Strings(low)
-	if len(low) == 0 || low[0] != s.set.Addr {
-		return
-	}
-	cur := view.View{}
-	for _, a := range low {
-		t, ok := told[a]
-		if !ok || t.View.Epoch > 0 || t.Id == "" {
-			return
-		}
-		cur.Members = append(cur.Members, view.Member{Id: t.Id, Addr: a, Hall: t.Hall})
-	}
-	next := cur
-	next.Prime, next.Back = cur.Members[0].Id, cur.Members[min(1, len(cur.Members)-1)].Id
-	for _, m := range cur.Members {
-		// The loss of one hall must not take both.
-		if m.Hall != cur.Members[0].Hall {
-			next.Back = m.Id
-			break
-		}
-	}
-	s.decide(cur, next, true)
-}
-
 // ask asks every address what it knows of the core.
 func (s *Server) ask(to []string) map[string]view.Told {
 	ctx, end := context.WithTimeout(s.ctx, step)
@@ -476,44 +473,10 @@
 			}
 		}
 	}
-	s.ctx.Log.Info("View decided.", "epoch", got.Epoch, "primary", got.Addr(got.Prime), "backup", got.Addr(got.Back), "members", len(got.Members))
+	s.ctx.Log.Info("View decided.", "epoch", got.Epoch, "primary", got.Addr(got.Prime), "backups", addrs(got, got.Backups()), "members", len(got.Members))
 	return true
 }
 
-// watch takes over from a primary whose lease has run out.
-func (s *Server) watch(v view.View, me string) {
-	if s.vot.Leased() || strike.Out("takeover") {
-		s.next = time.Now().Add(rand.N(100 * time.Millisecond))
-		return
-	}
-	if !s.pause(300 * time.Millisecond) {
-		return
-	}
-	next := v
-	next.Prime, next.Back = me, ""
-	s.decide(v, next, false)
-}
-
-// join asks the primary for a seat.
-func (s *Server) join(v view.View) {
-	if !s.pause(500 * time.Millisecond) {
-		return
-	}
-	var to []string
-	for _, m := range v.Members {
-		to = append(to, m.Addr)
-	}
-	for _, t := range s.ask(append(to, s.set.Seeds...)) {
-		s.learn(t.View)
-	}
-	v = s.vot.View()
-	ctx, end := context.WithTimeout(s.ctx, step)
-	defer end()
-	if err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr, Hall: s.ctx.Hall}}, nil); err != nil {
-		s.ctx.Log.Debug("No answer to our wish to join.", "trouble", err.Error())
-	}
-}
-
 // stands tells whether we are primary of the epoch now, by a majority's lease.
 func (s *Server) stands(v view.View) bool {
 	s.mu.Lock()
@@ -522,63 +485,6 @@
 	return ok && ls.Stands(v.Most) && s.vot.View().Epoch == v.Epoch
 }
 
-// lead takes one step towards being a primary that may answer, or one step of its duties.
-func (s *Server) lead(v view.View, me string) {
-	s.mu.Lock()
-	if s.epoch != v.Epoch {
-		if s.epoch == 0 || s.epoch+1 != v.Epoch {
-			s.began, s.ls = time.Now(), lease.New(s.set.Term)
-		} else {
-			s.ls = s.ls.Next() // we led the epoch before: who was silent then still is
-		}
-		s.epoch, s.ready, s.vowed = v.Epoch, false, false
-		s.mu.Unlock()
-		// What came in as backup is wholly in or wholly out before we lead on.
-		s.keep.Lock()
-		s.keep.Unlock()
-		s.renew()
-		s.mu.Lock()
-	}
-	ls, ready, vowed, began := s.ls, s.ready, s.vowed, s.began
-	s.mu.Unlock()
-	if !ls.Stands(v.Most) {
-		s.setReady(false)
-		if vowed && s.pause(300*time.Millisecond) {
-			s.decide(v, v, false)
-		}
-		return
-	}
-	if v.Back == "" {
-		s.enlist(v, me, ls)
-		return
-	}
-	gone := ls.Gone(v.Back, began) > silent
-	if !ready && !gone {
-		if s.synced != v.Back {
-			if !s.copyTo(v, v.Addr(v.Back), v.Back) {
-				s.bad[v.Back] = time.Now()
-				gone = true
-			}
-		}
-		if !gone {
-			s.start(v)
-		}
-	}
-	if !gone && v.Hall(v.Back) == s.ctx.Hall && s.elsewhere(v, ls) && s.pause(2*time.Second) {
-		gone = true // a backup in another hall outlives the loss of ours
-	}
-	if gone {
-		s.ctx.Log.Warn("Backup is let go.", "peer", v.Addr(v.Back))
-		s.setReady(false)
-		next := v
-		next.Back = ""
-		s.decide(v, next, false)
-		return
-	}
-	s.seats(v, me, ls, began)
-	s.sweep()
-}
-
 func (s *Server) setReady(to bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -598,119 +504,7 @@
 	s.mu.Lock()
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
-	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backup", v.Addr(v.Back), "sequence", sheet.Seq)
-}
-
-// enlist finds a lone primary its next backup, copies everything to it, and only then puts it
-// into the view. Nothing is acknowledged in between, so the copy is whole.
-func (s *Server) enlist(v view.View, me string, ls *lease.Lease) {
-	var best *view.Member
-	for i, m := range v.Members {
-		if m.Id == me || ls.Gone(m.Id, time.Time{}) > time.Second || time.Since(s.bad[m.Id]) < 5*time.Second {
-			continue
-		}
-		away := m.Hall != s.ctx.Hall
-		if best == nil || away && best.Hall == s.ctx.Hall || away == (best.Hall != s.ctx.Hall) && m.Id < best.Id {
-			best = &v.Members[i]
-		}
-	}
-	if best == nil {
-		return
-	}
-	if !s.copyTo(v, best.Addr, best.Id) {
-		s.bad[best.Id] = time.Now()
-		return
-	}
-	next := v
-	next.Back = best.Id
-	s.decide(v, next, false)
-}
-
-// elsewhere tells whether a member of another hall has answered us steadily and could be backup.
-func (s *Server) elsewhere(v view.View, ls *lease.Lease) bool {
-	s.mu.Lock()
-	calm := s.ready && time.Since(s.since) > 5*time.Second
-	s.mu.Unlock()
-	for _, m := range v.Members {
-		if calm && m.Hall != s.ctx.Hall && ls.Gone(m.Id, time.Time{}) < time.Second && time.Since(s.bad[m.Id]) > 10*time.Second {
-			return true
-		}
-	}
-	return false
-}
-
-// copyTo brings a backup to exactly our state.
-func (s *Server) copyTo(v view.View, addr, id string) bool {
-	s.synced = ""
-	whole := s.st.Load().Whole()
-	s.turn++
-	in := Copy{View: v, From: s.vot.Id(), Turn: s.turn, Seq: whole.Seq}
-	size := 0
-	send := func() bool {
-		ctx, end := context.WithTimeout(s.ctx, 2*time.Second)
-		defer end()
-		var out Held
-		err := s.call(ctx, addr, "core.copy", &in, &out)
-		if err == nil && out.Id != id {
-			err = eris.Errorf("identity %s, %s expected", out.Id, id)
-		}
-		if err != nil {
-			s.ctx.Log.Warn("Copy to backup failed.", "peer", addr, "trouble", err.Error())
-		}
-		in.Part++
-		in.Puts, size = nil, 0
-		return err == nil
-	}
-	for _, p := range whole.Puts {
-		in.Puts = append(in.Puts, p)
-		if size += len(p.Key) + len(p.Val); size > chunk && !send() {
-			return false
-		}
-	}
-	in.Last = true
-	if !send() {
-		return false
-	}
-	s.synced = id
-	return true
-}
-
-// seats replaces a member lost for long by a spare that waits, one change a step.
-func (s *Server) seats(v view.View, me string, ls *lease.Lease, began time.Time) {
-	lost := ""
-	for _, m := range v.Members {
-		if m.Id != me && m.Id != v.Back && ls.Gone(m.Id, began) > s.set.Lost {
-			lost = m.Id
-		}
-	}
-	s.mu.Lock()
-	var come *view.Member
-	for id, sp := range s.spare {
-		switch {
-		case time.Since(sp.at) > 2*time.Second || v.Has(id):
-			delete(s.spare, id)
-		case come == nil || id < come.Id:
-			who := sp.who
-			come = &who
-		}
-	}
-	s.mu.Unlock()
-	even := len(v.Members)%2 == 0
-	if lost == "" || (come == nil && !even) || !s.pause(time.Second) {
-		return
-	}
-	next := v
-	next.Members = nil
-	for _, m := range v.Members {
-		if !(even && m.Id == lost) {
-			next.Members = append(next.Members, m)
-		}
-	}
-	if !even {
-		next.Members = append(next.Members, *come)
-	}
-	s.ctx.Log.Info("Members change.", "from", len(v.Members), "to", len(next.Members))
-	s.decide(v, next, false)
+	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backups", addrs(v, v.Backups()), "sequence", sheet.Seq)
 }
 
 // Yield hands the primacy to the backup, which holds all we hold, before a planned stop.
@@ -726,9 +520,7 @@
 			return
 		}
 		s.setReady(false)
-		next := v
-		next.Prime, next.Back = v.Back, ""
-		s.decide(v, next, false)
+		s.decide(v, heir(v, v.Backups()[0]), false)
 	}}
 	t := time.NewTimer(2 * time.Second)
 	defer t.Stop()
@@ -855,7 +647,7 @@
 	}
 }
 
-// commit holds the batch on both disks and looks at the lease once more. Only then is it done.
+// commit holds the batch on our disk and the backups' and looks at the lease once more. Only then is it done.
 func (s *Server) commit(v view.View, tx *Tx) error {
 	doubt := wire.Fault{Code: InDoubt}
 	if len(tx.puts) == 0 {
@@ -866,18 +658,9 @@
 	}
 	st := tx.st
 	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.puts}
-	mine, far := make(chan error, 1), make(chan error, 1)
+	mine, far := make(chan error, 1), make(chan []string, 1)
 	go func() { mine <- st.Add(b) }()
-	go func() {
-		ctx, end := context.WithTimeout(s.ctx, diskWait)
-		defer end()
-		var out Held
-		err := s.call(ctx, v.Addr(v.Back), "core.hold", &Hold{View: v, From: v.Prime, Batch: b}, &out)
-		if err == nil && out.Id != v.Back {
-			err = eris.Errorf("identity %s, %s expected", out.Id, v.Back)
-		}
-		far <- err
-	}()
+	go func() { far <- s.holdAt(v, b) }()
 	slow := time.NewTimer(diskWait)
 	defer slow.Stop()
 	select {
@@ -890,11 +673,9 @@
 		s.trouble(eris.New("sync takes too long"))
 		return doubt
 	}
-	if err := <-far; err != nil {
-		s.ctx.Log.Warn("Backup did not hold a write.", "peer", v.Addr(v.Back), "trouble", err.Error())
-		s.synced = ""
-		s.bad[v.Back] = time.Now()
-		if !s.mend(v) {
+	if failed := <-far; len(failed) > 0 {
+		s.failed(failed)
+		if !s.mend(v, failed) {
 			return doubt
 		}
 	} else if !s.stands(v) {
@@ -904,12 +685,14 @@
 	return nil
 }
 
-// mend leads on until another backup holds all, the unanswered batch included.
-func (s *Server) mend(v view.View) bool {
+// mend leads on until other backups hold all, the unanswered batch included.
+func (s *Server) mend(v view.View, failed []string) bool {
 	s.setReady(false)
 	me := s.vot.Id()
 	next := v
-	next.Back = ""
+	for _, id := range failed {
+		next = next.WithoutBackup(id)
+	}
 	s.decide(v, next, false)
 	for end := time.Now().Add(mendWait); time.Now().Before(end); {
 		cur := s.vot.View()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -59,6 +59,21 @@
 	return time.Since(t)
 }
 
+// Hears tells whether those who answered within the span satisfy most.
+//
+//	if l.Hears(v.Most, time.Second) { ... }
+func (l *Lease) Hears(most func(map[string]bool) bool, span time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	got := map[string]bool{}
+	for who, at := range l.seen {
+		if time.Since(at) < span {
+			got[who] = true
+		}
+	}
+	return most(got)
+}
+
 // Next is the lease of the next epoch: no grants yet, but what is known of who answers.
 //
 //	l = l.Next()
--- a/internal/view/msgs.go
+++ b/internal/view/msgs.go
@@ -12,12 +12,16 @@
 	Hall string `msg:"h" json:"hall"`
 }
 
-// View is the small record that a majority of members decides: who is primary and who is backup.
+// View is the small record that a majority of members decides: who is primary and who are backups.
+// Read the backups with Backups and set them with WithBackups: a record stored by a build that knew
+// one backup only has Back and no Backs.
 type View struct {
 	Epoch   uint64   `msg:"e" json:"epoch"`
 	Members []Member `msg:"m" json:"members"`
 	Prime   string   `msg:"p" json:"primary"`
-	Back    string   `msg:"b" json:"backup"`
+	Back    string   `msg:"b" json:"backup"`  // the first backup
+	Backs   []string `msg:"k" json:"backups"` // all backups
+	Seats   int      `msg:"s" json:"seats"`   // the most members that were seen alive at once, less those dropped
 }
 
 // Ballot orders the tries at deciding one epoch.
--- a/internal/view/msgs_gen.go
+++ b/internal/view/msgs_gen.go
@@ -904,9 +904,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "e"
-	o = append(o, 0x84, 0xa1, 0x65)
+	o = append(o, 0x86, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.Epoch)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
@@ -929,6 +929,15 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Back)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Backs)))
+	for za0002 := range z.Backs {
+		o = msgp.AppendString(o, z.Backs[za0002])
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Seats)
 	return
 }
 
@@ -1034,6 +1043,35 @@
 				err = msgp.WrapError(err, "Back")
 				return
 			}
+		case "k":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Backs")
+				return
+			}
+			if zb0004 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Backs) >= int(zb0004) {
+				z.Backs = (z.Backs)[:zb0004]
+			} else {
+				z.Backs = make([]string, zb0004)
+			}
+			for za0002 := range z.Backs {
+				z.Backs[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Backs", za0002)
+					return
+				}
+			}
+		case "s":
+			z.Seats, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1052,7 +1090,11 @@
 	for za0001 := range z.Members {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Id) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Addr) + 2 + msgp.StringPrefixSize + len(z.Members[za0001].Hall)
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Prime) + 2 + msgp.StringPrefixSize + len(z.Back)
+	s += 2 + msgp.StringPrefixSize + len(z.Prime) + 2 + msgp.StringPrefixSize + len(z.Back) + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Backs {
+		s += msgp.StringPrefixSize + len(z.Backs[za0002])
+	}
+	s += 2 + msgp.IntSize
 	return
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,56 @@
 //	if v.Has(me) { ... }
 func (v View) Has(id string) bool { return id != "" && v.Addr(id) != "" }
 
+// Backups are the identities that hold every acknowledged write beside the primary.
+//
+//	for _, id := range v.Backups() { ... }
+func (v View) Backups() []string {
+	if len(v.Backs) == 0 && v.Back != "" {
+		return []string{v.Back}
+	}
+	return v.Backs
+}
+
+// IsBackup tells whether an identity is one of the backups.
+//
+//	if v.IsBackup(me) { ... }
+func (v View) IsBackup(id string) bool { return id != "" && slices.Contains(v.Backups(), id) }
+
+// WithBackups is the view with other backups.
+//
+//	next := v.WithBackups([]string{"a1", "b2"})
+func (v View) WithBackups(ids []string) View {
+	v.Back, v.Backs = "", slices.Clone(ids)
+	if len(ids) > 0 {
+		v.Back = ids[0]
+	}
+	return v
+}
+
+// WithoutBackup is the view without one of its backups.
+//
+//	next := v.WithoutBackup("a1")
+func (v View) WithoutBackup(id string) View {
+	return v.WithBackups(slices.DeleteFunc(slices.Clone(v.Backups()), func(b string) bool { return b == id }))
+}
+
+// Without is the view without a member, which then is no backup either.
+//
+//	next := v.Without("a1")
+func (v View) Without(id string) View {
+	v = v.WithoutBackup(id)
+	v.Members = slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return m.Id == id })
+	return v
+}
+
+// With is the view with one member more.
+//
+//	next := v.With(view.Member{Id: "a1", Addr: "10.0.0.7:7401"})
+func (v View) With(m Member) View {
+	v.Members = append(slices.Clone(v.Members), m)
+	return v
+}
+
 // Most tells whether the identities marked in got are a majority of the members.
 //
 //	if v.Most(got) { ... }
