--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -223,10 +223,10 @@
 	close(batch.done)
 }
 
-// ReportRunner tells the primary a runner's heartbeat, whichever core that is. It may be repeated: a
+// Beat tells the primary a runner's heartbeat, whichever core that is. It may be repeated: a
 // heartbeat that was taken before changes nothing.
 //
-//	err := client.ReportRunner(ctx, runner)
-func (c *Client) ReportRunner(ctx context.Context, runner routing.Runner) error {
+//	err := client.Beat(ctx, runner)
+func (c *Client) Beat(ctx context.Context, runner routing.Runner) error {
 	return c.Call(ctx, "core.runner", &RunnerBeat{Runner: runner}, &Done{}, true)
 }
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -62,7 +62,7 @@
 	g.Pool = upstream.New(upstream.Options{})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
-		node.WithDocument(g.take), node.WithRunners(g.Registry))
+		node.Document(g.take), node.Runners(g.Registry))
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(g.Hub), Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
