--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -108,11 +108,12 @@
 			runner.mu.Unlock()
 			continue
 		}
-		read := request.Input - held[runner.Index]
+		kept := held[runner.Index]
 		if runner == home {
-			read = min(read, request.Input-shared)
+			kept = max(kept, shared)
 		}
-		cost := runner.cost(max(0, read), b.zone, now)
+		read := request.Input - kept
+		cost := runner.cost(max(0, read), b.zone, now) + readAgainMs*float64(max(0, shared-kept))
 		runner.mu.Unlock()
 		if barred {
 			if cost < lastCost {
@@ -168,6 +169,11 @@
 	silenceCostMs  = 1000.0
 	requestCostMs  = 4.0 // for each whole answer under way on an ordinary service
 	warmupCostPart = 0.6
+	// readAgainMs is what a shared token costs that the runner has to read though another one keeps it: more
+	// than the time of the reading, since it takes that time from all other requests of the fleet. A session
+	// of some thousand tokens leaves its runner for a wait that endangers the usual aims, not for a few
+	// milliseconds.
+	readAgainMs = 0.02
 )
 
 // cost estimates the time to the first byte, in milliseconds. The caller holds the lock.
