--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -276,7 +276,10 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// roundingSlack keeps a sum of fractions that comes to a whole number from being rounded to the one below.
+const roundingSlack = 1e-9
+
 // Units is how many requests of the tenant any window may see.
 func (t *Tenant) Units(window time.Duration) int {
-	return max(1, int(t.Rate*window.Seconds()+t.Burst))
+	return max(1, int(t.Rate*window.Seconds()+t.Burst+roundingSlack))
 }
