A repeated change waits for its push; the registry outlives a change of the view

Each runner's last push is kept, and waited for. - A primary that changed its backup began an empty registry. What it knows is still right: it led without a break. It goes on with version and epoch; runners get 1.5 s to be heard again. - In its first three seconds a primary has named no roll, so routers of a fresh fleet could not hand on what the first two of a zone were told. All are told then. Ruled out: a registry that lost it (the push itself reached every router that it was sent to).

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -412,7 +412,22 @@
 
 // push hands records to the first nodes of every hall and waits a quarter second at most, so
 // that the news outlives us once we have answered.
-func (s *Server) push(recs ...relay.Rec) {
+func (s *Server) push(recs ...relay.Rec) { s.pushTo(2, recs) }
+
+// pushRunners is push for runners. A primary that has just begun has named no roll yet: routers that have
+// none from before can't hand news on, so all are told.
+func (s *Server) pushRunners(recs ...relay.Rec) {
+	perHall := 2
+	s.mu.Lock()
+	if time.Since(s.since) <= nodeTerm+time.Second {
+		perHall = len(s.nodes)
+	}
+	s.mu.Unlock()
+	s.pushTo(perHall, recs)
+}
+
+// pushTo hands records to so many nodes of every hall.
+func (s *Server) pushTo(perHall int, recs []relay.Rec) {
 	ctx, end := context.WithTimeout(s.ctx, 250*time.Millisecond)
 	s.mu.Lock()
 	all := s.live()
@@ -422,7 +437,7 @@
 	done := make(chan bool, len(all))
 	sent := 0
 	for _, n := range all {
-		if halls[n.Hall]++; halls[n.Hall] > 2 {
+		if halls[n.Hall]++; halls[n.Hall] > perHall {
 			continue
 		}
 		sent++
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -13,20 +13,23 @@
 )
 
 const (
-	runnerForget  = 60 * time.Second       // a runner unheard for so long is forgotten
-	runnerSettle  = 5 * time.Second        // a new primary has heard every living runner by then
-	runnerCheck   = 100 * time.Millisecond // between two looks for silent runners
-	runnerGather  = 5 * time.Millisecond   // changes that come this close together are pushed as one
-	registryBegun = 1                      // the first version; 0 stands for "none"
+	runnerForget  = 60 * time.Second        // a runner unheard for so long is forgotten
+	runnerSettle  = 5 * time.Second         // a new primary has heard every living runner by then
+	runnerGrace   = 1500 * time.Millisecond // to be heard again after a pause of the primary
+	runnerCheck   = 100 * time.Millisecond  // between two looks for silent runners
+	runnerGather  = 5 * time.Millisecond    // changes that come this close together are pushed as one
+	registryBegun = 1                       // the first version; 0 stands for "none"
 )
 
 // RunnerRegistry is the primary's knowledge of runners, in memory only. Its version goes up with every
 // change that routers must know. A new primary begins an empty registry with an epoch of its own.
 type RunnerRegistry struct {
-	silence time.Duration
+	silence  time.Duration
+	announce func(routing.Runner) <-chan struct{} // tells routers at once; closed when that has been tried
 
 	mu      sync.Mutex
 	epoch   uint64
+	led     time.Time // since when the primary has led without a break
 	begun   time.Time // of heartbeats being taken in this epoch
 	version uint64
 	settled uint64 // the version at which every living runner had been heard; 0: not yet
@@ -37,60 +40,72 @@
 // registered is one known runner.
 type registered struct {
 	runner  routing.Runner
-	heard   time.Time // its last heartbeat
-	version uint64    // of its last change
+	heard   time.Time       // its last heartbeat
+	version uint64          // of its last change
+	told    <-chan struct{} // its last announcement; nil: none in this epoch
 }
 
-// NewRunnerRegistry makes an empty registry. A runner unheard for the silence span is silent.
+// NewRunnerRegistry makes an empty registry. A runner unheard for the silence span is silent. announce is
+// called under the registry's lock for each change that routers must learn of at once; the channel that it
+// returns is closed when they have been told.
 //
-//	registry := core.NewRunnerRegistry(4 * time.Second)
-func NewRunnerRegistry(silence time.Duration) *RunnerRegistry {
-	return &RunnerRegistry{silence: silence, runners: map[string]*registered{}}
+//	registry := core.NewRunnerRegistry(4*time.Second, announce)
+func NewRunnerRegistry(silence time.Duration, announce func(routing.Runner) <-chan struct{}) *RunnerRegistry {
+	return &RunnerRegistry{silence: silence, announce: announce, runners: map[string]*registered{}}
 }
 
 // registryEpoch names one primary's count of versions. A primary that restarts and leads the same view
 // again counts anew, so the run is part of it.
 func registryEpoch(view, born uint64) uint64 { return view<<32 | born&(1<<32-1) }
 
-// Begin starts taking heartbeats. A new epoch starts an empty registry. In the same epoch, after a pause in
-// which no heartbeat was taken, all runners get time to be heard again.
+// Begin starts taking heartbeats. A primary that has led without a break since led keeps what it knows when
+// its view changes; each runner gets a while to be heard again, since none was heard in between. Otherwise the
+// registry starts empty, with a new epoch.
 //
-//	registry.Begin(epoch, time.Now())
-func (r *RunnerRegistry) Begin(epoch uint64, now time.Time) {
+//	registry.Begin(epoch, led, time.Now())
+func (r *RunnerRegistry) Begin(epoch uint64, led, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.epoch != epoch {
-		r.epoch, r.version, r.runners = epoch, registryBegun, map[string]*registered{}
-	}
-	r.begun, r.settled = now, 0
-	for _, known := range r.runners {
-		known.heard = now
+	if r.epoch != 0 && led.Equal(r.led) {
+		for _, known := range r.runners {
+			if least := now.Add(runnerGrace - r.silence); known.heard.Before(least) {
+				known.heard = least
+			}
+		}
+		return
 	}
+	r.epoch, r.led, r.begun = epoch, led, now
+	r.version, r.settled, r.runners = registryBegun, 0, map[string]*registered{}
 }
 
-// Heartbeat takes one heartbeat and tells whether routers must know of it at once. A heartbeat that is not
-// later than the last one changes nothing, and a runner that has left stays gone.
+// Heartbeat takes one heartbeat. It may be acknowledged once the channel is closed; nil: at once. A heartbeat
+// that is not later than the last one changes nothing, and a runner that has left stays gone.
 //
-//	if registry.Heartbeat(runner, time.Now()) { ... }
-func (r *RunnerRegistry) Heartbeat(runner routing.Runner, now time.Time) (urgent bool) {
+//	told := registry.Heartbeat(runner, time.Now())
+func (r *RunnerRegistry) Heartbeat(runner routing.Runner, now time.Time) (told <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.runners[runner.ID]
 	if known == nil {
 		r.version++
-		r.runners[runner.ID] = &registered{runner: runner, heard: now, version: r.version}
-		return true
+		known = &registered{runner: runner, heard: now, version: r.version, told: r.announce(runner)}
+		r.runners[runner.ID] = known
+		return known.told
 	}
 	old := known.runner
 	if old.State == routing.RunnerGone || runner.Sequence <= old.Sequence {
-		return false
+		return known.told
 	}
 	known.runner, known.heard = runner, now
 	if !sameForRouters(old, runner) {
 		r.version++
 		known.version = r.version
 	}
-	return old.State != runner.State || old.Address != runner.Address
+	if old.State != runner.State || old.Address != runner.Address {
+		known.told = r.announce(runner)
+	}
+	// A heartbeat that says the same again is not acknowledged before the change that it repeats.
+	return known.told
 }
 
 // sameForRouters tells whether two heartbeats of a runner say the same to routers.
@@ -177,15 +192,19 @@
 	if in.Runner.ID == "" {
 		return nil, wire.Fault{Code: BadRunner}
 	}
-	if !s.runners.Heartbeat(in.Runner, time.Now()) {
-		return &Done{}, nil
+	if told := s.runners.Heartbeat(in.Runner, time.Now()); told != nil {
+		<-told
 	}
-	body, err := in.Runner.MarshalMsg(nil)
+	return &Done{}, nil
+}
+
+// announce pushes a runner's word to routers, with others that come close to it.
+func (s *Server) announce(runner routing.Runner) <-chan struct{} {
+	body, err := runner.MarshalMsg(nil)
 	if err != nil {
-		return nil, err
+		return nil
 	}
-	<-s.news.add(relay.Rec{Key: relay.RunnerHead + in.Runner.ID, Turn: in.Runner.Sequence, Body: body}, s.push)
-	return &Done{}, nil
+	return s.news.add(relay.Rec{Key: relay.RunnerHead + runner.ID, Turn: runner.Sequence, Body: body}, s.pushRunners)
 }
 
 // runnerNews gathers changes of runners that come close together, and pushes them as one.
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -13,17 +13,27 @@
 // registryAt is a registry whose time the test sets.
 type registryAt struct {
 	*RunnerRegistry
-	now time.Time
+	now       time.Time
+	announced int
+	push      chan struct{} // under way until it is closed
 }
 
 func newRegistryAt() *registryAt {
-	r := &registryAt{NewRunnerRegistry(4 * time.Second), time.Unix(1000, 0)}
-	r.Begin(1, r.now)
+	r := &registryAt{now: time.Unix(1000, 0)}
+	r.RunnerRegistry = NewRunnerRegistry(4*time.Second, func(routing.Runner) <-chan struct{} {
+		r.announced++
+		r.push = make(chan struct{})
+		return r.push
+	})
+	r.Begin(1, r.now, r.now)
 	return r
 }
 
+// beat tells whether the heartbeat was announced to routers.
 func (r *registryAt) beat(id string, sequence uint64, state routing.RunnerState) bool {
-	return r.Heartbeat(routing.Runner{ID: id, Address: id + ":1", State: state, Sequence: sequence, Slots: 4}, r.now)
+	before := r.announced
+	r.Heartbeat(routing.Runner{ID: id, Address: id + ":1", State: state, Sequence: sequence, Slots: 4}, r.now)
+	return r.announced > before
 }
 
 func (r *registryAt) tell(epoch, version uint64) *Told {
@@ -62,6 +72,26 @@
 	}
 }
 
+// A heartbeat that repeats a change is not acknowledged before routers were told of the change.
+func TestRepeatWaitsForTheChange(t *testing.T) {
+	r := newRegistryAt()
+	r.beat("a", 1, routing.RunnerReady)
+	close(r.push)
+	r.beat("a", 2, routing.RunnerDraining)
+	word := routing.Runner{ID: "a", Address: "a:1", State: routing.RunnerDraining, Sequence: 3, Slots: 4}
+	later, again := r.Heartbeat(word, r.now), r.Heartbeat(word, r.now)
+	for _, told := range []<-chan struct{}{later, again} {
+		select {
+		case <-told:
+			t.Error("acknowledged before the change was pushed")
+		default:
+		}
+	}
+	close(r.push)
+	<-later
+	<-again
+}
+
 // The version goes up with what routers must know, and not with every heartbeat.
 func TestVersionCountsChanges(t *testing.T) {
 	r := newRegistryAt()
@@ -160,7 +190,7 @@
 	if len(told.Runners) != 1 || told.Runners[0].ID != "r3" || told.RunnersWhole {
 		t.Errorf("one change told as %+v, whole %v", told.Runners, told.RunnersWhole)
 	}
-	r.Begin(2, r.now)
+	r.Begin(2, r.now, r.now)
 	r.beat("r1", 7, routing.RunnerReady)
 	// The router's version is above the new epoch's: the epoch counts.
 	next := r.tell(told.RunnersEpoch, told.RunnersVersion)
@@ -198,14 +228,28 @@
 	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersWhole || len(told.Runners) > 0 {
 		t.Errorf("the whole list came twice: %+v", told)
 	}
-	// A pause in the same epoch: nobody is silent for what the primary did not hear.
+}
+
+// A primary whose view changed, but who led all the time, goes on with what it knows. Nobody is silent for
+// what it did not hear meanwhile, and one that was silent before stays so.
+func TestPauseOfThePrimary(t *testing.T) {
+	r := newRegistryAt()
+	led := r.now
+	r.beat("silent", 1, routing.RunnerReady)
+	r.now = r.now.Add(runnerSettle)
+	r.beat("a", 1, routing.RunnerReady)
+	whole := r.tell(0, 0)
 	r.now = r.now.Add(20 * time.Second)
-	r.Begin(1, r.now)
-	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersWhole || len(told.Runners) > 0 {
+	r.Begin(3, led, r.now)
+	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersEpoch != whole.RunnersEpoch || told.RunnersWhole || len(told.Runners) > 0 {
 		t.Errorf("right after a pause told %+v", told)
 	}
-	if got := r.state("a"); got != routing.RunnerReady {
-		t.Errorf("a is %s right after a pause", got)
+	if a, silent := r.state("a"), r.state("silent"); a != routing.RunnerReady || silent != routing.RunnerSilent {
+		t.Errorf("right after a pause: %s, %s", a, silent)
+	}
+	r.now = r.now.Add(runnerGrace + 200*time.Millisecond)
+	if got := r.state("a"); got != routing.RunnerSilent {
+		t.Errorf("a is %s though it was not heard after the pause", got)
 	}
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -223,7 +223,8 @@
 	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
-		short: map[string]time.Time{}, spare: map[string]spare{}, runners: NewRunnerRegistry(set.RunnerSilence)}
+		short: map[string]time.Time{}, spare: map[string]spare{}}
+	s.runners = NewRunnerRegistry(set.RunnerSilence, s.announce)
 	s.st.Store(st)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
 	return s, nil
@@ -608,8 +609,8 @@
 		}
 	}
 	s.ran.load(s.st.Load())
-	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), time.Now())
 	s.mu.Lock()
+	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.began, time.Now())
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
 	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backup", v.Addr(v.Back), "sequence", sheet.Seq)
