--- /dev/null
+++ b/internal/sim/document_test.go
@@ -0,0 +1,192 @@
+package sim_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/wire"
+)
+
+// lines is a codec of documents that number themselves: the first line is the sequence, then come the
+// units of tenants, one a line. A line "bad" is a flaw.
+type lines struct{}
+
+func (lines) Check(raw []byte) (doc core.Document, flaws []core.Flaw) {
+	doc.Quotas, doc.Windows = map[string]int{}, map[string]time.Duration{}
+	for i, line := range strings.Split(string(raw), "\n") {
+		var name string
+		var units int
+		if i == 0 {
+			if _, err := fmt.Sscan(line, &doc.Sequence); err != nil {
+				return doc, []core.Flaw{{Path: "0", Text: "a sequence is expected"}}
+			}
+		} else if line == "bad" {
+			return doc, []core.Flaw{{Path: fmt.Sprint(i), Text: "bad"}}
+		} else if n, _ := fmt.Sscan(line, &name, &units); n == 2 {
+			doc.Quotas[name], doc.Windows[name] = units, 3*time.Second
+		}
+	}
+	return doc, nil
+}
+
+func (lines) Merge(current, change []byte) ([]byte, error) {
+	return nil, errors.New("no partial changes")
+}
+
+func (lines) MaxBytes() int { return 4 << 20 }
+
+// taken is what one router's hub passed on, in order.
+type taken struct {
+	mu  sync.Mutex
+	all []uint64
+	raw []byte
+}
+
+func newDocumentFleet(t *testing.T, seed uint64, routers int) (*fleet, map[string]*taken) {
+	got := map[string]*taken{}
+	f := newFleetOf(t, seed, routers, func(f *fleet) {
+		f.codec = lines{}
+		f.options = func(r *routerProc) []node.Option {
+			mine := &taken{}
+			got[r.name] = mine
+			return []node.Option{node.Document(func(sequence uint64, raw []byte) error {
+				mine.mu.Lock()
+				defer mine.mu.Unlock()
+				if n := len(mine.all); n > 0 && mine.all[n-1] >= sequence {
+					t.Errorf("%s took %d after %d", r.name, sequence, mine.all[n-1])
+				}
+				if bytes.Contains(raw, []byte("strange")) {
+					return errors.New("not understood")
+				}
+				mine.all, mine.raw = append(mine.all, sequence), raw
+				return nil
+			})}
+		}
+	})
+	f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+	return f, got
+}
+
+func (f *fleet) everyRouterAt(sequence uint64) func() bool {
+	return func() bool {
+		for _, r := range f.routers {
+			if r.hub.Sequence() != sequence || r.hub.Ready() != "" {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Documents that number themselves: later ones are taken, however far the step, others are not; the order of
+// the checks; what is kept for reading back; and all of it through changes of the primary.
+func TestDocumentsNumberThemselves(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f, got := newDocumentFleet(t, seed, 6)
+		o := f.operator()
+		write := func(in core.Write, code int, sequence uint64) *core.Wrote {
+			t.Helper()
+			var out core.Wrote
+			ctx, end := context.WithTimeout(f.ctx, 6*time.Second)
+			defer end()
+			if err := o.cli.Call(ctx, "core.write", &in, &out, true); err != nil {
+				t.Fatalf("write: %v", err)
+			}
+			if out.Code != code || out.Seq != sequence {
+				t.Errorf("%.20q answered %d at %d, %d at %d expected", in.Raw, out.Code, out.Seq, code, sequence)
+			}
+			return &out
+		}
+		whole := func(sequence uint64, more string) []byte { return fmt.Appendf(nil, "%d\n%s", sequence, more) }
+		write(core.Write{Any: true, Id: "first", Raw: whole(5, "a 10")}, 200, 5)
+		write(core.Write{Any: true, Raw: whole(1_000_000, "a 10")}, 200, 1_000_000)
+		for _, sequence := range []uint64{999_999, 1_000_000} {
+			out := write(core.Write{Any: true, Raw: whole(sequence, "")}, 400, 1_000_000)
+			if len(out.Flaws) != 1 || out.Flaws[0].Path != "sequence" || !strings.Contains(out.Flaws[0].Text, "above 1000000") {
+				t.Errorf("flaws %+v", out.Flaws)
+			}
+		}
+		// A known id goes before a lost race, that before a flaw.
+		if out := write(core.Write{Id: "first", Match: 7, Raw: whole(5, "a 10")}, 200, 5); !out.Again {
+			t.Error("a known id was not seen")
+		}
+		write(core.Write{Id: "first", Match: 7, Raw: whole(6, "a 10")}, 422, 5)
+		write(core.Write{Match: 7, Raw: whole(1, "bad")}, 412, 1_000_000)
+		write(core.Write{Match: 1_000_000, Raw: whole(2_000_000, "bad")}, 400, 1_000_000)
+		write(core.Write{Match: 1_000_000, Raw: whole(1_000_007, "a 10")}, 200, 1_000_007)
+		f.within(2*time.Second, "every router is there", f.everyRouterAt(1_000_007))
+
+		// The quota is the document's.
+		var moved core.Moved
+		if err := o.cli.Call(f.ctx, "core.move", &core.Move{Tenant: "a", Holder: "h", Turn: 1, Units: 25}, &moved, true); err != nil || moved.Have != 10 {
+			t.Errorf("%d of 10 units drawn: %v", moved.Have, err)
+		}
+
+		// Large ones in quick succession, across the fall of a primary.
+		big := strings.Repeat("some route or other\n", 7_500)
+		last, sequences := uint64(1_000_007), []uint64{5, 1_000_000, 1_000_007}
+		for i := range uint64(20) {
+			last += 1 + i*i*31
+			sequences = append(sequences, last)
+			write(core.Write{Any: true, Id: fmt.Sprint("big", i), Raw: whole(last, big)}, 200, last)
+			if i == 9 {
+				f.crashCore(f.primary())
+			}
+		}
+		f.within(2*time.Second, "every router is at the last", f.everyRouterAt(last))
+		f.settle()
+		write(core.Write{Any: true, Id: "big3", Raw: whole(sequences[6], big)}, 200, sequences[6])
+		kept := 0
+		for _, sequence := range sequences {
+			err := o.cli.Call(f.ctx, "core.layout", &core.Want{Seq: sequence}, &core.Sheet{}, true)
+			if err == nil {
+				kept++
+			} else if !wire.Is(err, "no-such-sequence") {
+				t.Fatal(err)
+			}
+		}
+		if kept != 3 {
+			t.Errorf("%d large documents are kept, 3 expected", kept)
+		}
+
+		// The largest.
+		huge := whole(last+1, "")
+		huge = append(huge, bytes.Repeat([]byte("0123456789abcde\n"), (4<<20-len(huge))/16)...)
+		begun := time.Now()
+		write(core.Write{Any: true, Raw: huge}, 200, last+1)
+		t.Logf("%d bytes acknowledged after %s", len(huge), time.Since(begun))
+		f.within(2*time.Second, "every router has the largest", f.everyRouterAt(last+1))
+		write(core.Write{Any: true, Raw: make([]byte, 4<<20+1)}, 413, 0)
+		f.crashCore(f.primary())
+		f.settle()
+		var back core.Sheet
+		if err := o.cli.Call(f.ctx, "core.layout", &core.Want{}, &back, true); err != nil || !bytes.Equal(back.Raw, huge) {
+			t.Errorf("the largest document came back with %d bytes: %v", len(back.Raw), err)
+		}
+		r := f.routers[2]
+		f.crashRouter(r)
+		f.startRouter(r)
+		f.within(3*time.Second, "a new router has it", f.everyRouterAt(last+1))
+		if mine := got[r.name]; !bytes.Equal(mine.raw, huge) || r.hub.Layout() != nil || r.hub.Me().Seq != last+1 {
+			t.Errorf("the new router has %d bytes", len(mine.raw))
+		}
+
+		// One that routers don't understand: the old one stays in force, the next is taken.
+		hash := r.hub.Hash()
+		write(core.Write{Any: true, Raw: whole(last+2, "strange")}, 200, last+2)
+		time.Sleep(time.Second)
+		if r.hub.Sequence() != last+1 || r.hub.Hash() != hash || r.hub.Ready() != "" {
+			t.Errorf("after a strange document the router is at %d, %q", r.hub.Sequence(), r.hub.Ready())
+		}
+		write(core.Write{Any: true, Raw: whole(last+3, "a 10")}, 200, last+3)
+		f.within(2*time.Second, "every router takes the next", f.everyRouterAt(last+3))
+	})
+}
