--- a/internal/core/codec_test.go
+++ b/internal/core/codec_test.go
@@ -141,3 +141,30 @@
 		t.Errorf("defaults %+v", got)
 	}
 }
+
+// wary fails the test where the core shows it nothing.
+type wary struct {
+	layoutCodec
+	t *testing.T
+}
+
+func (w wary) Check(raw []byte) (Document, []Flaw) {
+	if len(raw) == 0 {
+		w.t.Error("the codec was shown an empty document")
+	}
+	return Document{}, nil
+}
+
+// Before the first configuration there is none to read.
+func TestNothingToReadBeforeTheFirst(t *testing.T) {
+	s := &Server{set: Set{Codec: wary{t: t}}.Fill()}
+	if doc := s.parsed(Sheet{}); doc != nil {
+		t.Errorf("read %+v from nothing", doc)
+	}
+	if got := s.most(); got != defaultRanMost {
+		t.Errorf("%d keys that ran are kept", got)
+	}
+	if doc := s.parsed(Sheet{Seq: 1, Raw: []byte("x")}); doc == nil || doc.Claims.Keep == 0 {
+		t.Errorf("read %+v from a document", doc)
+	}
+}
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -507,6 +507,9 @@
 
 // parsed keeps the last document read, since shares ask for it often. Only the run loop calls it.
 func (s *Server) parsed(sheet Sheet) *Document {
+	if sheet.Seq == 0 {
+		return nil // none was put yet
+	}
 	if s.doc == nil || s.docSeq != sheet.Seq {
 		doc, flaws := s.set.Codec.Check(sheet.Raw)
 		if len(flaws) > 0 {
