--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"yarrowridge/internal/core"
@@ -26,11 +27,39 @@
 	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
 	{Name: "seeds", Kind: env.List, Help: "addresses of three other processes of the fleet"},
 	{Name: "founders", Kind: env.List, Help: "addresses of all cores that found the fleet, this one among them; an odd number"},
+	{Name: "bootstrap", Kind: env.Text, Def: "false", Help: "true: without founders, the seeds found the fleet; the same seeds on all cores then"},
+	{Name: "losses", Kind: env.Text, Def: "1", Help: "how many disks may be lost at once: so many backups hold each write; 1 to 4"},
+	{Name: "max-members", Kind: env.Text, Def: "9", Help: "the most cores that vote, 3 to 15; more wait until one is lost"},
 	{Name: "data", Kind: env.Dir, Must: true, Help: "data folder"},
 	{Name: "lost", Kind: env.Span, Def: "10s", Help: "silence after which a lost member is replaced by a waiting core"},
 	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
 }
 
+// check holds the settings against one another.
+func check(set env.Set) env.Trouble {
+	bad := founders(set)
+	for _, n := range []struct {
+		name        string
+		least, most int
+	}{{"losses", 1, 4}, {"max-members", 3, 15}} {
+		if got, err := strconv.Atoi(set[n.name]); err != nil || got < n.least || got > n.most {
+			bad = append(bad, fmt.Sprintf("setting %q: value %q: a number from %d to %d expected", n.name, set[n.name], n.least, n.most))
+		}
+	}
+	if v := set["bootstrap"]; v != "true" && v != "false" {
+		bad = append(bad, fmt.Sprintf("setting \"bootstrap\": value %q: true or false expected", v))
+	} else if v == "true" && set["founders"] != "" {
+		bad = append(bad, "setting \"bootstrap\": value \"true\": no founders expected beside it")
+	}
+	return bad
+}
+
+// number reads a setting that check has passed.
+func number(set env.Set, name string) int {
+	n, _ := strconv.Atoi(set[name])
+	return n
+}
+
 // founders checks that the list of founders can found anything.
 func founders(set env.Set) env.Trouble {
 	all := set.Addrs("founders")
@@ -61,7 +90,7 @@
 //
 //	os.Exit(control.Main(os.Args[1:], os.Stderr))
 func Main(args []string, out io.Writer) int {
-	p, code := env.Start("core", Items, args, out, founders)
+	p, code := env.Start("core", Items, args, out, check)
 	if code >= 0 {
 		return code
 	}
@@ -84,7 +113,9 @@
 	}
 	defer lock.Close()
 	seeds := p.Set.Addrs("seeds")
-	srv, err := core.Open(p.Ctx.Part("core"), core.Set{Addr: p.Set["addr"], Founders: p.Set.Addrs("founders"), Seeds: seeds, Lost: p.Set.Span("lost")}, disk)
+	srv, err := core.Open(p.Ctx.Part("core"), core.Set{
+		Addr: p.Set["addr"], Founders: p.Set.Addrs("founders"), Seeds: seeds, Lost: p.Set.Span("lost"),
+		Bootstrap: p.Set["bootstrap"] == "true", Losses: number(p.Set, "losses"), MaxMembers: number(p.Set, "max-members")}, disk)
 	if err != nil {
 		return err
 	}
--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -45,7 +45,9 @@
 // watch takes over from a primary whose lease has run out.
 func (s *Server) watch(v view.View, me string) {
 	if s.vot.Leased() || strike.Out("takeover") {
-		s.next = time.Now().Add(rand.N(100 * time.Millisecond))
+		// In turns, so that two backups hinder one another rarely.
+		turn := time.Duration(slices.Index(v.Backups(), me))
+		s.next = time.Now().Add(turn*100*time.Millisecond + rand.N(100*time.Millisecond))
 		s.look = time.Now().Add(2 * s.set.Term)
 		return
 	}
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -52,6 +52,8 @@
 		return wire.On(body, func(in *view.Learn) (*Done, error) { return &Done{}, s.vot.Learn(in.View) })
 	case "view.renew":
 		return wire.On(body, s.vot.Renew)
+	case "view.release":
+		return wire.On(body, func(in *view.Release) (*Done, error) { s.vot.Release(in); return &Done{}, nil })
 	}
 	return nil, wire.Fault{Code: "unknown-kind"}
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -178,6 +178,9 @@
 	if !ok {
 		return
 	}
+	if come != nil {
+		ls.Saw(come.Id) // it answered when it asked to join; nobody else has asked it yet
+	}
 	s.ctx.Log.Info("Members change.", "from", len(v.Members), "to", len(next.Members))
 	if !s.decide(v, next, false) {
 		s.change = time.Now().Add(retryPause)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -85,6 +85,7 @@
 	cal  *wire.Caller
 	own  wire.Hands
 	box  chan *job
+	run  uint64   // of this process, at random; not zero
 	keep env.Gate // held while a batch or a copy is taken as backup
 
 	// Only the run loop touches these.
@@ -108,6 +109,7 @@
 
 	mu     sync.Mutex
 	epoch  uint64
+	asks   uint64    // rounds of requests for the lease
 	began  time.Time // of leading this epoch
 	ls     *lease.Lease
 	ready  bool
@@ -218,7 +220,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{keep: env.NewGate(), ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
+	s := &Server{keep: env.NewGate(), run: rand.Uint64() | 1, ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		synced: map[string]bool{}, joined: map[string]time.Time{},
 		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
@@ -307,13 +309,15 @@
 		}
 		lead = lead && time.Since(s.rest) > 2*s.set.Term+rand.N(s.set.Term)
 	}
+	s.asks++
+	in := view.Renew{View: v, Run: s.run, Turn: s.asks}
 	s.mu.Unlock()
 	if !lead {
 		return
 	}
 	for _, m := range v.Members {
 		if heard {
-			go s.renewAt(v, m, ls)
+			go s.renewAt(in, m, ls)
 		} else {
 			go s.probe(m, ls)
 		}
@@ -321,19 +325,19 @@
 }
 
 // renewAt asks one voter for the lease.
-func (s *Server) renewAt(v view.View, m view.Member, ls *lease.Lease) {
+func (s *Server) renewAt(in view.Renew, m view.Member, ls *lease.Lease) {
 	ctx, end := context.WithTimeout(s.ctx, s.set.Term/2)
 	defer end()
 	var g view.Grant
 	asked := time.Now()
-	if s.call(ctx, m.Addr, "view.renew", &view.Renew{View: v}, &g) != nil || g.Id != m.Id {
+	if s.call(ctx, m.Addr, "view.renew", &in, &g) != nil || g.Id != m.Id {
 		return
 	}
 	ls.Saw(m.Id)
 	switch {
 	case g.Ok:
 		ls.Grant(m.Id, asked)
-	case g.View.Epoch > v.Epoch:
+	case g.View.Epoch > in.View.Epoch:
 		s.learn(g.View)
 	case g.Vow:
 		s.mu.Lock()
@@ -365,13 +369,31 @@
 	s.mu.Lock()
 	was := s.sick
 	s.sick, s.ready = true, false
+	s.asks++
+	turn := s.asks
 	s.mu.Unlock()
 	if !was {
+		s.release(turn)
 		s.ctx.Log.Error("Disk is in trouble. Leading stops.", "trouble", err.Error())
 		go s.heal()
 	}
 }
 
+// release gives our lease back to all voters, so that a backup need not wait for its end.
+func (s *Server) release(turn uint64) {
+	v := s.vot.View()
+	if v.Prime != s.vot.Id() {
+		return
+	}
+	for _, m := range v.Members {
+		go func() {
+			ctx, end := context.WithTimeout(s.ctx, step)
+			defer end()
+			s.call(ctx, m.Addr, "view.release", &view.Release{Epoch: v.Epoch, Run: s.run, Turn: turn}, nil)
+		}()
+	}
+}
+
 // heal waits until the disk takes a synced file again, then reads all anew from it.
 func (s *Server) heal() {
 	for env.Wait(s.ctx, 2*time.Second) {
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -52,7 +52,8 @@
 	end     context.CancelFunc
 	lost    time.Duration
 	founder []string
-	more    []string // addresses that a fault may cut off from a core, besides cores and routers
+	place   func(c *coreProc) core.Set // in place of the usual settings of a core
+	more    []string                   // addresses that a fault may cut off from a core, besides cores and routers
 }
 
 type coreProc struct {
@@ -73,7 +74,8 @@
 	raw              map[uint64]string
 }
 
-func newFleet(t *testing.T, seed uint64, routers int) *fleet {
+// emptyFleet is a made world without any process yet.
+func emptyFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), halls: []string{"east", "north", "south", "west"}, lost: 6 * time.Second}
 	out := io.Discard
 	if *loud {
@@ -81,6 +83,12 @@
 	}
 	f.log = env.NewLog(out, slog.LevelDebug)
 	f.ctx, f.end = context.WithCancel(t.Context())
+	t.Cleanup(f.stop)
+	return f
+}
+
+func newFleet(t *testing.T, seed uint64, routers int) *fleet {
+	f := emptyFleet(t, seed)
 	for i := range 5 {
 		c := &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()}
 		f.cores = append(f.cores, c)
@@ -94,7 +102,6 @@
 		f.routers = append(f.routers, r)
 		f.startRouter(r)
 	}
-	t.Cleanup(f.stop)
 	return f
 }
 
@@ -132,8 +139,12 @@
 	ec := env.Ctx{Context: ctx, Name: c.addr, Hall: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
 	var srv *core.Server
 	var err error
+	set := core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost}
+	if f.place != nil {
+		set = f.place(c)
+	}
 	for range 40 { // a stalled or full disk keeps a process from starting
-		srv, err = core.Open(ec.Part("core"), core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost}, c.disk.Use())
+		srv, err = core.Open(ec.Part("core"), set, c.disk.Use())
 		if err == nil {
 			break
 		}
--- /dev/null
+++ b/internal/sim/membership_test.go
@@ -0,0 +1,503 @@
+package sim_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/view"
+)
+
+// seedFleet is a world of cores that are told the first three addresses only; none runs yet.
+func seedFleet(t *testing.T, seed uint64, cores, losses int) *fleet {
+	f := emptyFleet(t, seed)
+	f.lost = 2 * time.Second
+	for i := range cores {
+		f.cores = append(f.cores, &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()})
+	}
+	for _, c := range f.cores[:3] {
+		f.founder = append(f.founder, c.addr)
+	}
+	f.place = func(c *coreProc) core.Set {
+		return core.Set{Addr: c.addr, Seeds: f.founder, Bootstrap: true, Losses: losses, Lost: f.lost}
+	}
+	return f
+}
+
+// grown is such a world with all cores started, once all are members and one of them is primary.
+func grown(t *testing.T, seed uint64, cores, losses int) *fleet {
+	f := seedFleet(t, seed, cores, losses)
+	for _, c := range f.cores {
+		f.startCore(c)
+	}
+	f.within(5*time.Second, "all cores are members", func() bool { return f.whole(losses) })
+	return f
+}
+
+// whole tells whether a primary is ready whose members are exactly the cores that run, with as many
+// backups as losses are to be borne.
+func (f *fleet) whole(losses int) bool {
+	p := f.primary()
+	if p == nil {
+		return false
+	}
+	v := p.srv.Peek().View
+	up := 0
+	for _, c := range f.cores {
+		if c.up {
+			up++
+			if v.Addr(c.srv.Peek().Me) != c.addr {
+				return false
+			}
+		}
+	}
+	return len(v.Members) == up && len(v.Backups()) == losses
+}
+
+// at is the core process that holds an identity.
+func (f *fleet) at(id string) *coreProc {
+	for _, c := range f.cores {
+		if c.up && c.srv.Peek().Me == id {
+			return c
+		}
+	}
+	f.t.Fatalf("no core holds identity %s", id)
+	return nil
+}
+
+// wipe gives cores empty disks; they are down.
+func wipe(cores ...*coreProc) {
+	for _, c := range cores {
+		c.disk = sim.NewDisk()
+	}
+}
+
+// outage writes for a while and tells the longest time without an acknowledgement.
+func (f *fleet) outage(o *operator, b *book, d time.Duration) time.Duration {
+	begun := time.Now()
+	last, gap := begun, time.Duration(0)
+	for time.Since(begun) < d {
+		b.mu.Lock()
+		mark := len(b.all) + 1
+		b.mu.Unlock()
+		p := o.put(mark, 0, fmt.Sprint("id-", mark))
+		b.add(p)
+		if p.code == 200 {
+			gap, last = max(gap, time.Since(last)), time.Now()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return max(gap, time.Since(last))
+}
+
+// Cores that know three seeds only, started in any order, become one fleet: founded within a second of
+// the last seed, and all cores are members within a second and a half more.
+func TestFoundingFromSeeds(t *testing.T) {
+	for _, n := range []int{3, 5, 9} {
+		t.Run(fmt.Sprint(n, " cores"), func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				f := seedFleet(t, seed, n, 1)
+				var lastSeed time.Time
+				seeds, founding := 0, time.Duration(-1)
+				look := func() bool {
+					if founding < 0 && seeds == 3 && f.primary() != nil {
+						founding = time.Since(lastSeed)
+					}
+					return founding >= 0
+				}
+				for _, k := range f.rnd.Perm(n) {
+					f.startCore(f.cores[k])
+					if k < 3 {
+						seeds, lastSeed = seeds+1, time.Now()
+					}
+					for wait := time.Now().Add(time.Duration(f.chance(700)) * time.Millisecond); time.Now().Before(wait); look() {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+				lastCore := time.Now()
+				f.within(time.Second, "founding", look)
+				if founding > time.Second {
+					t.Errorf("founded %s after the last seed", founding)
+				}
+				f.within(1500*time.Millisecond, "all cores are members", func() bool { return f.whole(1) })
+				t.Logf("founded %s after the last seed, whole %s after the last core", founding, time.Since(lastCore))
+				b := &book{}
+				if p := f.operator().put(1, 0, ""); p.code != 200 {
+					t.Errorf("a write was answered %d", p.code)
+				} else {
+					b.add(p)
+				}
+				f.check(b)
+			})
+		})
+	}
+}
+
+// A core that is told to ask only founds nothing, whoever it is; seeds that are unlike its address,
+// stand there twice, or are none at all, do it no harm.
+func TestNoFoundingWithoutBootstrap(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := seedFleet(t, seed, 5, 1)
+		seeds := [][]string{nil, {"10.0.0.9:1"}, {f.founder[0], f.founder[0]}, f.founder, f.founder}
+		f.place = func(c *coreProc) core.Set {
+			i := slices.Index(f.cores, c)
+			return core.Set{Addr: c.addr, Seeds: seeds[i], Lost: f.lost, Bootstrap: i == 1 || i == 4}
+		}
+		for _, c := range f.cores {
+			f.startCore(c)
+		}
+		time.Sleep(5 * time.Second)
+		for _, c := range f.cores {
+			if e := c.srv.Peek().View.Epoch; e > 0 {
+				t.Errorf("%s knows epoch %d", c.addr, e)
+			}
+		}
+	})
+}
+
+// With fewer cores alive than hold a write and may be lost, nothing is acknowledged.
+func TestNothingAcknowledgedAlone(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 3, 2)
+		o, b := f.operator(), &book{}
+		b.add(o.put(1, 0, ""))
+		if b.all[0].code != 200 {
+			t.Fatalf("a write was answered %d", b.all[0].code)
+		}
+		v := f.primary().srv.Peek().View
+		c := f.at(v.Backups()[f.chance(2)])
+		f.crashCore(c)
+		for i := range 4 {
+			p := o.put(2+i, 0, "")
+			b.add(p)
+			if p.code == 200 {
+				t.Error("acknowledged with two of three disks")
+			}
+		}
+		f.startCore(c)
+		f.within(5*time.Second, "all three are back", func() bool { return f.whole(2) })
+		f.check(b)
+	})
+}
+
+// As many disks as may be lost go right after an acknowledgement, and the power of all cores with
+// them: the state is read again within five seconds, and the blank cores become members in place of
+// what they were.
+func TestWipedAfterAcknowledgement(t *testing.T) {
+	for _, losses := range []int{1, 2} {
+		for _, who := range []string{"primary first", "backups only"} {
+			t.Run(fmt.Sprintf("%d %s", losses, who), func(t *testing.T) {
+				overSeeds(t, func(t *testing.T, seed uint64) {
+					f := grown(t, seed, 5, losses)
+					o, b := f.operator(), &book{}
+					for round := range 3 {
+						p := o.put(round+1, 0, "")
+						b.add(p)
+						if p.code != 200 {
+							t.Fatalf("round %d: a write was answered %d", round, p.code)
+						}
+						v := f.primary().srv.Peek().View
+						if len(v.Backups()) != losses {
+							t.Fatalf("%d backups", len(v.Backups()))
+						}
+						holders := append([]string{v.Prime}, v.Backups()...)
+						if who == "backups only" {
+							holders = holders[1:]
+						}
+						var gone []*coreProc
+						for _, id := range holders[:losses] {
+							gone = append(gone, f.at(id))
+						}
+						for _, c := range f.cores {
+							f.crashCore(c)
+						}
+						wipe(gone...)
+						down := time.Now()
+						for _, k := range f.rnd.Perm(5) {
+							f.startCore(f.cores[k])
+							time.Sleep(time.Duration(f.chance(150)) * time.Millisecond)
+						}
+						f.within(5*time.Second-time.Since(down), "a primary", func() bool { return f.primary() != nil })
+						t.Logf("read again after %s", time.Since(down))
+						n := len(b.looks)
+						o.look(b)
+						if len(b.looks) == n || b.looks[n].seq < p.seq {
+							t.Errorf("sequence %d was acknowledged and is not read back: %+v", p.seq, b.looks[n:])
+						}
+						f.within(5*time.Second, "all are members", func() bool { return f.whole(losses) })
+					}
+					f.check(b)
+				})
+			})
+		}
+	}
+}
+
+// One core after the other is lost for good and replaced, at a new address or at its own with an empty
+// disk: writes go on, nothing is lost, and the members are the cores that live.
+func TestSerialReplacement(t *testing.T) {
+	for _, c := range []struct{ cores, losses int }{{3, 1}, {5, 1}, {5, 2}, {9, 2}} {
+		for _, same := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d cores, %d losses, same address %v", c.cores, c.losses, same), func(t *testing.T) {
+				overSeeds(t, func(t *testing.T, seed uint64) {
+					f := grown(t, seed, c.cores, c.losses)
+					old := f.place
+					f.place = func(p *coreProc) core.Set {
+						set := old(p)
+						set.Bootstrap = false
+						set.Seeds = nil
+						for _, o := range f.cores {
+							if o != p && len(set.Seeds) < 3 {
+								set.Seeds = append(set.Seeds, o.addr)
+							}
+						}
+						return set
+					}
+					f.founder = nil
+					for _, p := range f.cores {
+						f.founder = append(f.founder, p.addr)
+					}
+					o, b := f.operator(), &book{}
+					var gap time.Duration
+					var all sync.WaitGroup
+					all.Go(func() { gap = f.outage(o, b, time.Duration(2*c.cores)*5*time.Second) })
+					for i := range 2 * c.cores {
+						k := f.chance(c.cores)
+						if p := f.primary(); p != nil && f.chance(2) == 0 {
+							k = slices.Index(f.cores, p)
+						}
+						lost := f.cores[k]
+						f.crashCore(lost)
+						time.Sleep(time.Duration(f.chance(1000)) * time.Millisecond)
+						next := &coreProc{addr: lost.addr, hall: lost.hall, disk: sim.NewDisk()}
+						if !same {
+							next.addr = fmt.Sprintf("10.0.3.%d:1", i+1)
+						}
+						f.cores[k] = next
+						f.startCore(next)
+						took := f.within(5*time.Second, "the members are the cores that live", func() bool { return f.whole(c.losses) })
+						time.Sleep(5*time.Second - min(took, 5*time.Second))
+					}
+					all.Wait()
+					t.Logf("%d writes, longest time without one %s", len(b.all), gap)
+					if gap > 5*time.Second {
+						t.Errorf("%s without a write", gap)
+					}
+					f.founder = f.founder[:0]
+					for _, p := range f.cores {
+						f.founder = append(f.founder, p.addr)
+					}
+					f.check(b)
+				})
+			})
+		}
+	}
+}
+
+// A member that was only cut off is dropped for a newcomer; it comes back as a member once it is heard.
+func TestDroppedMemberReturns(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 5, 1)
+		b := &book{}
+		o := f.operator()
+		b.add(o.put(1, 0, ""))
+		k := f.chance(5)
+		cut := f.cores[k]
+		id := cut.srv.Peek().Me
+		next := &coreProc{addr: "10.0.0.20:1", hall: "west", disk: sim.NewDisk()}
+		f.w.Split([]string{cut.addr}, append(f.rest(cut), o.addr, next.addr))
+		f.cores = append(f.cores, next)
+		f.startCore(next)
+		f.within(8*time.Second, "the newcomer in place of the one cut off", func() bool {
+			for _, c := range f.cores {
+				if c != cut && c.srv.Peek().Ready {
+					v := c.srv.Peek().View
+					return v.Addr(id) == "" && v.Has(next.srv.Peek().Me) && len(v.Members) == 5
+				}
+			}
+			return false
+		})
+		b.add(o.put(2, 0, ""))
+		f.w.Heal()
+		f.within(8*time.Second, "all six are members", func() bool { return f.whole(1) })
+		b.add(o.put(3, 0, ""))
+		f.check(b)
+	})
+}
+
+// More cores than may be members wait, and one of them takes the place of one that is lost.
+func TestMostMembers(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := seedFleet(t, seed, 7, 1)
+		old := f.place
+		f.place = func(c *coreProc) core.Set {
+			set := old(c)
+			set.MaxMembers = 5
+			return set
+		}
+		for _, c := range f.cores {
+			f.startCore(c)
+		}
+		members := func() []view.Member {
+			if p := f.primary(); p != nil {
+				return p.srv.Peek().View.Members
+			}
+			return nil
+		}
+		f.within(5*time.Second, "five members", func() bool { return len(members()) == 5 })
+		time.Sleep(3 * time.Second)
+		if n := len(members()); n != 5 {
+			t.Fatalf("%d members", n)
+		}
+		lost := f.primary()
+		id := lost.srv.Peek().Me
+		f.crashCore(lost)
+		f.within(6*time.Second, "another in place of the lost one", func() bool {
+			all := members()
+			return len(all) == 5 && !slices.ContainsFunc(all, func(m view.Member) bool { return m.Id == id })
+		})
+	})
+}
+
+// A member lost for good, with nobody to take its place, stays a member: the others lose no safety.
+func TestLostMemberStaysWithoutNewcomer(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 5, 1)
+		f.crashCore(f.cores[f.chance(5)])
+		time.Sleep(10 * time.Second)
+		if n := len(f.primary().srv.Peek().View.Members); n != 5 {
+			t.Errorf("%d members", n)
+		}
+	})
+}
+
+// What the fleet may go without writes after a fault, over the seeds.
+func TestTroubles(t *testing.T) {
+	cut := func(f *fleet, lead *coreProc, out, in bool) {
+		for _, a := range f.rest(lead) {
+			if out {
+				f.w.Cut(lead.addr, a)
+			}
+			if in {
+				f.w.Cut(a, lead.addr)
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		most  time.Duration
+		fault func(f *fleet, lead *coreProc, back []*coreProc)
+	}{
+		{"primary cut off both ways", 4 * time.Second, func(f *fleet, lead *coreProc, _ []*coreProc) { cut(f, lead, true, true) }},
+		{"primary sends but does not receive", 4 * time.Second, func(f *fleet, lead *coreProc, _ []*coreProc) { cut(f, lead, false, true) }},
+		{"primary receives but does not send", 4 * time.Second, func(f *fleet, lead *coreProc, _ []*coreProc) { cut(f, lead, true, false) }},
+		{"a backup's disk stalls", 2 * time.Second, func(f *fleet, _ *coreProc, back []*coreProc) {
+			back[0].disk.Stall()
+			time.AfterFunc(3500*time.Millisecond, back[0].disk.Flow)
+		}},
+		{"the primary's disk stalls", 3 * time.Second, func(f *fleet, lead *coreProc, _ []*coreProc) {
+			lead.disk.Stall()
+			time.AfterFunc(3500*time.Millisecond, lead.disk.Flow)
+		}},
+		{"all killed at once, back within a second", 3 * time.Second, func(f *fleet, _ *coreProc, _ []*coreProc) {
+			for _, o := range f.cores {
+				f.crashCore(o)
+			}
+			time.Sleep(time.Duration(f.chance(1000)) * time.Millisecond)
+			for _, o := range f.cores {
+				f.startCore(o)
+			}
+		}},
+	} {
+		for _, losses := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d losses", c.name, losses), func(t *testing.T) {
+				overSeeds(t, func(t *testing.T, seed uint64) {
+					f := grown(t, seed, 5, losses)
+					o, b := f.operator(), &book{}
+					b.add(o.put(1, 0, ""))
+					time.Sleep(time.Duration(f.chance(2000)) * time.Millisecond)
+					lead := f.primary()
+					var back []*coreProc
+					for _, id := range lead.srv.Peek().View.Backups() {
+						back = append(back, f.at(id))
+					}
+					begun := time.Now()
+					c.fault(f, lead, back)
+					gap := f.outage(o, b, 10*time.Second-time.Since(begun))
+					t.Logf("%s without a write", gap)
+					if gap > c.most {
+						t.Errorf("%s without a write, %s at most expected", gap, c.most)
+					}
+					f.settle()
+					f.within(8*time.Second, "all as before", func() bool { return f.whole(losses) })
+					f.check(b)
+				})
+			})
+		}
+	}
+}
+
+// Faults of every kind at random, on a fleet of seven founded from three seeds that bears two losses,
+// while cores are replaced for good: no acknowledged layout is lost.
+func TestMembershipStorm(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 7, 2)
+		b := &book{}
+		stop := time.Now().Add(60 * time.Second)
+		for i := range 2 {
+			o := f.operator()
+			go func() {
+				for n := 1; time.Now().Before(stop); n++ {
+					b.add(o.put(i*1000+n, 0, fmt.Sprint("w-", i, "-", n)))
+					time.Sleep(time.Duration(30+f.chance(200)) * time.Millisecond)
+				}
+			}()
+		}
+		for range 2 {
+			o := f.operator()
+			go func() {
+				for time.Now().Before(stop) {
+					o.look(b)
+					time.Sleep(time.Duration(5+f.chance(30)) * time.Millisecond)
+				}
+			}()
+		}
+		for time.Now().Before(stop) {
+			if f.chance(3) == 0 {
+				f.settle()
+				f.within(10*time.Second, "all as before", func() bool { return f.whole(2) })
+				lost := f.cores[f.chance(len(f.cores))]
+				if p := f.primary(); p != nil && f.chance(2) == 0 {
+					lost = p
+				}
+				f.crashCore(lost)
+				wipe(lost)
+				f.startCore(lost)
+			} else {
+				f.fault()
+			}
+			time.Sleep(time.Duration(200+f.chance(2500)) * time.Millisecond)
+		}
+		f.settle()
+		time.Sleep(7 * time.Second) // operators' last calls end
+		f.settle()
+		f.within(10*time.Second, "all as before", func() bool { return f.whole(2) })
+		p := f.operator().put(99999, 0, "last")
+		b.add(p)
+		if p.code != 200 {
+			t.Errorf("a calm fleet answered %d", p.code)
+		}
+		f.check(b)
+		ok := 0
+		for _, q := range b.all {
+			if q.code == 200 {
+				ok++
+			}
+		}
+		t.Logf("%d writes, %d acknowledged", len(b.all), ok)
+	})
+}
--- a/internal/view/msgs.go
+++ b/internal/view/msgs.go
@@ -68,9 +68,19 @@
 	View View `msg:"v"`
 }
 
-// Renew asks a voter to lease the primacy of a view to its primary.
+// Renew asks a voter to lease the primacy of a view to its primary. Run is one run of the primary's
+// process, Turn grows with each round of requests.
 type Renew struct {
-	View View `msg:"v"`
+	View View   `msg:"v"`
+	Run  uint64 `msg:"r"`
+	Turn uint64 `msg:"t"`
+}
+
+// Release gives the lease back: the primary of the epoch acts on no grant of this or an earlier turn.
+type Release struct {
+	Epoch uint64 `msg:"e"`
+	Run   uint64 `msg:"r"`
+	Turn  uint64 `msg:"t"`
 }
 
 // Grant answers Renew.
--- a/internal/view/msgs_gen.go
+++ b/internal/view/msgs_gen.go
@@ -754,17 +754,97 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Release) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Run)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Turn)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Release) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "r":
+			z.Run, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Run")
+				return
+			}
+		case "t":
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Release) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 3
 	// string "v"
-	o = append(o, 0x81, 0xa1, 0x76)
+	o = append(o, 0x83, 0xa1, 0x76)
 	o, err = z.View.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
 		return
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Run)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Turn)
 	return
 }
 
@@ -796,6 +876,18 @@
 				err = msgp.WrapError(err, "View")
 				return
 			}
+		case "r":
+			z.Run, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Run")
+				return
+			}
+		case "t":
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -810,7 +902,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Renew) Msgsize() (s int) {
-	s = 1 + 2 + z.View.Msgsize()
+	s = 1 + 2 + z.View.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -123,6 +123,8 @@
 	book  Book
 	seen  atomic.Pointer[Book]
 	until time.Time // the primary's lease as granted here
+	run   uint64    // of the primary's process that the lease was last granted to
+	turn  uint64    // of the last grant
 	born  time.Time
 }
 
@@ -296,10 +298,26 @@
 	default:
 		out.Ok = true
 		v.until = time.Now().Add(v.term)
+		if r.Run != v.run {
+			v.run, v.turn = r.Run, 0
+		}
+		v.turn = max(v.turn, r.Turn)
 	}
 	return out, nil
 }
 
+// Release ends the primary's lease where it asks so. One that was long under way, so that a newer
+// grant or another run's stands here, ends nothing.
+//
+//	v.Release(&view.Release{Epoch: cur.Epoch, Run: run, Turn: turn})
+func (v *Voter) Release(r *Release) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r.Run != 0 && r.Run == v.run && r.Turn > v.turn && r.Epoch == v.book.View.Epoch {
+		v.until = time.Now()
+	}
+}
+
 // Leased tells whether the primary's lease still runs here.
 //
 //	if !v.Leased() { ... }
