--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -105,7 +105,6 @@
 		if s.epoch == 0 || s.epoch+1 != v.Epoch {
 			s.began, s.ls = time.Now(), lease.New(s.set.Term)
 			clear(s.synced)
-			clear(s.joined)
 		} else {
 			s.ls = s.ls.Next() // we led the epoch before: who was silent then still is
 		}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -13,11 +13,11 @@
 
 // How long the steps of membership take.
 const (
-	seekPause   = 200 * time.Millisecond // between two looks for a fleet
-	joinPause   = time.Second            // between two wishes to join that were heard
-	retryPause  = 300 * time.Millisecond // after one that was not
-	spareFor    = 2 * time.Second        // a wish to join holds for so long
-	surelyAlive = 600 * time.Millisecond // a member heard within this span counts as alive
+	seekPause  = 200 * time.Millisecond // between two looks for a fleet
+	joinPause  = time.Second            // between two wishes to join that were heard
+	retryPause = 300 * time.Millisecond // after one that was not
+	spareFor   = 2 * time.Second        // a wish to join holds for so long
+	quietFor   = 600 * time.Millisecond // a member silent for so long may be gone
 )
 
 // founders are the addresses that found the fleet, without doubles, the lowest first.
@@ -132,28 +132,41 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.spare[in.Who.Id] = spare{in.Who, time.Now()}
+	now := time.Now()
+	sp, ok := s.spare[in.Who.Id]
+	if !ok || now.Sub(sp.at) > spareFor {
+		sp.first = now
+	}
+	sp.who, sp.at = in.Who, now
+	s.spare[in.Who.Id] = sp
 	return &Done{}, nil
 }
 
 // newcomer is the process that is to become a member next, or nil. One that took the place of a
 // member at its address comes first.
-func (s *Server) newcomer(v view.View) *view.Member {
+func (s *Server) newcomer(v view.View) *spare {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var come *view.Member
+	var come *spare
 	for id, sp := range s.spare {
-		who := sp.who
 		switch {
-		case time.Since(sp.at) > spareFor || v.Addr(id) == who.Addr:
+		case time.Since(sp.at) > spareFor || v.Addr(id) == sp.who.Addr:
 			delete(s.spare, id)
-		case come == nil, supersedes(v, who) && !supersedes(v, *come), supersedes(v, who) == supersedes(v, *come) && id < come.Id:
-			come = &who
+		case come == nil || before(v, sp, *come):
+			come = &sp
 		}
 	}
 	return come
 }
 
+// before orders newcomers: those that take a member's place, then those that asked first.
+func before(v view.View, a, b spare) bool {
+	if x, y := supersedes(v, a.who), supersedes(v, b.who); x != y {
+		return x
+	}
+	return a.first.Before(b.first)
+}
+
 // supersedes tells whether a newcomer proves a member gone, or is that member at a new address.
 func supersedes(v view.View, who view.Member) bool {
 	return slices.ContainsFunc(v.Members, func(m view.Member) bool { return m.Addr == who.Addr || m.Id == who.Id })
@@ -179,65 +192,70 @@
 		return
 	}
 	if come != nil {
-		ls.Saw(come.Id) // it answered when it asked to join; nobody else has asked it yet
+		ls.Saw(come.who.Id) // it answered when it asked to join; nobody else has asked it yet
 	}
 	s.ctx.Log.Info("Members change.", "from", len(v.Members), "to", len(next.Members))
 	if !s.decide(v, next, false) {
 		s.change = time.Now().Add(retryPause)
-		return
-	}
-	if len(next.Members) > len(v.Members) {
-		s.joined[come.Id] = time.Now()
 	}
 }
 
 // nextMembers is the next view where a member comes, goes, or is replaced.
-func (s *Server) nextMembers(v view.View, come *view.Member, silence func(string) time.Duration) (view.View, bool) {
+func (s *Server) nextMembers(v view.View, come *spare, silence func(string) time.Duration) (view.View, bool) {
 	seats := v.Seats
 	if seats == 0 {
 		seats = len(v.Members)
 	}
-	lost, live := "", 1
-	for _, m := range v.Members {
-		quiet := silence(m.Id)
-		if quiet < surelyAlive {
-			live++
-		}
-		if quiet > s.set.Lost && (lost == "" || quiet > silence(lost)) {
-			lost = m.Id
-		}
-	}
-	next := v
+	lost := s.longestLost(v, silence)
 	switch {
-	case come != nil && supersedes(v, *come):
+	case come != nil && supersedes(v, come.who):
+		next := v
 		for _, m := range v.Members {
-			if m.Addr == come.Addr || m.Id == come.Id {
+			if m.Addr == come.who.Addr || m.Id == come.who.Id {
 				next = next.Without(m.Id)
 			}
 		}
-		next = next.With(*come)
+		v = next.With(come.who)
 	case come != nil && lost != "":
-		next = v.Without(lost).With(*come)
+		v = v.Without(lost).With(come.who)
 	case come != nil && len(v.Members) < s.set.MaxMembers:
-		next = v.With(*come)
-		seats = max(seats, live)
-	case lost != "" && (len(v.Members) > seats || s.replaced(silence(lost))):
-		next = v.Without(lost)
-		seats = min(seats, len(next.Members))
+		live, sure := alongside(v, *come, silence)
+		if !sure {
+			return v, false
+		}
+		v, seats = v.With(come.who), max(seats, live)
+	case lost != "" && len(v.Members) > seats:
+		v = v.Without(lost)
 	default:
 		return v, false
 	}
-	next.Seats = seats
-	return next, true
+	v.Seats = seats
+	return v, true
+}
+
+// longestLost is the member silent for longest of those that are lost, or "".
+func (s *Server) longestLost(v view.View, silence func(string) time.Duration) string {
+	lost := ""
+	for _, m := range v.Members {
+		if quiet := silence(m.Id); quiet > s.set.Lost && (lost == "" || quiet > silence(lost)) {
+			lost = m.Id
+		}
+	}
+	return lost
 }
 
-// replaced tells whether a newcomer was let in since a member fell silent; each counts once.
-func (s *Server) replaced(quiet time.Duration) bool {
-	for id, at := range s.joined {
-		if time.Since(at) < quiet {
-			delete(s.joined, id)
-			return true
+// alongside counts the newcomer and the members heard since it asked to join. So a newcomer that
+// comes for a member just lost is told from one that comes beside it: the count is sure once each of
+// the other members has been silent for a while.
+func alongside(v view.View, come spare, silence func(string) time.Duration) (live int, sure bool) {
+	live, sure = 1, true
+	for _, m := range v.Members {
+		switch quiet := silence(m.Id); {
+		case quiet < time.Since(come.first):
+			live++
+		case quiet < quietFor:
+			sure = false
 		}
 	}
-	return false
+	return live, sure
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -92,7 +92,6 @@
 	top     uint64               // highest ballot number seen
 	synced  map[string]bool      // the backups that hold all we hold, in this run
 	deposed string               // the primary that we took over from
-	joined  map[string]time.Time // newcomers that we let in: since when
 	change  time.Time            // earliest next change of the members
 	look    time.Time            // earliest next look for a newer view
 	turn    uint64               // copies made
@@ -131,9 +130,10 @@
 	at   time.Time
 }
 
+// spare is a process that wants to become a member.
 type spare struct {
-	who view.Member
-	at  time.Time
+	who       view.Member
+	first, at time.Time // of its wishes: the first, the newest
 }
 
 type copying struct {
@@ -222,8 +222,8 @@
 	}
 	s := &Server{keep: env.NewGate(), run: rand.Uint64() | 1, ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
-		synced: map[string]bool{}, joined: map[string]time.Time{},
-		aged: map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
+		synced: map[string]bool{},
+		aged:   map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.st.Store(st)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
