--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -54,6 +54,7 @@
 	founder []string
 	codec   core.Codec                      // of the cores; nil: layouts
 	options func(*routerProc) []node.Option // of the routers' hubs
+	place   func(c *coreProc) core.Set      // in place of the usual settings of a core
 	more    []string                        // addresses that a fault may cut off from a core, besides cores and routers
 }
 
@@ -75,12 +76,8 @@
 	raw              map[uint64]string
 }
 
-func newFleet(t *testing.T, seed uint64, routers int) *fleet {
-	return newFleetOf(t, seed, routers, nil)
-}
-
-// newFleetOf starts a fleet that prepare has changed first.
-func newFleetOf(t *testing.T, seed uint64, routers int, prepare func(*fleet)) *fleet {
+// emptyFleet is a made world without any process yet.
+func emptyFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), halls: []string{"east", "north", "south", "west"}, lost: 6 * time.Second}
 	out := io.Discard
 	if *loud {
@@ -88,6 +85,17 @@
 	}
 	f.log = env.NewLog(out, slog.LevelDebug)
 	f.ctx, f.end = context.WithCancel(t.Context())
+	t.Cleanup(f.stop)
+	return f
+}
+
+func newFleet(t *testing.T, seed uint64, routers int) *fleet {
+	return newFleetOf(t, seed, routers, nil)
+}
+
+// newFleetOf starts a fleet that prepare has changed first.
+func newFleetOf(t *testing.T, seed uint64, routers int, prepare func(*fleet)) *fleet {
+	f := emptyFleet(t, seed)
 	if prepare != nil {
 		prepare(f)
 	}
@@ -104,7 +112,6 @@
 		f.routers = append(f.routers, r)
 		f.startRouter(r)
 	}
-	t.Cleanup(f.stop)
 	return f
 }
 
@@ -142,8 +149,12 @@
 	ec := env.Ctx{Context: ctx, Name: c.addr, Hall: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
 	var srv *core.Server
 	var err error
+	set := core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost, Codec: f.codec}
+	if f.place != nil {
+		set = f.place(c)
+	}
 	for range 40 { // a stalled or full disk keeps a process from starting
-		srv, err = core.Open(ec.Part("core"), core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost, Codec: f.codec}, c.disk.Use())
+		srv, err = core.Open(ec.Part("core"), set, c.disk.Use())
 		if err == nil {
 			break
 		}
