--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -114,6 +114,9 @@
 		}
 		read := request.Input - kept
 		cost := runner.cost(max(0, read), b.zone, now) + readAgainMs*float64(max(0, shared-kept))
+		if request.Output > request.Input {
+			cost += longGapWeight * runner.gapMs
+		}
 		runner.mu.Unlock()
 		if barred {
 			if cost < lastCost {
@@ -169,6 +172,9 @@
 	silenceCostMs  = 1000.0
 	requestCostMs  = 4.0 // for each whole answer under way on an ordinary service
 	warmupCostPart = 0.6
+	// longGapWeight is what a millisecond between events costs where more comes out than goes in: such an
+	// answer is late by its pauses rather than by its first event.
+	longGapWeight = 4.0
 	// readAgainMs is what a shared token costs that the runner has to read though another one keeps it: more
 	// than the time of the reading, since it takes that time from all other requests of the fleet. A session
 	// of some thousand tokens leaves its runner for a wait that endangers the usual aims, not for a few
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -71,7 +71,7 @@
 	case "core.beat":
 		return wire.On(body, func(in *Beat) (*Told, error) { return s.takeBeat(ctx, in) })
 	case "core.runner":
-		return wire.On(body, s.takeRunner)
+		return wire.On(body, func(in *RunnerBeat) (*Done, error) { return s.takeRunner(ctx, in) })
 	case "core.layout":
 		return wire.On(body, s.giveLayout)
 	case "core.write":
@@ -499,6 +499,7 @@
 	if time.Since(s.swept10) > 10*time.Second {
 		s.swept10 = time.Now()
 		s.sweepClaims(doc.Claims)
+		s.sweepRunners(s.runners.List(time.Now()))
 	}
 	s.sweepQuotas(doc.Windows, live, here)
 }
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -61,24 +61,10 @@
 // retire sets a holder's units cooling: its process is surely gone.
 func (s *Server) retire(ctx context.Context, who string) error {
 	return s.Submit(ctx, func(tx *Tx) error {
-		return s.pots(tx, func(tenant string, p *share.Pot) bool { return s.retireIn(tx, tenant, p, who) })
+		return s.pots(tx, func(_ string, p *share.Pot) bool { return p.Retire(who) })
 	})
 }
 
-// retireIn sets one holder's units of one tenant cooling. Where a quota has no window, what its holders
-// spent counts no longer than they live, and the units are free at once. Only the run loop calls it.
-func (s *Server) retireIn(tx *Tx, tenant string, p *share.Pot, who string) bool {
-	if !p.Retire(who) {
-		return false
-	}
-	if cur, err := tx.sheet(); err == nil {
-		if doc := s.parsed(cur); doc != nil && doc.Windows[tenant] == 0 {
-			p.Thaw(who)
-		}
-	}
-	return true
-}
-
 func (s *Server) pots(tx *Tx, do func(ten string, p *share.Pot) bool) error {
 	var tens []string
 	tx.st.Each("share/", func(k string, _ []byte) { tens = append(tens, strings.TrimPrefix(k, "share/")) })
@@ -109,7 +95,7 @@
 			changed := false
 			for who := range p.Held {
 				if at, _, _ := strings.Cut(who, "/"); at == place && who != me {
-					changed = s.retireIn(tx, ten, p, who) || changed
+					changed = p.Retire(who) || changed
 				}
 			}
 			for who := range p.Cool {
@@ -186,7 +172,7 @@
 				changed = h.tenant == tenant && p.Thaw(h.who) || changed
 			}
 			for _, h := range out {
-				changed = h.tenant == tenant && s.retireIn(tx, tenant, p, h.who) || changed
+				changed = h.tenant == tenant && p.Retire(h.who) || changed
 			}
 			return changed
 		})
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -21,8 +21,8 @@
 	registryBegun = 1                       // the first version; 0 stands for "none"
 )
 
-// RunnerRegistry is the primary's knowledge of runners, in memory only. Its version goes up with every
-// change that routers must know. A new primary begins an empty registry with an epoch of its own.
+// RunnerRegistry is the primary's knowledge of runners. Its version goes up with every change that routers
+// must know. A new primary begins a registry with an epoch of its own, from what its disk has of runners.
 type RunnerRegistry struct {
 	silence  time.Duration
 	announce func(routing.Runner) <-chan struct{} // tells routers at once; closed when that has been tried
@@ -60,10 +60,10 @@
 
 // Begin starts taking heartbeats. A primary that has led without a break since led keeps what it knows when
 // its view changes; each runner gets a while to be heard again, since none was heard in between. Otherwise the
-// registry starts empty, with a new epoch.
+// registry starts from the stored runners, with a new epoch.
 //
-//	registry.Begin(epoch, led, time.Now())
-func (r *RunnerRegistry) Begin(epoch uint64, led, now time.Time) {
+//	registry.Begin(epoch, led, time.Now(), stored)
+func (r *RunnerRegistry) Begin(epoch uint64, led, now time.Time, stored []routing.Runner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.epoch != 0 && led.Equal(r.led) {
@@ -76,6 +76,9 @@
 	}
 	r.epoch, r.led, r.begun = epoch, led, now
 	r.version, r.settled, r.runners = registryBegun, 0, map[string]*registered{}
+	for _, runner := range stored {
+		r.runners[runner.ID] = &registered{runner: runner, heard: now, version: r.version}
+	}
 }
 
 // Heartbeat takes one heartbeat. It may be acknowledged once the channel is closed; nil: at once. A heartbeat
@@ -180,7 +183,7 @@
 
 // takeRunner takes a runner's heartbeat. A change of state is handed to the first routers of every zone
 // before it is acknowledged, so that it outlives us.
-func (s *Server) takeRunner(in *RunnerBeat) (*Done, error) {
+func (s *Server) takeRunner(ctx context.Context, in *RunnerBeat) (*Done, error) {
 	if err := s.prime(); err != nil {
 		return nil, err
 	}
@@ -192,7 +195,11 @@
 	if in.Runner.ID == "" {
 		return nil, wire.Fault{Code: BadRunner}
 	}
-	if told := s.runners.Heartbeat(in.Runner, time.Now()); told != nil {
+	told := s.runners.Heartbeat(in.Runner, time.Now())
+	if err := s.keepRunner(ctx, in.Runner); err != nil {
+		return nil, err
+	}
+	if told != nil {
 		<-told
 	}
 	return &Done{}, nil
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -25,7 +25,7 @@
 		r.push = make(chan struct{})
 		return r.push
 	})
-	r.Begin(1, r.now, r.now)
+	r.Begin(1, r.now, r.now, nil)
 	return r
 }
 
@@ -190,7 +190,7 @@
 	if len(told.Runners) != 1 || told.Runners[0].ID != "r3" || told.RunnersWhole {
 		t.Errorf("one change told as %+v, whole %v", told.Runners, told.RunnersWhole)
 	}
-	r.Begin(2, r.now, r.now)
+	r.Begin(2, r.now, r.now, nil)
 	r.beat("r1", 7, routing.RunnerReady)
 	// The router's version is above the new epoch's: the epoch counts.
 	next := r.tell(told.RunnersEpoch, told.RunnersVersion)
@@ -240,7 +240,7 @@
 	r.beat("a", 1, routing.RunnerReady)
 	whole := r.tell(0, 0)
 	r.now = r.now.Add(20 * time.Second)
-	r.Begin(3, led, r.now)
+	r.Begin(3, led, r.now, nil)
 	if told := r.tell(whole.RunnersEpoch, whole.RunnersVersion); told.RunnersEpoch != whole.RunnersEpoch || told.RunnersWhole || len(told.Runners) > 0 {
 		t.Errorf("right after a pause told %+v", told)
 	}
--- /dev/null
+++ b/internal/core/runnerstore.go
@@ -0,0 +1,71 @@
+package core
+
+import (
+	"context"
+	"strings"
+
+	"yarrowridge/internal/routing"
+)
+
+// Runners are kept on disk, so that after the loss of all processes routers know at once where to send
+// requests. Only what routers must know is kept, not each heartbeat.
+const runnerHead = "runner/"
+
+// keepRunner keeps a runner whose news differs from what the disk has. That one is leaving is kept before it
+// is acknowledged: a primary that takes over must not send routers to it again. That one has come can wait.
+func (s *Server) keepRunner(ctx context.Context, runner routing.Runner) error {
+	if stored, ok := s.storedRunner(runner.ID); ok == (runner.State != routing.RunnerGone) && (!ok || sameForRouters(stored, runner)) {
+		return nil
+	}
+	put := func(tx *Tx) error {
+		key := runnerHead + runner.ID
+		if runner.State != routing.RunnerGone {
+			return tx.Put(key, &runner)
+		}
+		if _, ok := tx.Get(key); ok {
+			tx.Drop(key)
+		}
+		return nil
+	}
+	if runner.State == routing.RunnerReady {
+		s.later(put)
+		return nil
+	}
+	return s.Submit(ctx, put)
+}
+
+func (s *Server) storedRunner(id string) (runner routing.Runner, ok bool) {
+	raw, ok := s.st.Load().Get(runnerHead + id)
+	if !ok {
+		return runner, false
+	}
+	_, err := runner.UnmarshalMsg(raw)
+	return runner, err == nil
+}
+
+// storedRunners are the runners that the disk has.
+func (s *Server) storedRunners() []routing.Runner {
+	var out []routing.Runner
+	s.st.Load().Each(runnerHead, func(_ string, raw []byte) {
+		var runner routing.Runner
+		if _, err := runner.UnmarshalMsg(raw); err == nil {
+			out = append(out, runner)
+		}
+	})
+	return out
+}
+
+// sweepRunners drops the stored runners that the registry has forgotten.
+func (s *Server) sweepRunners(known []routing.Runner) {
+	named := map[string]bool{}
+	for _, runner := range known {
+		named[runner.ID] = true
+	}
+	var old []string
+	s.st.Load().Each(runnerHead, func(key string, _ []byte) {
+		if !named[strings.TrimPrefix(key, runnerHead)] {
+			old = append(old, key)
+		}
+	})
+	s.dropLater(old)
+}
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -1,29 +1,52 @@
 package gateway
 
 import (
+	"sync"
+
 	"yarrowridge/internal/allow"
 	"yarrowridge/internal/layout"
 )
 
-// The free output allowance on the gateway. The platform of a gateway's clients knows no funds: a tenant
-// counts as unfunded for a request while it has nearly spent its quota. The thresholds follow the
-// route's own aim: up to it the ceiling holds, and from half of the route's time-out the floor does.
+// The free output allowance on the gateway. Its clients know no funds: a tenant counts as unfunded while its
+// quota is nearly spent over all routers. The figures follow the route: up to a wait of its own aim the
+// ceiling holds, which is the most that was asked for on it; from five times the aim the floor does, an eighth
+// of the ceiling. Both ratios are the source's.
 const (
-	allowanceCeiling = 16384 // tokens
-	allowanceFloor   = 64    // tokens
-	assumedRate      = 10    // tokens a second of a runner that has completed no stream
-	unfundedLoad     = 0.9   // share of its quota from which on a tenant counts as unfunded
+	allowanceFloorPart = 8
+	allowanceLowWaits  = 5
+	assumedRate        = 10 // tokens a second of a runner that has completed no stream
 )
 
+// largestOutputs remembers the most output that was asked for on each route.
+type largestOutputs struct {
+	mu     sync.Mutex
+	routes map[string]int
+}
+
+// note takes an output that is asked for and tells the largest so far.
+func (l *largestOutputs) note(route string, tokens int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.routes == nil {
+		l.routes = map[string]int{}
+	}
+	l.routes[route] = max(l.routes[route], tokens)
+	return l.routes[route]
+}
+
 // judgeAllowance decides once, when the request arrives, whether an unfunded tenant may ask for so much.
 func (r *request) judgeAllowance() error {
 	if r.meta.OutputTokens == 0 || r.service.Engine == nil {
 		return nil
 	}
+	ceiling := r.gateway.outputs.note(r.route.Name, r.meta.OutputTokens)
+	if r.funded() {
+		return nil
+	}
+	aim := r.route.TargetLatency
+	rule := layout.Allowance{Ceiling: ceiling, Floor: ceiling / allowanceFloorPart, Full: aim, Low: allowanceLowWaits * aim, Rate: assumedRate}
 	feeds := r.gateway.Balancer.Feeds(r.service.Name, r.meta.Model)
-	rule := layout.Allowance{Ceiling: allowanceCeiling, Floor: allowanceFloor,
-		Full: r.route.TargetLatency, Low: max(r.route.Timeout/2, 2*r.route.TargetLatency), Rate: assumedRate}
-	verdict := allow.Decide(rule, allow.Ask{Funded: r.funded(), Tokens: r.meta.OutputTokens}, feeds, 0)
+	verdict := allow.Decide(rule, allow.Ask{Tokens: r.meta.OutputTokens}, feeds, 0)
 	switch verdict.Outcome {
 	case allow.NoFunds:
 		return refuseAllowance
@@ -33,10 +56,7 @@
 	return nil
 }
 
-// funded tells whether the tenant keeps within its sustained rate.
+// funded tells whether the tenant's quota is not nearly spent.
 func (r *request) funded() bool {
-	if r.tenant == nil || r.tenant.Rate <= 0 {
-		return true
-	}
-	return r.gateway.Quotas.Load(r.tenant.Name) <= unfundedLoad
+	return r.tenant == nil || r.tenant.Rate <= 0 || !r.gateway.Quotas.Scarce(r.tenant.Name)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,8 +21,8 @@
 	Spend(tenant string)
 	// Release ends a reservation unspent.
 	Release(tenant string)
-	// Load tells how much of its quota the tenant has spent in the window, from 0 to 1.
-	Load(tenant string) float64
+	// Scarce tells whether the tenant's quota is nearly spent over all routers.
+	Scarce(tenant string) bool
 }
 
 // RetryBounds bound the second attempts of the whole fleet at one service.
@@ -51,6 +51,7 @@
 	draining atomic.Bool
 	open     atomic.Int64
 	counts   counters
+	outputs  largestOutputs
 }
 
 // New makes a gateway.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,9 +61,9 @@
 	q.reserved.Add(1)
 	return true, 0
 }
-func (q *freeQuotas) Release(string)      { q.released.Add(1) }
-func (q *freeQuotas) Load(string) float64 { return 0 }
-func (q *freeQuotas) Spend(string)        { q.spent.Add(1) }
+func (q *freeQuotas) Release(string)     { q.released.Add(1) }
+func (q *freeQuotas) Scarce(string) bool { return false }
+func (q *freeQuotas) Spend(string)       { q.spent.Add(1) }
 
 // fleet is a gateway before runners of the test's making.
 type fleet struct {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,7 +62,7 @@
 // How long a request that comes while the router starts waits for the configuration: a late answer is worth
 // more than a refusal.
 const (
-	startWait  = 900 * time.Millisecond
+	startWait  = 500 * time.Millisecond
 	startCheck = 20 * time.Millisecond
 )
 
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -135,14 +135,8 @@
 // Release ends a reservation unspent.
 func (q quotas) Release(tenant string) { q.purses.For(tenant).Loose(1) }
 
-// Load tells how much of what is held here the tenant has spent in the window, from 0 to 1.
-func (q quotas) Load(tenant string) float64 {
-	held, _, spent := q.purses.For(tenant).Stat()
-	if held == 0 {
-		return 0
-	}
-	return float64(spent) / float64(held)
-}
+// Scarce tells whether the core lately had too little left of the tenant's quota.
+func (q quotas) Scarce(tenant string) bool { return q.purses.For(tenant).Scarce() }
 
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -117,6 +117,18 @@
 	return p.changed, time.Now().Before(p.dry)
 }
 
+// scarceFor is how long a quota counts as scarce once the core had too little left of it.
+const scarceFor = time.Second
+
+// Scarce tells whether the core lately had too little left of the quota.
+//
+//	if p.Scarce() { ... }
+func (p *Purse) Scarce() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.dry.IsZero() && time.Since(p.dry) < scarceFor
+}
+
 // Spend turns a reservation into a spend: the query leaves now.
 //
 //	p.Spend(1)
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -65,7 +65,7 @@
 
 // How long a request waits for units: for the core's first word about the tenant, or for a draw.
 const (
-	firstWait = time.Second
+	firstWait = 300 * time.Millisecond
 	drawWait  = 60 * time.Millisecond
 )
 
