No draw takes more than an eighth of the free units; small reserves

Cause: after a restart of all routers the first two that reached the core asked for a fourth of each quota, since no fleet was known yet, and took all; the other seven refused everything for a second and more.

--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -39,8 +39,8 @@
 			out.Have, changed = p.Give(who, in.Turn, in.Units)
 		} else {
 			was := p.Held[who].Units
-			out.Have, changed = p.Draw(who, in.Turn, in.Units, units)
-			if out.Have-was < in.Units {
+			out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(units-p.Out())), units)
+			if in.Units > 0 && out.Have == was {
 				s.mu.Lock()
 				s.short[in.Tenant] = time.Now()
 				s.mu.Unlock()
@@ -58,6 +58,13 @@
 	return out, nil
 }
 
+// drawPart is the part of the free units that one draw may take: after a restart all routers draw at once, and
+// the first must not leave the others without any.
+const drawPart = 8
+
+// drawMost is the most that one draw gets of what is free.
+func drawMost(free int) int { return (free + drawPart - 1) / drawPart }
+
 // retire sets a holder's units cooling: its process is surely gone.
 func (s *Server) retire(ctx context.Context, who string) error {
 	return s.Submit(ctx, func(tx *Tx) error {
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -160,9 +160,10 @@
 
 // How much a holder keeps at hand, so that units lie idle nowhere while another needs them.
 const (
+	fewNodes    = 4                      // assumed of a fleet that is not known yet
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
-	reserveSpan = 500 * time.Millisecond // what is spent in so long is kept at hand
-	reserveMin  = 3                      // and never less than this
+	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
+	reserveMin  = 1                      // and never less than this
 	giveEvery   = time.Second            // idle units go back at most so often
 	dryFor      = 100 * time.Millisecond // the core is not asked again for so long once it had too little
 )
@@ -170,7 +171,7 @@
 // reserve is how many free units should be at hand. The caller holds the lock and has swept.
 func (p *Purse) reserve(nodes int) int {
 	if p.units == 0 && p.out == 0 {
-		return max(1, p.need, p.quota/(firstPart*max(1, nodes)))
+		return max(1, p.need, p.quota/(firstPart*max(fewNodes, nodes)))
 	}
 	spent := float64(p.out) * float64(reserveSpan) / float64(max(p.window, reserveSpan))
 	return max(reserveMin, p.need, int(spent+0.999))
@@ -249,7 +250,7 @@
 		close(p.first)
 	}
 	now := time.Now()
-	if p.asked > 0 && have-p.units < p.asked {
+	if p.asked > 0 && have <= p.units {
 		p.dry = now.Add(dryFor)
 	}
 	p.asked, p.moved = 0, now
