--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -101,8 +101,15 @@
 	return ""
 }
 
-// part is this router's part of a whole that all routers share.
+// assumedRouters is how many routers are assumed where the fleet is not known yet: for the first seconds of a
+// new primary.
+const assumedRouters = 16
+
+// part is this router's part of a whole that all routers share, one at least.
 func (g *Gateway) part(whole int) int {
+	if len(g.Hub.Nodes()) == 0 {
+		return max(1, whole/assumedRouters)
+	}
 	return max(1, g.Hub.Part(whole))
 }
 
