--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -470,7 +470,7 @@
 // sweep ends what has had its time: cooled units and old claims. Time is counted from when this
 // run of this process first saw them, so a restart only makes them last longer.
 func (s *Server) sweep() {
-	if time.Since(s.swept) < sweepEvery {
+	if since := time.Since(s.swept); since < sweepEvery && !(s.cooling && since >= sweepCooling) {
 		return
 	}
 	s.swept = time.Now()
@@ -504,8 +504,11 @@
 	s.sweepQuotas(doc.Windows, live, here)
 }
 
-// sweepEvery is how often the run loop looks for what has had its time.
-const sweepEvery = 500 * time.Millisecond
+// How often the run loop looks for what has had its time: in general, and while units of quotas cool.
+const (
+	sweepEvery   = 500 * time.Millisecond
+	sweepCooling = 100 * time.Millisecond
+)
 
 // dropLater has the run loop remove keys.
 func (s *Server) dropLater(keys []string) {
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -92,11 +92,14 @@
 // holderPlace is the part of a holder's name that all runs of a node at one address share.
 func holderPlace(n Node) string { return n.Name + "@" + n.Addr }
 
+// flightTime covers the way of the last requests that a process sent before its end.
+const flightTime = 50 * time.Millisecond
+
 // replaceHolder sets the units of earlier runs at a node's address cooling. They ended before the new run
 // began, so their last spends are at least as old as the new run.
 func (s *Server) replaceHolder(n Node, age time.Duration) {
 	place, me := holderPlace(n), Holder(n)
-	ended := time.Now().Add(-age)
+	ended := time.Now().Add(flightTime - share.Margin - age)
 	s.later(func(tx *Tx) error {
 		return s.pots(tx, func(ten string, p *share.Pot) bool {
 			changed := false
@@ -142,6 +145,7 @@
 		return now.Sub(at) > span
 	}
 	var thaw, out []holding
+	s.cooling = false
 	s.st.Load().Each("share/", func(k string, raw []byte) {
 		var p share.Pot
 		if _, err := p.UnmarshalMsg(raw); err != nil {
@@ -149,6 +153,7 @@
 		}
 		tenant := strings.TrimPrefix(k, "share/")
 		for who := range p.Cool {
+			s.cooling = true
 			if aged(coolKey(tenant, who), windows[tenant]+share.Margin) {
 				thaw = append(thaw, holding{tenant, who})
 			}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -110,6 +110,7 @@
 	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
 	swept10 time.Time            // of the claims
+	cooling bool                 // units of some quota cool
 	greeted time.Time            // when silent places were last told the view
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
