upstream: body framing of its own; a cancelled connection is counted out in time

Cause: the reader that http.ReadResponse gives waits for a chunked body's trailer before it hands over the bytes in front of it; TestCutBodies hung on that until go test's ten minutes. A connection that ctx or Abort was closing was still counted for a moment after Finish (TestContextEndUnblocks, TestAbortUnblocks), so that a bound could refuse. Ruled out: a hang in the pool or in the runners of the tests (the stack showed the trailer's Peek). Conclusion: http.ReadResponse reads heads only; httputil.NewChunkedReader the chunks; the trailer is read apart.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,7 +32,7 @@
 	peer       *peer
 	generation int
 	expires    time.Time // when idle: not to be used from here on
-	closed     atomic.Bool
+	closing    sync.Once
 	probe      *probe // nil: the connection is not a socket
 	cancel     func() // closes it; made once, since each exchange needs it
 
@@ -69,13 +68,13 @@
 	return n, err
 }
 
-// Close closes the connection once, and gives its place in the pool free.
-func (c *connection) Close() error {
-	if c.closed.Swap(true) {
-		return nil
-	}
-	err := c.Conn.Close()
-	c.pool.released(c.peer)
+// Close closes the connection once, and gives its place in the pool free. When it returns, both are done,
+// whoever began it.
+func (c *connection) Close() (err error) {
+	c.closing.Do(func() {
+		err = c.Conn.Close()
+		c.pool.released(c.peer)
+	})
 	return err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,6 +29,13 @@
 	keepAliveMargin  = 500 * time.Millisecond // how much sooner than the runner we take a connection for closed
 )
 
+// The states of an exchange.
+const (
+	running = iota
+	finished
+	aborted
+)
+
 // ReadResponse needs a request only to know whether the answer can have a body.
 var (
 	headRequest = &http.Request{Method: http.MethodHead}
@@ -57,10 +66,13 @@
 	reused     bool
 	response   *http.Response
 	framed     bool
-	ended      bool // the body was read to its end
-	spoiled    bool // the connection must not be used again
-	deadline   bool // a read deadline is set
-	over       atomic.Bool
+	left       int64        // bytes of a body of known length that are still to be read
+	chunks     io.Reader    // of a chunked body, up to its last chunk
+	trailing   bool         // of a chunked body only the trailer is still to be read
+	ended      bool         // the body was read to its end
+	spoiled    bool         // the connection must not be used again
+	deadline   bool         // a read deadline is set
+	state      atomic.Int32 // running, finished or aborted
 }
 
 // Reused tells whether the connection was idle before.
@@ -77,7 +89,7 @@
 // belongs to another request: it is read away, and the connection is not used again. accept may be nil.
 // An error is a *SendError.
 func (e *Exchange) ReadHead(accept func(status int, header http.Header) bool) (Head, error) {
-	if e.over.Load() {
+	if e.state.Load() != running {
 		return Head{}, e.failure(StepReadHead, ErrExchangeOver)
 	}
 	for range MaxExtraAnswers + 1 {
@@ -96,21 +108,22 @@
 	return Head{}, e.failure(StepReadHead, ErrExtraAnswers)
 }
 
-// begin makes response the answer of the exchange.
+// begin makes response the answer whose body is read. The body is not read from response.Body: that waits for a
+// chunked body's trailer before it hands over the last bytes in front of it.
 func (e *Exchange) begin(response *http.Response) Head {
+	chunked := len(response.TransferEncoding) > 0
 	e.response = response
-	e.framed = isFramed(response)
+	e.framed = response.Body == http.NoBody || response.ContentLength >= 0 || chunked
 	e.ended = response.Body == http.NoBody
+	e.left = response.ContentLength
+	e.chunks, e.trailing = nil, false
+	if chunked && !e.ended {
+		e.chunks = httputil.NewChunkedReader(e.reader)
+	}
 	e.Body = (*body)(e)
-	chunked := len(response.TransferEncoding) > 0
 	return Head{response.StatusCode, response.Header, response.ContentLength, chunked, e.framed}
 }
 
-// isFramed tells whether the end of the body is marked.
-func isFramed(response *http.Response) bool {
-	return response.Body == http.NoBody || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // readFinal reads the head of the next answer that is not informational.
 func (e *Exchange) readFinal() (*http.Response, error) {
 	request := bodyRequest
@@ -136,17 +149,21 @@
 
 // discard reads an answer away that is not ours.
 func (e *Exchange) discard(response *http.Response) error {
-	if !isFramed(response) {
+	if !e.begin(response).Framed {
 		return eris.Wrap(ErrExtraAnswers, "one without a marked end")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, MaxExtraBytes+1))
-	if err != nil {
-		return e.cause(err)
-	}
-	if n > MaxExtraBytes {
-		return eris.Wrapf(ErrExtraAnswers, "one larger than %d bytes", MaxExtraBytes)
+	buffer := make([]byte, readBufferBytes)
+	for total := 0; total <= MaxExtraBytes; {
+		n, err := e.readBody(buffer)
+		total += n
+		if err == io.EOF && total <= MaxExtraBytes {
+			return nil
+		}
+		if err != nil && err != io.EOF {
+			return e.cause(err)
+		}
 	}
-	return nil
+	return eris.Wrapf(ErrExtraAnswers, "one larger than %d bytes", MaxExtraBytes)
 }
 
 // cause tells why the answer could not be read: the context's end, the connection, or what the runner sent.
@@ -174,16 +191,12 @@
 // Read reads what has come of the body, and waits where nothing has.
 func (b *body) Read(buffer []byte) (int, error) {
 	e := (*Exchange)(b)
-	if e.over.Load() {
+	if e.state.Load() != running {
 		return 0, e.failure(StepReadBody, ErrExchangeOver)
 	}
-	n, err := e.response.Body.Read(buffer)
-	switch err {
-	case nil:
-		return n, nil
-	case io.EOF:
-		e.ended = true
-		return n, io.EOF
+	n, err := e.readBody(buffer)
+	if err == nil || err == io.EOF {
+		return n, err
 	}
 	if err = e.cause(err); err == io.ErrUnexpectedEOF {
 		return n, err
@@ -191,10 +204,83 @@
 	return n, e.failure(StepReadBody, err)
 }
 
+// readBody reads once from the body. io.EOF is its end; cause explains any other error.
+func (e *Exchange) readBody(buffer []byte) (n int, err error) {
+	switch {
+	case e.ended:
+		return 0, io.EOF
+	case e.chunks != nil:
+		return e.readChunks(buffer)
+	case !e.framed:
+		n, err = e.reader.Read(buffer)
+		e.ended = err == io.EOF
+		return n, err
+	}
+	n, err = e.reader.Read(buffer[:min(int64(len(buffer)), e.left)])
+	e.left -= int64(n)
+	if e.left == 0 {
+		e.ended = true
+		return n, io.EOF
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// readChunks reads once from a chunked body.
+func (e *Exchange) readChunks(buffer []byte) (n int, err error) {
+	if !e.trailing {
+		n, err = e.chunks.Read(buffer)
+		e.trailing = err == io.EOF
+	}
+	if !e.trailing {
+		return n, err
+	}
+	if n > 0 && !e.blankLineBuffered() {
+		return n, nil // the trailer is read, and perhaps waited for, next time
+	}
+	if err = e.readTrailer(); err != nil {
+		return n, err
+	}
+	e.ended = true
+	return n, io.EOF
+}
+
+// blankLineBuffered tells whether an empty trailer is there.
+func (e *Exchange) blankLineBuffered() bool {
+	if e.reader.Buffered() < 2 {
+		return false
+	}
+	next, _ := e.reader.Peek(2)
+	return string(next) == "\r\n"
+}
+
+// readTrailer reads a chunked body's trailer away.
+func (e *Exchange) readTrailer() error {
+	e.connection.headLeft = MaxHeadBytes
+	defer func() { e.connection.headLeft = noHeadLimit }()
+	for {
+		line, err := e.reader.ReadSlice('\n')
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
 // Finish ends the exchange. The connection is kept for another if the body was read to its marked end, the
 // runner does not close it, and it has sent nothing more; otherwise it is closed.
 func (e *Exchange) Finish() {
-	if e.over.Swap(true) {
+	if !e.state.CompareAndSwap(running, finished) {
+		if e.state.Load() == aborted {
+			e.connection.Close() // waits until Abort has closed it
+		}
 		return
 	}
 	undisturbed := e.stop == nil || e.stop()
@@ -210,7 +296,7 @@
 
 // Abort ends the exchange and closes its connection at once. The reader isn't kept: a Read may be running.
 func (e *Exchange) Abort() {
-	if e.over.Swap(true) {
+	if !e.state.CompareAndSwap(running, aborted) {
 		return
 	}
 	if e.stop != nil {
