upstream: tests that were seen red, and the socket's options

Cause: of 29 deliberate breaks of the package, one at a time, 26 turned a test red; the bound after use, the end of a body that nobody takes, and the lifted read deadline went unseen. Ruled out: that the three have no effect; each has a test now that is red without it.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -476,6 +476,25 @@
 	}
 }
 
+func TestLoweredBoundClosesAfterUse(t *testing.T) {
+	r, p := newRunner(t), newPool(t, Options{})
+	var all []*Exchange
+	for range 3 {
+		all = append(all, send(t, p, r.address(), get))
+		on := r.accept()
+		on.request()
+		on.say(okAnswer)
+	}
+	p.SetMax(r.address(), 2)
+	for _, e := range all {
+		readAnswer(t, e)
+		e.Finish()
+	}
+	if got := openCount(p, r.address()); got != 2 {
+		t.Fatalf("%d open", got)
+	}
+}
+
 func TestForget(t *testing.T) {
 	r, p := newRunner(t), newPool(t, Options{})
 	used := send(t, p, r.address(), get)
@@ -820,7 +839,12 @@
 				io.WriteString(on.TCPConn, early)
 				leave(on)
 			}()
-			e := send(t, p, r.address(), Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)})
+			ctx, cancel := context.WithTimeout(t.Context(), unacknowledgedLimit/2) // else TCP would end the write
+			defer cancel()
+			e, err := p.Send(ctx, r.address(), Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)})
+			if err != nil {
+				t.Fatal(err)
+			}
 			head, body := readAnswer(t, e)
 			if head.Status != http.StatusServiceUnavailable || body != "busy" {
 				t.Fatalf("%+v, %q", head, body)
@@ -934,19 +958,42 @@
 	if openCount(p, r.address()) != 0 {
 		t.Fatal("kept")
 	}
-	<-r.accepted
+}
+
+// deadlineConn remembers the read deadline.
+type deadlineConn struct {
+	*net.TCPConn
+	at time.Time
+}
+
+func (d *deadlineConn) SetReadDeadline(at time.Time) error {
+	d.at = at
+	return d.TCPConn.SetReadDeadline(at)
+}
 
-	e = send(t, p, r.address(), get)
+func TestReadDeadlineEndsWithTheExchange(t *testing.T) {
+	r := newRunner(t)
+	var dialled *deadlineConn
+	p := newPool(t, Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		dialled = &deadlineConn{TCPConn: conn.(*net.TCPConn)}
+		return dialled, nil
+	}})
+	e := send(t, p, r.address(), get)
 	e.SetReadDeadline(time.Now().Add(await))
 	on := r.accept()
 	on.request()
 	on.say(okAnswer)
 	readAnswer(t, e)
-	c := e.connection
 	e.Finish()
-	if c.SetReadDeadline(time.Time{}); !c.clean() || openCount(p, r.address()) != 1 {
-		t.Fatal("not kept")
+	if !dialled.at.IsZero() {
+		t.Fatal("the deadline is still set")
 	}
+	whole(t, p, r, on, okAnswer)
+	wantStats(t, p, 1, 1)
 }
 
 func TestAbortUnblocks(t *testing.T) {
@@ -1105,3 +1152,19 @@
 		}
 	}
 }
+
+func TestSocketOptions(t *testing.T) {
+	r, p := newRunner(t), newPool(t, Options{})
+	e := send(t, p, r.address(), get)
+	raw, err := e.connection.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(descriptor uintptr) {
+		limit, _ := syscall.GetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout)
+		noDelay, _ := syscall.GetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+		if limit != int(unacknowledgedLimit/time.Millisecond) || noDelay == 0 {
+			t.Errorf("TCP_USER_TIMEOUT %d ms, TCP_NODELAY %d", limit, noDelay)
+		}
+	})
+}
