--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,8 +19,9 @@
 // Most is the largest frame body read, in bytes.
 const Most = 8 << 20
 
-// dialWait is the most that opening a connection may take.
-const dialWait = 700 * time.Millisecond
+// dialWait is the most that opening a connection may take. The opening packet to a machine that is just starting
+// is lost, and the system sends it again after a second only: the next try comes sooner.
+const dialWait = 250 * time.Millisecond
 
 // Two kinds of trouble a caller must tell apart.
 var (
