--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -88,50 +88,45 @@
 	runner.info.State = routing.RunnerGone
 }
 
+// candidate is a runner that could be sent a request, as one choice sees it.
+type candidate struct {
+	runner *Runner
+	id     string
+	barred bool    // only as a last resort
+	wait   float64 // cost without what has to be read, in milliseconds
+	rate   float64 // prompt tokens read in a millisecond
+}
+
 // Choose picks the runner that is expected to answer first and counts the request as sent to it. Nil:
 // there is none that may be sent anything.
 func (b *Balancer) Choose(request Request) *Attempt {
 	now := time.Now()
-	runners := b.Runners(request.Service)
+	candidates := b.candidates(request, now)
 	key, shared := affinity(request.Parts)
+	first, second := rendezvous(candidates, key)
 	held := b.cache.Match(request.Parts)
-	var best, last *Runner
-	bestCost, lastCost, bestRead := math.Inf(1), math.Inf(1), 0
-	home := rendezvous(runners, key, request.Model)
-	for _, runner := range runners {
-		if request.Tried[runner.Index] {
-			continue
-		}
-		runner.mu.Lock()
-		usable, barred := runner.usable(request.Model, now)
-		if !usable {
-			runner.mu.Unlock()
-			continue
-		}
-		kept := held[runner.Index]
-		if runner == home {
+	var best *Runner
+	bestCost, bestRead := math.Inf(1), 0
+	for i := range candidates {
+		c := &candidates[i]
+		kept := held[c.runner.Index]
+		again := readAgainMs
+		switch c.runner {
+		case first:
 			kept = max(kept, shared)
+		case second:
+			again *= secondChoice
 		}
-		read := request.Input - kept
-		cost := runner.cost(max(0, read), b.zone, now) + readAgainMs*float64(max(0, shared-kept))
-		if request.Output > request.Input {
-			cost += longGapWeight * runner.gapMs
-		}
-		runner.mu.Unlock()
-		if barred {
-			if cost < lastCost {
-				last, lastCost = runner, cost
-			}
-			continue
+		read := max(0, request.Input-kept)
+		cost := c.wait + float64(read)/c.rate + again*float64(max(0, shared-kept))
+		if c.barred {
+			cost += lastResortMs
 		}
 		// Among equals the turn goes round, so that routers do not all begin with the same runner.
 		if cost < bestCost || cost == bestCost && b.turn.Add(1)%2 == 0 {
-			best, bestCost, bestRead = runner, cost, max(0, read)
+			best, bestCost, bestRead = c.runner, cost, read
 		}
 	}
-	if best == nil {
-		best, bestRead = last, request.Input
-	}
 	if best == nil {
 		return nil
 	}
@@ -139,6 +134,24 @@
 	return best.begin(bestRead, now)
 }
 
+// candidates are the runners that a request could be sent to.
+func (b *Balancer) candidates(request Request, now time.Time) []candidate {
+	runners := b.Runners(request.Service)
+	out := make([]candidate, 0, len(runners))
+	for _, runner := range runners {
+		if request.Tried[runner.Index] {
+			continue
+		}
+		runner.mu.Lock()
+		if usable, barred := runner.usable(request.Model, now); usable {
+			wait := runner.waitCost(request, b.zone, now)
+			out = append(out, candidate{runner: runner, id: runner.info.ID, barred: barred, wait: wait, rate: runner.rate()})
+		}
+		runner.mu.Unlock()
+	}
+	return out
+}
+
 // usable tells whether the runner may be sent a request at all, and whether only as a last resort. The
 // caller holds the lock.
 func (r *Runner) usable(model string, now time.Time) (usable, barred bool) {
@@ -167,10 +180,11 @@
 	failureCostMs  = 400.0 // of a runner that fails each request
 	fullCostMs     = 200.0 // of one that just said it is full
 	fullSpan       = 150 * time.Millisecond
-	otherZoneMs    = 1.5 // a request to another zone costs bytes between zones and a longer way
-	decodeCostMs   = 1.5 // for each stream under way there
-	silenceCostMs  = 1000.0
-	requestCostMs  = 4.0 // for each whole answer under way on an ordinary service
+	otherZoneMs    = 1.5      // a request to another zone costs bytes between zones and a longer way
+	decodeCostMs   = 1.5      // for each stream under way there
+	lastResortMs   = 100000.0 // of a runner that failed lately, is silent or on trial
+	secondChoice   = 0.9      // of readAgainMs at the second choice: all routers leave a full runner for the same one
+	requestCostMs  = 4.0      // for each whole answer under way on an ordinary service
 	warmupCostPart = 0.6
 	// longGapWeight is what a millisecond between events costs where more comes out than goes in: such an
 	// answer is late by its pauses rather than by its first event.
@@ -182,15 +196,19 @@
 	readAgainMs = 0.02
 )
 
-// cost estimates the time to the first byte, in milliseconds. The caller holds the lock.
-func (r *Runner) cost(read int, zone string, now time.Time) float64 {
-	cost := r.fadedWait(now) + float64(r.promptOpen+read)/r.rate()
+// waitCost estimates the time to the first byte but for the reading of the request's own prompt, in
+// milliseconds. The caller holds the lock.
+func (r *Runner) waitCost(request Request, zone string, now time.Time) float64 {
+	cost := r.fadedWait(now) + float64(r.promptOpen)/r.rate()
 	cost += r.fadedFailures(now) * failureCostMs
-	if read > 0 || r.promptOpen > 0 {
+	if request.Input > 0 || r.promptOpen > 0 {
 		cost += decodeCostMs * float64(len(r.open))
 	} else {
 		cost += float64(len(r.open)) * max(requestCostMs, r.serviceMs/4)
 	}
+	if request.Output > request.Input {
+		cost += longGapWeight * r.gapMs
+	}
 	if now.Sub(r.full) < fullSpan {
 		cost += fullCostMs
 	}
@@ -221,27 +239,29 @@
 	return key, shared
 }
 
-// rendezvous picks the runner with the highest weight for a key: every router works out the same one, and
-// a change of the set moves only the keys of the runner that came or went.
-func rendezvous(runners []*Runner, key uint64, model string) *Runner {
+// rendezvous picks the two runners with the highest weights for a key: every router works out the same ones,
+// and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or there
+// are too few.
+func rendezvous(candidates []candidate, key uint64) (first, second *Runner) {
 	if key == 0 {
-		return nil
+		return nil, nil
 	}
-	var best *Runner
-	var bestWeight uint64
-	for _, runner := range runners {
-		runner.mu.Lock()
-		ready := runner.info.State == routing.RunnerReady && (model == "" || len(runner.info.Models) == 0 || runner.serves(model))
-		id := runner.info.ID
-		runner.mu.Unlock()
-		if !ready {
+	var firstWeight, secondWeight uint64
+	for i := range candidates {
+		c := &candidates[i]
+		if c.barred {
 			continue
 		}
-		if weight := weightOf(key, id); best == nil || weight > bestWeight {
-			best, bestWeight = runner, weight
+		weight := weightOf(key, c.id)
+		switch {
+		case first == nil || weight > firstWeight:
+			second, secondWeight = first, firstWeight
+			first, firstWeight = c.runner, weight
+		case second == nil || weight > secondWeight:
+			second, secondWeight = c.runner, weight
 		}
 	}
-	return best
+	return first, second
 }
 
 func weightOf(key uint64, id string) uint64 {
