The reading speed is measured over all runners of a service

Cause: a router that met one slow first answer of a runner took it for slow for good (2.7 tokens a ms against 340) and never sent it anything again; its sessions went elsewhere and were read again.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -36,13 +36,14 @@
 	mu        sync.Mutex // over changes of the set
 	next      int
 	byID      map[string]*Runner
+	speeds    map[string]*speed // of services
 	byService atomic.Pointer[map[string][]*Runner]
 	turn      atomic.Uint64
 }
 
 // New makes a balancer of a router in a zone.
 func New(zone string) *Balancer {
-	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}}
+	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, speeds: map[string]*speed{}}
 	b.byService.Store(&map[string][]*Runner{})
 	return b
 }
@@ -61,7 +62,7 @@
 		known[info.ID] = true
 		runner := b.byID[info.ID]
 		if runner == nil {
-			runner = newRunner(b.next, info, now)
+			runner = newRunner(b.next, info, b.speedOf(info.Service), now)
 			b.next++
 			b.byID[info.ID] = runner
 		}
@@ -78,6 +79,16 @@
 	b.byService.Store(&services)
 }
 
+// speedOf gives the speed of a service's runners. The caller holds the lock.
+func (b *Balancer) speedOf(service string) *speed {
+	known := b.speeds[service]
+	if known == nil {
+		known = &speed{}
+		b.speeds[service] = known
+	}
+	return known
+}
+
 // Runners lists the known runners of a service.
 func (b *Balancer) Runners(service string) []*Runner { return (*b.byService.Load())[service] }
 
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -35,7 +35,7 @@
 	failAt      time.Time
 	waitMs      float64 // moving average of the wait that the prompt's own work does not explain
 	waitAt      time.Time
-	promptRate  float64 // prompt tokens read in a millisecond
+	speed       *speed  // of all runners of its service
 	serviceMs   float64 // moving average of whole answers of ordinary services
 	gapMs       float64 // moving average of the pause between events
 	full        time.Time
@@ -51,8 +51,8 @@
 	finished bool
 }
 
-func newRunner(index int, info routing.Runner, now time.Time) *Runner {
-	return &Runner{Index: index, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
+func newRunner(index int, info routing.Runner, speed *speed, now time.Time) *Runner {
+	return &Runner{Index: index, speed: speed, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
 }
 
 // Info is what the runner last said of itself.
@@ -185,14 +185,8 @@
 // sampleFirst learns from the time to the first byte: what the prompt's own reading does not explain is
 // wait. The caller holds the lock.
 func (r *Runner) sampleFirst(ms float64, prompt int, now time.Time) {
-	if prompt > 500 && ms > 0 {
-		// The fastest reading seen is the rate; it gives way slowly so that one lucky sample does not stay.
-		rate := float64(prompt) / ms
-		if rate > r.promptRate {
-			r.promptRate = rate
-		} else {
-			r.promptRate += 0.01 * (rate - r.promptRate)
-		}
+	if prompt >= rateSample && ms > 0 {
+		r.speed.sample(float64(prompt) / ms)
 	}
 	wait := max(0, ms-float64(prompt)/r.rate())
 	r.waitMs = average(r.fadedWait(now), wait)
@@ -203,11 +197,44 @@
 	return fade(r.waitMs, now.Sub(r.waitAt), waitFade)
 }
 
-func (r *Runner) rate() float64 {
-	if r.promptRate > 0 {
-		return r.promptRate
+// rate is how many prompt tokens the runner reads in a millisecond. It is measured over all runners of the
+// service: a single slow answer must not keep a router from a runner for good, and what a runner is slower
+// than the others shows in its measured wait.
+func (r *Runner) rate() float64 { return r.speed.rate() }
+
+// How the speed of a service's runners is learnt: nearly the fastest readings count, since the others waited.
+const (
+	rateSample = 500  // tokens of a prompt that tells something
+	rateRise   = 0.10 // weight of a faster reading
+	rateFall   = 0.02 // weight of a slower one
+)
+
+// speed is how fast the runners of one service read prompts.
+type speed struct {
+	mu       sync.Mutex
+	measured float64 // prompt tokens in a millisecond; 0: not yet
+}
+
+func (s *speed) rate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.measured == 0 {
+		return firstRate
+	}
+	return s.measured
+}
+
+func (s *speed) sample(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.measured == 0:
+		s.measured = max(rate, firstRate)
+	case rate > s.measured:
+		s.measured += rateRise * (rate - s.measured)
+	default:
+		s.measured += rateFall * (rate - s.measured)
 	}
-	return firstRate
 }
 
 // silent tells whether requests are under way and nothing has come for far longer than it should.
