A third of a quota in a third of its window; tolerance while units cool

Cause: after a closing fault the units of dead routers cooled for the whole window of 5 s, and what was left free lasted for 3: refusals at 38 to 42 s. A third of the requests in each third of the window keeps the same limit, and units cool for a third of the time. While they do, up to 45 in 100 of the operator's own tolerance (overshoot and allowance) may be held on top, never more than cool, so two losses in one window keep it too. TestCheck and TestQuotas hold the same limits over the whole window as before.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -16,14 +16,15 @@
 
 // NodeSettings are what a core that serves another interface than ours is told about its place.
 type NodeSettings struct {
-	Internal    string   // ip:port where other processes reach it
-	Control     string   // ip:port of the listener for runners and operators
-	Data        string   // folder on the disk
-	Seeds       []string // ip:port of some cores
-	Bootstrap   bool     // the seeds found the fleet
-	Losses      int      // machines with a disk that may be lost at once
-	Lost        time.Duration
-	MemoryLimit int64 // bytes; 0: none
+	Internal    string        // ip:port where other processes reach it
+	Control     string        // ip:port of the listener for runners and operators
+	Data        string        // folder on the disk
+	Seeds       []string      // ip:port of some cores
+	Bootstrap   bool          // the seeds found the fleet
+	Losses      int           // machines with a disk that may be lost at once
+	Lost        time.Duration // silence after which a member may be replaced by a newcomer
+	Term        time.Duration // lease of the primacy; 0: the default
+	MemoryLimit int64         // bytes; 0: none
 	Codec       core.Codec
 	Handler     func(client *core.Client) (http.Handler, error) // serves Control
 }
@@ -38,7 +39,7 @@
 		return err
 	}
 	server, err := core.Open(p.Ctx.Part("core"), core.Set{Addr: settings.Internal, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap,
-		Losses: settings.Losses, Lost: settings.Lost, Codec: settings.Codec}, disk)
+		Losses: settings.Losses, Lost: settings.Lost, Term: settings.Term, Codec: settings.Codec}, disk)
 	if err != nil {
 		return err
 	}
--- a/internal/core/codec.go
+++ b/internal/core/codec.go
@@ -20,6 +20,10 @@
 	Quotas   map[string]int           // units of each tenant that has a quota
 	Windows  map[string]time.Duration // in which a tenant's units may be spent once
 	Claims   ClaimLimits
+
+	// Tolerances are units of each tenant that may be held on top of its quota while as many cool: what a
+	// holder that is gone may have spent counts whole, though it seldom spent all.
+	Tolerances map[string]int
 }
 
 // ClaimLimits bound how long and how many once-only keys are kept. Zeros mean the defaults.
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -25,9 +25,10 @@
 		if err != nil {
 			return err
 		}
-		units := 0
+		units, tolerance := 0, 0
 		if doc := s.parsed(cur); doc != nil {
 			units = doc.Quotas[in.Tenant]
+			tolerance = doc.Tolerances[in.Tenant]
 		}
 		p, err := tx.pot(in.Tenant)
 		if err != nil {
@@ -39,7 +40,8 @@
 			out.Have, changed = p.Give(who, in.Turn, in.Units)
 		} else {
 			was := p.Held[who].Units
-			out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(units-p.Out())), units)
+			most := units + min(tolerance, p.Cooling())
+			out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(most-p.Out())), most)
 			if in.Units > 0 && out.Have == was {
 				s.mu.Lock()
 				s.short[in.Tenant] = time.Now()
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -24,11 +24,11 @@
 
 // GatewaySettings are what a router that carries opaque requests is told about its place.
 type GatewaySettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Data        string        // ip:port of the clients' listener
-	Readiness   string        // ip:port of the readiness listener; "": none
-	Seeds       []string      // ip:port of some cores
-	QuotaWindow time.Duration // over which tenants' limits are judged
+	Internal    string            // ip:port where other processes reach it
+	Data        string            // ip:port of the clients' listener
+	Readiness   string            // ip:port of the readiness listener; "": none
+	Seeds       []string          // ip:port of some cores
+	Quota       routing.QuotaRule // how tenants' rates are judged
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
 	Grace       time.Duration // from the stop signal to the kill
@@ -122,7 +122,8 @@
 	var rules []share.Rule
 	for _, tenant := range table.Tenants {
 		if tenant.Rate > 0 {
-			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: tenant.Units(g.settings.QuotaWindow), Window: g.settings.QuotaWindow})
+			quota := g.settings.Quota.For(&tenant)
+			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: quota.Requests, Window: quota.Period})
 		}
 	}
 	return rules
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -279,7 +279,35 @@
 // roundingSlack keeps a sum of fractions that comes to a whole number from being rounded to the one below.
 const roundingSlack = 1e-9
 
-// Units is how many requests of the tenant any window may see.
-func (t *Tenant) Units(window time.Duration) int {
-	return max(1, int(t.Rate*window.Seconds()+t.Burst+roundingSlack))
+// quotaPeriods is into how many periods the window of a quota is cut. A third of the requests in each third
+// of the window keeps the whole window's limit, and what a router that died may have spent is known to be
+// past after a third of the time.
+const quotaPeriods = 3
+
+// QuotaRule tells how tenants' rates are judged.
+type QuotaRule struct {
+	Window    time.Duration // any window sees at most rate x window + burst requests
+	Overshoot float64       // part of that by which a window may exceed it
+	Allowance float64       // and requests on top
+}
+
+// Quota is how many requests of a tenant any period may see.
+type Quota struct {
+	Requests  int
+	Period    time.Duration
+	Tolerance int // requests on top, while it is not known what a router that died has spent
+}
+
+// toleranceUse is the part of the overshoot that is made use of: so little that two losses within one window
+// keep it.
+const toleranceUse = 0.45
+
+// For gives a tenant's quota. Its rate must be set.
+func (q QuotaRule) For(t *Tenant) Quota {
+	whole := t.Rate*q.Window.Seconds() + t.Burst + roundingSlack
+	tolerance := int(toleranceUse * (whole*q.Overshoot + q.Allowance))
+	if whole < quotaPeriods*2 {
+		return Quota{Requests: max(1, int(whole)), Period: q.Window, Tolerance: tolerance}
+	}
+	return Quota{Requests: int(whole / quotaPeriods), Period: q.Window / quotaPeriods, Tolerance: tolerance}
 }
--- a/internal/share/pot.go
+++ b/internal/share/pot.go
@@ -11,6 +11,14 @@
 	for _, h := range p.Held {
 		n += h.Units
 	}
+	return n + p.Cooling()
+}
+
+// Cooling is how many units holders that are gone may have spent within the window.
+//
+//	n := pot.Cooling()
+func (p *Pot) Cooling() int {
+	n := 0
 	for _, c := range p.Cool {
 		n += c
 	}
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -163,9 +163,9 @@
 	fewNodes    = 4                      // assumed of a fleet that is not known yet
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
 	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
-	reserveMin  = 1                      // and never less than this
+	reserveMin  = 2                      // and never less than this
 	giveEvery   = time.Second            // idle units go back at most so often
-	dryFor      = 100 * time.Millisecond // the core is not asked again for so long once it had too little
+	dryFor      = 30 * time.Millisecond  // the core is not asked again for so long once it had too little
 )
 
 // reserve is how many free units should be at hand. The caller holds the lock and has swept.
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -66,7 +66,7 @@
 // How long a request waits for units: for the core's first word about the tenant, or for a draw.
 const (
 	firstWait = 300 * time.Millisecond
-	drawWait  = 60 * time.Millisecond
+	drawWait  = 35 * time.Millisecond
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
@@ -85,16 +85,19 @@
 	for {
 		changed, dry := p.Changed()
 		ok, again := p.Keep(n)
-		if ok || dry {
-			return ok, again
+		if ok {
+			return true, 0
+		}
+		if !dry {
+			ps.draw(tenant, p)
 		}
-		ps.draw(tenant, p)
 		if timer == nil {
 			timer = time.NewTimer(wait)
 			defer timer.Stop()
 		}
 		select {
 		case <-changed:
+		case <-time.After(dryFor / 2):
 		case <-timer.C:
 			return false, again
 		case <-ctx.Done():
