--- a/internal/sim/membership_test.go
+++ b/internal/sim/membership_test.go
@@ -142,7 +142,7 @@
 func TestNoFoundingWithoutBootstrap(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f := seedFleet(t, seed, 5, 1)
-		seeds := [][]string{nil, {"10.0.0.9:1"}, {f.founder[0], f.founder[0]}, f.founder, f.founder}
+		seeds := [][]string{f.founder, {"10.0.0.9:1"}, {f.founder[0], f.founder[0]}, nil, f.founder}
 		f.place = func(c *coreProc) core.Set {
 			i := slices.Index(f.cores, c)
 			return core.Set{Addr: c.addr, Seeds: seeds[i], Lost: f.lost, Bootstrap: i == 1 || i == 4}
@@ -273,6 +273,44 @@
 	})
 }
 
+// A write reaches one of two backups only before the primary is lost, and is in doubt. Once it was read
+// from the backup that took over, it must be with the other one too: no reader goes back.
+func TestHeirCopiesWhatItShows(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 5, 2)
+		o, b := f.operator(), &book{}
+		b.add(o.put(1, 0, ""))
+		lost := f.primary()
+		v := lost.srv.Peek().View
+		f.w.Split([]string{lost.addr}, []string{v.Addr(v.Backups()[1])})
+		go func() { b.add(o.put(2, 0, "")) }()
+		time.Sleep(40 * time.Millisecond)
+		f.crashCore(lost)
+		wipe(lost)
+		f.within(4*time.Second, "a backup leads", func() bool { return f.primary() != nil })
+		o.look(b)
+		heir := f.primary()
+		f.crashCore(heir)
+		wipe(heir)
+		f.within(5*time.Second, "the other backup leads", func() bool { return f.primary() != nil })
+		o.look(b)
+		if n := len(b.looks); n != 2 || b.looks[1].seq < b.looks[0].seq {
+			t.Errorf("reads went back: %+v", b.looks)
+		}
+		t.Logf("%s of %v led, sequence %d read", heir.addr, addresses(v, v.Backups()), b.looks[0].seq)
+		time.Sleep(7 * time.Second) // the write in doubt ends
+		f.check(b)
+	})
+}
+
+func addresses(v view.View, ids []string) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, v.Addr(id))
+	}
+	return out
+}
+
 // One core after the other is lost for good and replaced, at a new address or at its own with an empty
 // disk: writes go on, nothing is lost, and the members are the cores that live.
 func TestSerialReplacement(t *testing.T) {
@@ -334,35 +372,86 @@
 	}
 }
 
-// A member that was only cut off is dropped for a newcomer; it comes back as a member once it is heard.
+// A member that was only cut off is dropped for a newcomer; it comes back as a member once it is heard,
+// also where it was started again meanwhile and knows the old view only.
 func TestDroppedMemberReturns(t *testing.T) {
-	overSeeds(t, func(t *testing.T, seed uint64) {
-		f := grown(t, seed, 5, 1)
-		b := &book{}
-		o := f.operator()
-		b.add(o.put(1, 0, ""))
-		k := f.chance(5)
-		cut := f.cores[k]
-		id := cut.srv.Peek().Me
-		next := &coreProc{addr: "10.0.0.20:1", hall: "west", disk: sim.NewDisk()}
-		f.w.Split([]string{cut.addr}, append(f.rest(cut), o.addr, next.addr))
-		f.cores = append(f.cores, next)
-		f.startCore(next)
-		f.within(8*time.Second, "the newcomer in place of the one cut off", func() bool {
-			for _, c := range f.cores {
-				if c != cut && c.srv.Peek().Ready {
-					v := c.srv.Peek().View
-					return v.Addr(id) == "" && v.Has(next.srv.Peek().Me) && len(v.Members) == 5
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprint("started again ", again), func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				f := grown(t, seed, 5, 1)
+				b := &book{}
+				o := f.operator()
+				b.add(o.put(1, 0, ""))
+				cut := f.cores[f.chance(5)]
+				id := cut.srv.Peek().Me
+				next := &coreProc{addr: "10.0.0.20:1", hall: "west", disk: sim.NewDisk()}
+				f.w.Split([]string{cut.addr}, append(f.rest(cut), o.addr, next.addr))
+				f.cores = append(f.cores, next)
+				f.startCore(next)
+				f.within(8*time.Second, "the newcomer in place of the one cut off", func() bool {
+					for _, c := range f.cores {
+						if c != cut && c.srv.Peek().Ready {
+							v := c.srv.Peek().View
+							return v.Addr(id) == "" && v.Has(next.srv.Peek().Me) && len(v.Members) == 5
+						}
+					}
+					return false
+				})
+				b.add(o.put(2, 0, ""))
+				if again {
+					f.crashCore(cut)
 				}
-			}
-			return false
+				f.w.Heal()
+				if again {
+					f.startCore(cut)
+				}
+				f.within(8*time.Second, "all six are members", func() bool { return f.whole(1) })
+				b.add(o.put(3, 0, ""))
+				f.check(b)
+			})
 		})
-		b.add(o.put(2, 0, ""))
-		f.w.Heal()
-		f.within(8*time.Second, "all six are members", func() bool { return f.whole(1) })
-		b.add(o.put(3, 0, ""))
-		f.check(b)
-	})
+	}
+}
+
+// A core that comes back with an empty disk at its address proves gone what it was: it is a member in
+// its own place at once, long before a silent member would count as lost.
+func TestBlankCoreTakesItsOwnPlace(t *testing.T) {
+	for _, role := range []string{"primary", "backup", "member"} {
+		t.Run(role, func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				f := seedFleet(t, seed, 5, 1)
+				f.lost = time.Minute
+				old := f.place
+				for _, c := range f.cores {
+					f.startCore(c)
+				}
+				f.within(5*time.Second, "all cores are members", func() bool { return f.whole(1) })
+				f.place = func(c *coreProc) core.Set {
+					set := old(c)
+					set.Bootstrap = false
+					return set
+				}
+				o, b := f.operator(), &book{}
+				for round := range 4 {
+					b.add(o.put(round+1, 0, ""))
+					v := f.primary().srv.Peek().View
+					var lost *coreProc
+					for _, c := range f.cores {
+						id := c.srv.Peek().Me
+						if role == "primary" && id == v.Prime || role == "backup" && v.IsBackup(id) || role == "member" && id != v.Prime && !v.IsBackup(id) {
+							lost = c
+						}
+					}
+					f.crashCore(lost)
+					wipe(lost)
+					f.startCore(lost)
+					took := f.within(4*time.Second, "the blank core in its own place", func() bool { return f.whole(1) })
+					t.Logf("took %s", took)
+				}
+				f.check(b)
+			})
+		})
+	}
 }
 
 // More cores than may be members wait, and one of them takes the place of one that is lost.
