--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -157,6 +157,12 @@
 		}
 	}
 	sort.Slice(free, func(i, j int) bool { return free[i].Id < free[j].Id })
+	return spread(free, used, count)
+}
+
+// spread picks members, those of halls not used yet first.
+func spread(from []view.Member, used map[string]bool, count int) []string {
+	free := slices.Clone(from)
 	var out []string
 	for len(out) < count && len(free) > 0 {
 		best := max(0, slices.IndexFunc(free, func(m view.Member) bool { return !used[m.Hall] }))
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -63,15 +63,7 @@
 	next.Seats = len(cur.Members)
 	next.Prime = cur.Members[0].Id
 	used := map[string]bool{cur.Members[0].Hall: true}
-	rest := slices.Clone(cur.Members[1:])
-	var backups []string
-	for len(backups) < losses && len(rest) > 0 {
-		best := max(0, slices.IndexFunc(rest, func(m view.Member) bool { return !used[m.Hall] }))
-		backups = append(backups, rest[best].Id)
-		used[rest[best].Hall] = true
-		rest = slices.Delete(rest, best, best+1)
-	}
-	return next.WithBackups(backups)
+	return next.WithBackups(spread(cur.Members[1:], used, losses))
 }
 
 // join asks the primary to become a member; where it can't be asked, it asks all who the primary is.
