A fleet larger than its tenants' quotas: units are drawn on demand, in one call a router

Now: no draw before a demand where an equal part is below a unit, nothing idle kept where the core is short, one call carries all moves of a router, a batch stores each key once, a draw asks for all who wait, and half of the tolerance of the limit (overshoot, allowance) is handed out. Ruled out: the runners (p50 40 ms), the routers' processors (0.015 of 0.192 cores).

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -82,6 +82,8 @@
 		return wire.On(body, func(in *Settle) (*Done, error) { return s.settle(ctx, in) })
 	case "core.move":
 		return wire.On(body, func(in *Move) (*Moved, error) { return s.move(ctx, in) })
+	case "core.moves":
+		return wire.On(body, func(in *Moves) (*MovedAll, error) { return s.moveAll(ctx, in) })
 	case "core.peek":
 		return wire.On(body, func(*Peek) (*State, error) { return s.Peek(), nil })
 	}
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -182,6 +182,18 @@
 	Under int `msg:"u"` // what all have, or the quota if larger
 }
 
+// Moves are draws and gives of one holder, of as many tenants as it has moves to make: one call and one
+// write carry them all.
+type Moves struct {
+	Holder string `msg:"n"`
+	List   []Move `msg:"l"` // their Holder is empty
+}
+
+// MovedAll answers Moves, in their order.
+type MovedAll struct {
+	List []Moved `msg:"l"`
+}
+
 // Peek asks for the fleet's state.
 type Peek struct{}
 
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -1034,6 +1034,213 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *MovedAll) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "l"
+	o = append(o, 0x81, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// map header, size 2
+		// string "h"
+		o = append(o, 0x82, 0xa1, 0x68)
+		o = msgp.AppendInt(o, z.List[za0001].Have)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendInt(o, z.List[za0001].Under)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MovedAll) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
+			} else {
+				z.List = make([]Moved, zb0002)
+			}
+			for za0001 := range z.List {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "h":
+						z.List[za0001].Have, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Have")
+							return
+						}
+					case "u":
+						z.List[za0001].Under, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Under")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *MovedAll) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize + (len(z.List) * (5 + msgp.IntSize + msgp.IntSize))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Moves) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Holder)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Moves) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
+			} else {
+				z.List = make([]Move, zb0002)
+			}
+			for za0001 := range z.List {
+				bts, err = z.List[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Moves) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -18,38 +18,33 @@
 	return p, err
 }
 
+// move draws or gives units of one tenant.
 func (s *Server) move(ctx context.Context, in *Move) (*Moved, error) {
-	out := &Moved{}
+	all, err := s.moveAll(ctx, &Moves{Holder: in.Holder, List: []Move{*in}})
+	if err != nil {
+		return nil, err
+	}
+	return &all.List[0], nil
+}
+
+// moveAll makes all moves of one holder in one write.
+func (s *Server) moveAll(ctx context.Context, in *Moves) (*MovedAll, error) {
+	out := &MovedAll{}
 	err := s.Submit(ctx, func(tx *Tx) error {
+		out.List = make([]Moved, len(in.List))
 		cur, err := tx.sheet()
 		if err != nil {
 			return err
 		}
-		units := 0
+		quotas := map[string]int{}
 		if doc := s.parsed(cur); doc != nil {
-			units = doc.Quotas[in.Tenant]
+			quotas = doc.Quotas
 		}
-		p, err := tx.pot(in.Tenant)
-		if err != nil {
-			return err
-		}
-		who := in.Holder
-		var changed bool
-		if in.Give {
-			out.Have, changed = p.Give(who, in.Turn, in.Units)
-		} else {
-			was := p.Held[who].Units
-			out.Have, changed = p.Draw(who, in.Turn, in.Units, units)
-			if out.Have-was < in.Units {
-				s.mu.Lock()
-				s.short[in.Tenant] = time.Now()
-				s.mu.Unlock()
+		for i := range in.List {
+			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], quotas[in.List[i].Tenant]); err != nil {
+				return err
 			}
 		}
-		out.Under = max(units, p.Out())
-		if changed {
-			return tx.Put("share/"+in.Tenant, &p)
-		}
 		return nil
 	})
 	if err != nil {
@@ -58,6 +53,31 @@
 	return out, nil
 }
 
+// moveIn makes one move. Only the run loop calls it.
+func (s *Server) moveIn(tx *Tx, who string, in *Move, quota int) (out Moved, err error) {
+	p, err := tx.pot(in.Tenant)
+	if err != nil {
+		return out, err
+	}
+	var changed bool
+	if in.Give {
+		out.Have, changed = p.Give(who, in.Turn, in.Units)
+	} else {
+		was := p.Held[who].Units
+		out.Have, changed = p.Draw(who, in.Turn, in.Units, quota)
+		if out.Have-was < in.Units {
+			s.mu.Lock()
+			s.short[in.Tenant] = time.Now()
+			s.mu.Unlock()
+		}
+	}
+	out.Under = max(quota, p.Out())
+	if changed {
+		err = tx.Put("share/"+in.Tenant, &p)
+	}
+	return out, err
+}
+
 // retire sets a holder's units cooling: its process is surely gone.
 func (s *Server) retire(ctx context.Context, who string) error {
 	return s.Submit(ctx, func(tx *Tx) error {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -673,6 +673,24 @@
 	}
 }
 
+// last gives the newest put of each key: what a batch puts several times is stored and sent once.
+func (t *Tx) last() []store.Put {
+	if len(t.over) == len(t.puts) {
+		return t.puts
+	}
+	newest := make(map[string]int, len(t.over))
+	for i := range t.puts {
+		newest[t.puts[i].Key] = i
+	}
+	out := make([]store.Put, 0, len(newest))
+	for i, p := range t.puts {
+		if newest[p.Key] == i {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // undo strikes the puts a failed job made.
 func (t *Tx) undo(mark int) {
 	for _, p := range t.puts[mark:] {
@@ -695,7 +713,7 @@
 		return nil
 	}
 	st := tx.st
-	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.puts}
+	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.last()}
 	mine, far := make(chan error, 1), make(chan []string, 1)
 	go func() { mine <- st.Add(b) }()
 	go func() { far <- s.holdAt(v, b) }()
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -24,11 +24,11 @@
 
 // GatewaySettings are what a router that carries opaque requests is told about its place.
 type GatewaySettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Data        string        // ip:port of the clients' listener
-	Readiness   string        // ip:port of the readiness listener; "": none
-	Seeds       []string      // ip:port of some cores
-	QuotaWindow time.Duration // over which tenants' limits are judged
+	Internal    string   // ip:port where other processes reach it
+	Data        string   // ip:port of the clients' listener
+	Readiness   string   // ip:port of the readiness listener; "": none
+	Seeds       []string // ip:port of some cores
+	Quotas      routing.QuotaRule
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
 	Grace       time.Duration // from the stop signal to the kill
@@ -65,7 +65,7 @@
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
 		node.Document(g.take), node.Runners(g.Registry))
-	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(g.Hub), Nodes: func() int { return len(g.Hub.Nodes()) },
+	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
 		Pool: g.Pool, Quotas: quotas{g.Purses}, Retries: settings.Retries, Part: g.part, Log: ctx.Part("gateway").Log})
@@ -115,7 +115,7 @@
 	var rules []share.Rule
 	for _, tenant := range table.Tenants {
 		if tenant.Rate > 0 {
-			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: tenant.Units(g.settings.QuotaWindow), Window: g.settings.QuotaWindow})
+			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: tenant.Units(g.settings.Quotas), Window: g.settings.Quotas.Window})
 		}
 	}
 	return rules
@@ -135,14 +135,8 @@
 // Release ends a reservation unspent.
 func (q quotas) Release(tenant string) { q.purses.For(tenant).Loose(1) }
 
-// Load tells how much of what is held here the tenant has spent in the window, from 0 to 1.
-func (q quotas) Load(tenant string) float64 {
-	held, _, spent := q.purses.For(tenant).Stat()
-	if held == 0 {
-		return 0
-	}
-	return float64(spent) / float64(held)
-}
+// Load tells how much of its quota the tenant has spent in the window, from 0 to 1.
+func (q quotas) Load(tenant string) float64 { return q.purses.For(tenant).Load() }
 
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -10,7 +10,6 @@
 
 	"github.com/zeromicro/go-zero/rest"
 
-	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/meter"
 	"yarrowridge/internal/node"
@@ -89,7 +88,7 @@
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
 	})
-	r.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(r.Hub), Nodes: func() int { return len(r.Hub.Nodes()) },
+	r.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, r.Hub).move, Nodes: func() int { return len(r.Hub.Nodes()) },
 		Short: r.Hub.Short, Rules: rules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
 	r.Claims = origin.NewClaims(ctx.Part("claim"), r.Hub)
 	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
@@ -199,15 +198,6 @@
 	}
 }
 
-// mover carries a draw or a give to the core.
-func mover(hub *node.Hub) share.Mover {
-	return func(ctx context.Context, ten string, turn uint64, units int, give bool) (int, int, error) {
-		var out core.Moved
-		err := hub.Core.Call(ctx, "core.move", &core.Move{Tenant: ten, Holder: core.Holder(hub.Me()), Turn: turn, Units: units, Give: give}, &out, true)
-		return out.Have, out.Under, err
-	}
-}
-
 // tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
 func (r *Router) tell() func() {
 	gen, turn, last, still := uint64(1), uint64(0), "", 0
--- /dev/null
+++ b/internal/router/moves.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/node"
+)
+
+// moveTime is how long one call with moves may take; its moves are made again after it.
+const moveTime = 5 * time.Second
+
+// moveQueue carries draws and gives of quota units to the core. One call is under way at a time; what comes
+// meanwhile goes with the next one, so that a busy core is asked in fewer and larger calls.
+type moveQueue struct {
+	ctx    env.Ctx
+	call   func(ctx context.Context, in *core.Moves, out *core.MovedAll) error
+	holder func() string
+
+	mu      sync.Mutex
+	waiting []*queuedMove
+	sending bool
+}
+
+// queuedMove is one move on its way.
+type queuedMove struct {
+	move core.Move
+	done chan moveResult
+}
+
+type moveResult struct {
+	moved core.Moved
+	err   error
+}
+
+// newMoveQueue makes a queue to the core that the hub finds.
+func newMoveQueue(ctx env.Ctx, hub *node.Hub) *moveQueue {
+	return &moveQueue{ctx: ctx, holder: func() string { return core.Holder(hub.Me()) },
+		call: func(ctx context.Context, in *core.Moves, out *core.MovedAll) error {
+			return hub.Core.Call(ctx, "core.moves", in, out, true)
+		}}
+}
+
+// move is the share.Mover: it makes one move and tells what is held after it, and under what sum.
+func (q *moveQueue) move(ctx context.Context, tenant string, turn uint64, units int, give bool) (int, int, error) {
+	queued := &queuedMove{core.Move{Tenant: tenant, Turn: turn, Units: units, Give: give}, make(chan moveResult, 1)}
+	q.mu.Lock()
+	q.waiting = append(q.waiting, queued)
+	start := !q.sending
+	q.sending = true
+	q.mu.Unlock()
+	if start {
+		go q.send()
+	}
+	select {
+	case result := <-queued.done:
+		return result.moved.Have, result.moved.Under, result.err
+	case <-ctx.Done():
+		return 0, 0, ctx.Err()
+	}
+}
+
+// send makes calls until no move waits.
+func (q *moveQueue) send() {
+	for {
+		q.mu.Lock()
+		batch := q.waiting
+		q.waiting = nil
+		q.sending = len(batch) > 0
+		q.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		q.sendBatch(batch)
+	}
+}
+
+func (q *moveQueue) sendBatch(batch []*queuedMove) {
+	ctx, end := context.WithTimeout(q.ctx, moveTime)
+	defer end()
+	in := core.Moves{Holder: q.holder(), List: make([]core.Move, len(batch))}
+	for i, queued := range batch {
+		in.List[i] = queued.move
+	}
+	var out core.MovedAll
+	err := q.call(ctx, &in, &out)
+	if err == nil && len(out.List) != len(batch) {
+		err = eris.Errorf("router: %d answers to %d moves of quota units", len(out.List), len(batch))
+	}
+	for i, queued := range batch {
+		result := moveResult{err: err}
+		if err == nil {
+			result.moved = out.List[i]
+		}
+		queued.done <- result
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -279,7 +279,20 @@
 // roundingSlack keeps a sum of fractions that comes to a whole number from being rounded to the one below.
 const roundingSlack = 1e-9
 
+// QuotaRule says how tenants' limits are judged.
+type QuotaRule struct {
+	Window    time.Duration
+	Overshoot float64 // share by which a limit may be exceeded in a window
+	Allowance float64 // requests on top of that
+}
+
+// toleratedPart is how much of what a limit may be exceeded by is handed out: routers that share a small
+// limit hold some of it idle. The rest covers requests that reach their runners late.
+const toleratedPart = 0.5
+
 // Units is how many requests of the tenant any window may see.
-func (t *Tenant) Units(window time.Duration) int {
-	return max(1, int(t.Rate*window.Seconds()+t.Burst+roundingSlack))
+func (t *Tenant) Units(rule QuotaRule) int {
+	limit := t.Rate*rule.Window.Seconds() + t.Burst
+	tolerated := limit*rule.Overshoot + rule.Allowance
+	return max(1, int(limit+toleratedPart*tolerated+roundingSlack))
 }
--- /dev/null
+++ b/internal/share/grown_test.go
@@ -0,0 +1,124 @@
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowridge/internal/env"
+)
+
+// crowd is a large fleet of holders that share one tenant's small quota.
+type crowd struct {
+	purses []*Purses
+	moves  atomic.Int64
+	short  atomic.Bool
+}
+
+// newCrowd starts so many holders. A move takes five milliseconds.
+func newCrowd(ctx context.Context, holders, quota int, window time.Duration) *crowd {
+	c := &crowd{}
+	var mu sync.Mutex
+	var pot Pot
+	for i := range holders {
+		name := string(rune('A' + i))
+		ps := NewPurses(env.Ctx{Context: ctx}, Ways{
+			Move: func(_ context.Context, _ string, turn uint64, n int, give bool) (int, int, error) {
+				c.moves.Add(1)
+				time.Sleep(5 * time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if give {
+					have, _ := pot.Give(name, turn, n)
+					return have, max(quota, pot.Out()), nil
+				}
+				was := pot.Held[name].Units
+				have, _ := pot.Draw(name, turn, n, quota)
+				if have-was < n {
+					c.short.Store(true)
+				}
+				return have, max(quota, pot.Out()), nil
+			},
+			Nodes: func() int { return holders },
+			Short: func() []string {
+				if c.short.Load() {
+					return []string{"t"}
+				}
+				return nil
+			},
+			Rules: func() []Rule { return []Rule{{"t", quota, window}} },
+			Live:  func() bool { return true }})
+		c.purses = append(c.purses, ps)
+		go ps.Run()
+	}
+	return c
+}
+
+// A fleet with more holders than a tenant has units serves the tenant's requests all the same, wherever
+// they come, while they keep within the quota.
+func TestFewerUnitsThanHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer time.Sleep(time.Second) // for the moves under way
+		defer end()
+		const holders, quota, window = 60, 40, 5 * time.Second
+		c := newCrowd(ctx, holders, quota, window)
+		time.Sleep(2 * time.Second)
+		if n := c.moves.Load(); n != 0 {
+			t.Errorf("%d moves before any request", n)
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		asked, refused := 0, 0
+		var all sync.WaitGroup
+		for range 400 { // four a second: half of the quota
+			asked++
+			all.Go(func() {
+				ps := c.purses[random.IntN(holders)]
+				if ok, _ := ps.Keep(ctx, "t", 1); ok {
+					ps.For("t").Spend(1)
+				} else {
+					refused++
+				}
+			})
+			time.Sleep(250 * time.Millisecond)
+		}
+		all.Wait()
+		t.Logf("%d of %d requests refused within the quota, %d moves", refused, asked, c.moves.Load())
+		if refused > asked/50 {
+			t.Errorf("%d of %d requests refused within the quota", refused, asked)
+		}
+	})
+}
+
+// Requests that come at one moment to a holder without units wait for one draw that asks for all of them.
+func TestOneDrawForAllThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer time.Sleep(time.Second) // for the moves under way
+		defer end()
+		c := newCrowd(ctx, 60, 40, 5*time.Second)
+		time.Sleep(time.Second)
+		var refused atomic.Int64
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(func() {
+				if ok, _ := c.purses[0].Keep(ctx, "t", 1); !ok {
+					refused.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		if refused.Load() > 0 {
+			t.Errorf("%d of 20 refused", refused.Load())
+		}
+		if n := c.moves.Load(); n > 3 {
+			t.Errorf("%d moves for requests of one moment", n)
+		}
+	})
+}
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -31,9 +31,11 @@
 	busy   bool          // one draw or give is under way
 	first  chan struct{} // closed by the core's first word
 	need   int           // the largest cost that was lately turned away or near the edge
+	queue  int           // units that requests are waiting for now
 	asked  int           // what the draw under way asks for
 	moved  time.Time     // when the last move ended
 	dry    time.Time     // until then the core is not asked again: it had too little
+	lacked time.Time     // when the core last had too little
 
 	changed chan struct{} // closed by the core's next word
 }
@@ -98,16 +100,57 @@
 	}
 	if p.free(now) < n && !strike.Out("quota") {
 		p.need = max(p.need, n)
-		again := time.Second
-		if len(p.spent) > 0 && p.units >= n {
-			again = max(again, p.window+p.margin-now.Sub(p.spent[0].at))
-		}
-		return false, again
+		return false, p.again(n, now)
 	}
 	p.kept += n
 	return true, 0
 }
 
+// How long a request is told to stay away that found too few units here.
+const (
+	againLeast = 300 * time.Millisecond // others hear that units are wanted, and give idle ones back
+	againMost  = time.Second            // and units spent elsewhere come back at any time
+)
+
+// again is when to ask again for n units: once units spent here are back, or when others may have given
+// some. The caller holds the lock and has swept.
+func (p *Purse) again(n int, now time.Time) time.Duration {
+	if len(p.spent) == 0 || p.units < n {
+		return againLeast
+	}
+	back := p.window + p.margin - now.Sub(p.spent[0].at)
+	return min(againMost, max(againLeast, back))
+}
+
+// Await counts n units that a request waits for; a draw asks for as many as all of them need. -n ends it.
+//
+//	p.Await(1)
+//	defer p.Await(-1)
+func (p *Purse) Await(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue += n
+}
+
+// Load tells how much of its quota a tenant has spent in the window, from 0 to 1, as far as it can be told
+// here: while the core has units to give, only what was spent here counts.
+//
+//	if p.Load() > 0.9 { ... }
+func (p *Purse) Load() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.sweep(now)
+	whole := p.quota
+	if p.scarce(now) && p.units > 0 {
+		whole = p.units
+	}
+	if whole <= 0 {
+		return 0
+	}
+	return min(1, float64(p.out)/float64(whole))
+}
+
 // Changed is closed by the core's next word. dry: it had too little just now.
 //
 //	next, dry := p.Changed()
@@ -149,21 +192,33 @@
 // How much a holder keeps at hand, so that units lie idle nowhere while another needs them.
 const (
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
+	idlePart    = 2                      // one that spends nothing keeps half of an equal part at most
 	reserveSpan = 500 * time.Millisecond // what is spent in so long is kept at hand
-	reserveMin  = 3                      // and never less than this
+	reserveMin  = 3                      // and this, where an equal part is large enough
 	giveEvery   = time.Second            // idle units go back at most so often
 	dryFor      = 100 * time.Millisecond // the core is not asked again for so long once it had too little
 )
 
-// reserve is how many free units should be at hand. The caller holds the lock and has swept.
+// reserve is how many free units should be at hand. Where the equal parts of all nodes are smaller than a
+// few units, one that spends nothing holds none: they would lie idle everywhere. The caller holds the lock
+// and has swept.
 func (p *Purse) reserve(nodes int) int {
+	nodes = max(1, nodes)
+	wanted := max(p.need, p.queue)
 	if p.units == 0 && p.out == 0 {
-		return max(1, p.need, p.quota/(firstPart*max(1, nodes)))
+		return max(wanted, p.quota/(firstPart*nodes))
+	}
+	least := min(reserveMin, p.quota/(idlePart*nodes))
+	if least == 0 && p.scarce(time.Now()) {
+		return wanted // others wait for what would lie idle here
 	}
 	spent := float64(p.out) * float64(reserveSpan) / float64(max(p.window, reserveSpan))
-	return max(reserveMin, p.need, int(spent+0.999))
+	return max(least, wanted, int(spent+0.999))
 }
 
+// scarce tells whether the core lately had too little. The caller holds the lock.
+func (p *Purse) scarce(now time.Time) bool { return now.Sub(p.lacked) < p.window }
+
 // Want starts a draw if one is called for: it tells the turn and how much to ask, or ok false.
 // Until Got is called no other move starts: a turn whose answer was lost is asked again as it was.
 //
@@ -177,7 +232,7 @@
 	}
 	free := p.free(now)
 	reserve := p.reserve(nodes)
-	if free >= max(p.need, (reserve+1)/2) && p.turn > 0 {
+	if free >= max(p.need, p.queue, (reserve+1)/2) {
 		return 0, 0, false
 	}
 	p.busy = true
@@ -189,21 +244,26 @@
 // Spare starts a give of units that lie idle here: more of them if the fleet is short of this tenant's
 // units. They are struck off at once, before the core may hand them on.
 //
-//	turn, n, ok := p.Spare(true)
-func (p *Purse) Spare(short bool) (turn uint64, n int, ok bool) {
+//	turn, n, ok := p.Spare(true, 14)
+func (p *Purse) Spare(short bool, nodes int) (turn uint64, n int, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	if short {
+		p.lacked = now
+	}
 	if p.busy || !short && now.Sub(p.moved) < giveEvery {
 		return 0, 0, false
 	}
 	p.sweep(now)
 	idle := p.units - p.out - p.kept
-	reserve := p.reserve(1 << 20)
+	reserve := p.reserve(nodes)
 	switch {
 	case short:
 		n = idle / 2
-		if p.out == 0 && p.need == 0 {
+		if p.quota < idlePart*nodes {
+			n = idle - max(p.need, p.queue) // a part too small to be kept: all that is idle is wanted elsewhere
+		} else if p.out == 0 && p.need == 0 {
 			n = (idle + 1) / 2
 		}
 	case idle > 2*reserve:
@@ -238,7 +298,7 @@
 	}
 	now := time.Now()
 	if p.asked > 0 && have-p.units < p.asked {
-		p.dry = now.Add(dryFor)
+		p.dry, p.lacked = now.Add(dryFor), now
 	}
 	p.asked, p.moved = 0, now
 	p.units, p.under = have, under
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -88,11 +88,13 @@
 		if ok || dry {
 			return ok, again
 		}
-		ps.draw(tenant, p)
 		if timer == nil {
 			timer = time.NewTimer(wait)
 			defer timer.Stop()
+			p.Await(n)
+			defer p.Await(-n)
 		}
+		ps.draw(tenant, p)
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -158,7 +160,7 @@
 		if ps.draw(t, p) {
 			continue
 		}
-		if turn, n, ok := p.Spare(short[t]); ok {
+		if turn, n, ok := p.Spare(short[t], ps.ways.Nodes()); ok {
 			go ps.carry(t, p, turn, n, true)
 		}
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -61,7 +61,7 @@
 						p.Got(turn, have, under)
 					}
 				case 3: // give
-					if turn, k, ok := p.Spare(rapid.Bool().Draw(rt, "short")); ok {
+					if turn, k, ok := p.Spare(rapid.Bool().Draw(rt, "short"), 4); ok {
 						w.pot.Give(n, turn, k)
 						have, _ := w.pot.Give(n, turn, k)
 						p.Got(turn, have, max(w.quota, w.pot.Out()))
