--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -132,32 +132,25 @@
 	p.queue += n
 }
 
-// Load tells how much of its quota a tenant has spent in the window, from 0 to 1, as far as it can be told
-// here: while the core has units to give, only what was spent here counts.
+// Changed is closed by the core's next word. dry: it had too little just now.
 //
-//	if p.Load() > 0.9 { ... }
-func (p *Purse) Load() float64 {
+//	next, dry := p.Changed()
+func (p *Purse) Changed() (next <-chan struct{}, dry bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	p.sweep(now)
-	whole := p.quota
-	if p.scarce(now) && p.units > 0 {
-		whole = p.units
-	}
-	if whole <= 0 {
-		return 0
-	}
-	return min(1, float64(p.out)/float64(whole))
+	return p.changed, time.Now().Before(p.dry)
 }
 
-// Changed is closed by the core's next word. dry: it had too little just now.
+// scarceFor is how long a quota counts as scarce once the core had too little left of it.
+const scarceFor = time.Second
+
+// Scarce tells whether the core lately had too little left of the quota.
 //
-//	next, dry := p.Changed()
-func (p *Purse) Changed() (next <-chan struct{}, dry bool) {
+//	if p.Scarce() { ... }
+func (p *Purse) Scarce() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.changed, time.Now().Before(p.dry)
+	return !p.dry.IsZero() && time.Since(p.dry) < scarceFor
 }
 
 // Spend turns a reservation into a spend: the query leaves now.
@@ -191,10 +184,11 @@
 
 // How much a holder keeps at hand, so that units lie idle nowhere while another needs them.
 const (
+	fewNodes    = 4                      // assumed of a fleet that is not known yet
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
 	idlePart    = 2                      // one that spends nothing keeps half of an equal part at most
-	reserveSpan = 500 * time.Millisecond // what is spent in so long is kept at hand
-	reserveMin  = 3                      // and this, where an equal part is large enough
+	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
+	reserveMin  = 1                      // and this, where an equal part is large enough
 	giveEvery   = time.Second            // idle units go back at most so often
 	dryFor      = 100 * time.Millisecond // the core is not asked again for so long once it had too little
 )
@@ -206,7 +200,7 @@
 	nodes = max(1, nodes)
 	wanted := max(p.need, p.queue)
 	if p.units == 0 && p.out == 0 {
-		return max(wanted, p.quota/(firstPart*nodes))
+		return max(wanted, p.quota/(firstPart*max(fewNodes, nodes)))
 	}
 	least := min(reserveMin, p.quota/(idlePart*nodes))
 	if least == 0 && p.scarce(time.Now()) {
@@ -297,7 +291,7 @@
 		close(p.first)
 	}
 	now := time.Now()
-	if p.asked > 0 && have-p.units < p.asked {
+	if p.asked > 0 && have <= p.units {
 		p.dry, p.lacked = now.Add(dryFor), now
 	}
 	p.asked, p.moved = 0, now
