--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -6,16 +6,58 @@
 	"time"
 
 	"yarrowridge/internal/share"
+	"yarrowridge/internal/store"
 )
 
-func (t *Tx) pot(ten string) (share.Pot, error) {
-	var p share.Pot
-	raw, ok := t.Get("share/" + ten)
+// potCache keeps the decoded pots of tenants: each has an entry for every router, and is read and written with
+// every move. Only the run loop touches it.
+type potCache map[string]*cachedPot
+
+// cachedPot is a pot and the bytes that it was decoded from or encoded to. It is good for as long as the
+// store, or the batch under way, has these very bytes.
+type cachedPot struct {
+	raw []byte
+	pot share.Pot
+}
+
+// get gives a tenant's pot as the batch under way has it. One that is changed must be put.
+func (c potCache) get(tx *Tx, tenant string) (*share.Pot, error) {
+	raw, ok := tx.Get(potKey(tenant))
 	if !ok {
-		return p, nil
+		return &share.Pot{}, nil
+	}
+	if known := c[tenant]; known != nil && len(raw) > 0 && len(raw) == len(known.raw) && &raw[0] == &known.raw[0] {
+		return &known.pot, nil
+	}
+	fresh := &cachedPot{raw: raw}
+	if _, err := fresh.pot.UnmarshalMsg(raw); err != nil {
+		return nil, err
 	}
-	_, err := p.UnmarshalMsg(raw)
-	return p, err
+	c[tenant] = fresh
+	return &fresh.pot, nil
+}
+
+// put puts a changed pot.
+func (c potCache) put(tx *Tx, tenant string, pot *share.Pot) error {
+	delete(c, tenant)
+	raw, err := pot.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	tx.add(store.Put{Key: potKey(tenant), Val: raw})
+	c[tenant] = &cachedPot{raw: raw, pot: *pot}
+	return nil
+}
+
+func potKey(tenant string) string { return potHead + tenant }
+
+const potHead = "share/"
+
+// potTenants lists the tenants that have a pot in the committed state.
+func potTenants(tx *Tx) []string {
+	var tenants []string
+	tx.st.Each(potHead, func(key string, _ []byte) { tenants = append(tenants, strings.TrimPrefix(key, potHead)) })
+	return tenants
 }
 
 // move draws or gives units of one tenant.
@@ -55,7 +97,7 @@
 
 // moveIn makes one move. Only the run loop calls it.
 func (s *Server) moveIn(tx *Tx, who string, in *Move, quota int) (out Moved, err error) {
-	p, err := tx.pot(in.Tenant)
+	p, err := s.pot.get(tx, in.Tenant)
 	if err != nil {
 		return out, err
 	}
@@ -65,19 +107,30 @@
 	} else {
 		was := p.Held[who].Units
 		out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(quota-p.Out())), quota)
-		if in.Units > 0 && out.Have == was {
-			s.mu.Lock()
-			s.short[in.Tenant] = time.Now()
-			s.mu.Unlock()
+		if in.Units > 0 {
+			s.noteShort(in.Tenant, out.Have == was, quota, quota-p.Out())
 		}
 	}
 	out.Under = max(quota, p.Out())
 	if changed {
-		err = tx.Put("share/"+in.Tenant, &p)
+		err = s.pot.put(tx, in.Tenant, p)
 	}
 	return out, err
 }
 
+// lowPart is the part of a small quota from which on idle units are wanted back: there are more routers than
+// units, and each that has some idle keeps them from many others.
+const lowPart = 4
+
+// noteShort notes that idle units of a tenant are wanted back: since a draw got none, or soon may get none.
+func (s *Server) noteShort(tenant string, none bool, quota, free int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if none || share.IsSmall(quota, len(s.nodes)) && free < quota/lowPart {
+		s.short[tenant] = time.Now()
+	}
+}
+
 // drawPart is the part of the free units that one draw may take: after a restart all routers draw at once, and
 // the first must not leave the others without any.
 const drawPart = 8
@@ -93,15 +146,13 @@
 }
 
 func (s *Server) pots(tx *Tx, do func(ten string, p *share.Pot) bool) error {
-	var tens []string
-	tx.st.Each("share/", func(k string, _ []byte) { tens = append(tens, strings.TrimPrefix(k, "share/")) })
-	for _, t := range tens {
-		p, err := tx.pot(t)
+	for _, t := range potTenants(tx) {
+		p, err := s.pot.get(tx, t)
 		if err != nil {
 			return err
 		}
-		if do(t, &p) {
-			if err := tx.Put("share/"+t, &p); err != nil {
+		if do(t, p) {
+			if err := s.pot.put(tx, t, p); err != nil {
 				return err
 			}
 		}
@@ -162,12 +213,12 @@
 		return now.Sub(at) > span
 	}
 	var thaw, out []holding
-	s.st.Load().Each("share/", func(k string, raw []byte) {
-		var p share.Pot
-		if _, err := p.UnmarshalMsg(raw); err != nil {
-			return
+	tx := &Tx{st: s.st.Load()}
+	for _, tenant := range potTenants(tx) {
+		p, err := s.pot.get(tx, tenant)
+		if err != nil {
+			continue
 		}
-		tenant := strings.TrimPrefix(k, "share/")
 		for who := range p.Cool {
 			if aged(coolKey(tenant, who), windows[tenant]+share.Margin) {
 				thaw = append(thaw, holding{tenant, who})
@@ -183,7 +234,7 @@
 				out = append(out, holding{tenant, who})
 			}
 		}
-	})
+	}
 	for key := range s.aged {
 		if !seen[key] {
 			delete(s.aged, key)
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -341,12 +341,21 @@
 //
 //	hub.Run()
 func (h *Hub) Run() {
-	go env.Loop(h.ctx, nil, beatEvery, func(struct{}) {}, h.beat)
-	go env.Loop(h.ctx, nil, mendEvery, func(struct{}) {}, h.mend)
+	go h.every(beatEvery, h.beat)
+	go h.every(mendEvery, h.mend)
 	env.Loop(h.ctx, h.box, 0, h.hand, nil)
 	h.cal.Close()
 }
 
+// every does something again and again. The first time is at random, so that nodes that started together do
+// not all call the core at one moment.
+func (h *Hub) every(span time.Duration, do func()) {
+	if env.Wait(h.ctx, rand.N(span)) {
+		do()
+		env.Loop(h.ctx, nil, span, func(struct{}) {}, do)
+	}
+}
+
 // hand sends news on, with all that has piled up behind it.
 func (h *Hub) hand(t relay.Tell) {
 	for _, n := range h.Near() {
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -202,14 +202,21 @@
 	if p.units == 0 && p.out == 0 {
 		return max(wanted, p.quota/(firstPart*max(fewNodes, nodes)))
 	}
-	least := min(reserveMin, p.quota/(idlePart*nodes))
-	if least == 0 && p.scarce(time.Now()) {
-		return wanted // others wait for what would lie idle here
+	least := reserveMin
+	if IsSmall(p.quota, nodes) {
+		if least = 0; p.scarce(time.Now()) {
+			return wanted // others wait for what would lie idle here
+		}
 	}
 	spent := float64(p.out) * float64(reserveSpan) / float64(max(p.window, reserveSpan))
 	return max(least, wanted, int(spent+0.999))
 }
 
+// IsSmall tells whether a quota is too small for each node to keep a unit idle.
+//
+//	if share.IsSmall(40, 74) { ... }
+func IsSmall(quota, nodes int) bool { return quota < idlePart*nodes }
+
 // scarce tells whether the core lately had too little. The caller holds the lock.
 func (p *Purse) scarce(now time.Time) bool { return now.Sub(p.lacked) < p.window }
 
@@ -246,7 +253,12 @@
 	if short {
 		p.lacked = now
 	}
-	if p.busy || !short && now.Sub(p.moved) < giveEvery {
+	small := IsSmall(p.quota, nodes)
+	every := giveEvery
+	if small {
+		every = max(every, p.window) // until they are wanted back, they save draws here
+	}
+	if p.busy || !short && now.Sub(p.moved) < every {
 		return 0, 0, false
 	}
 	p.sweep(now)
@@ -255,7 +267,7 @@
 	switch {
 	case short:
 		n = idle / 2
-		if p.quota < idlePart*nodes {
+		if small {
 			n = idle - max(p.need, p.queue) // a part too small to be kept: all that is idle is wanted elsewhere
 		} else if p.out == 0 && p.need == 0 {
 			n = (idle + 1) / 2
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -137,11 +138,17 @@
 	return out
 }
 
+// roundEvery is how often units are drawn and given.
+const roundEvery = 500 * time.Millisecond
+
 // Run draws and gives until the context ends.
 //
 //	go ps.Run()
 func (ps *Purses) Run() {
-	env.Loop(ps.ctx, ps.bell, 500*time.Millisecond, func(struct{}) { ps.round() }, ps.round)
+	if !env.Wait(ps.ctx, rand.N(roundEvery)) { // nodes that started together do not ask the core together
+		return
+	}
+	env.Loop(ps.ctx, ps.bell, roundEvery, func(struct{}) { ps.round() }, ps.round)
 }
 
 func (ps *Purses) round() {
