--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -275,7 +275,7 @@
 // holdAt has every backup of the view hold a batch, and tells which did not.
 func (s *Server) holdAt(v view.View, b store.Batch) []string {
 	return each(v.Backups(), func(id string) bool {
-		ctx, end := context.WithTimeout(s.ctx, diskWait)
+		ctx, end := context.WithTimeout(s.ctx, holdWait)
 		defer end()
 		var out Held
 		err := s.call(ctx, v.Addr(id), "core.hold", &Hold{View: v, From: v.Prime, Batch: b}, &out)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -163,11 +163,14 @@
 // holderPlace is the part of a holder's name that all runs of a node at one address share.
 func holderPlace(n Node) string { return n.Name + "@" + n.Addr }
 
+// flightTime covers the way of the last requests that a process sent before its end.
+const flightTime = 50 * time.Millisecond
+
 // replaceHolder sets the units of earlier runs at a node's address cooling. They ended before the new run
 // began, so their last spends are at least as old as the new run.
 func (s *Server) replaceHolder(n Node, age time.Duration) {
 	place, me := holderPlace(n), Holder(n)
-	ended := time.Now().Add(-age)
+	ended := time.Now().Add(flightTime - share.Margin - age)
 	s.later(func(tx *Tx) error {
 		return s.pots(tx, func(ten string, p *share.Pot) bool {
 			changed := false
@@ -213,6 +216,7 @@
 		return now.Sub(at) > span
 	}
 	var thaw, out []holding
+	s.cooling = false
 	tx := &Tx{st: s.st.Load()}
 	for _, tenant := range potTenants(tx) {
 		p, err := s.pot.get(tx, tenant)
@@ -220,6 +224,7 @@
 			continue
 		}
 		for who := range p.Cool {
+			s.cooling = true
 			if aged(coolKey(tenant, who), windows[tenant]+share.Margin) {
 				thaw = append(thaw, holding{tenant, who})
 			}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -67,6 +67,7 @@
 	step     = 500 * time.Millisecond  // one step of a decision
 	silent   = 1500 * time.Millisecond // a backup silent so long is let go
 	diskWait = 1500 * time.Millisecond // a disk slower than this is in trouble
+	holdWait = 600 * time.Millisecond  // a backup that holds a write no sooner is let go: all writes wait for it
 	mendWait = 3 * time.Second         // a write waits so long for a new backup
 	nodeTerm = 2 * time.Second         // a node's lease
 	chunk    = 1 << 20                 // bytes of state in one Copy
@@ -111,6 +112,7 @@
 	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
 	swept10 time.Time            // of the claims
+	cooling bool                 // units of some quota cool
 	greeted time.Time            // when silent places were last told the view
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -124,10 +124,17 @@
 	return nil
 }
 
+// quotaWaitPart is the part of a request's time, in hundredths, that it may wait for a core that does not
+// answer: while the core changes hands a late answer is worth more than a refusal.
+const quotaWaitPart = 40
+
 // admit holds a part of the tenant's quota, judges the allowance and reads the body.
 func (r *request) admit() error {
 	if r.tenant != nil && r.tenant.Rate > 0 {
-		if ok, again := r.gateway.Quotas.Reserve(r.client.Context(), r.tenant.Name); !ok {
+		ctx, cancel := context.WithDeadline(r.client.Context(), r.received.Add(r.until.Sub(r.received)*quotaWaitPart/100))
+		ok, again := r.gateway.Quotas.Reserve(ctx, r.tenant.Name)
+		cancel()
+		if !ok {
 			return overQuota(again)
 		}
 		r.reserved = true
--- a/internal/share/grown_test.go
+++ b/internal/share/grown_test.go
@@ -122,3 +122,32 @@
 		}
 	})
 }
+
+// While the core does not answer, a request with a deadline waits for it; one without is refused soon.
+func TestWaitForACoreThatChangesHands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer time.Sleep(time.Second)
+		defer end()
+		ps := NewPurses(env.Ctx{Context: ctx}, Ways{
+			Move: func(_ context.Context, _ string, _ uint64, n int, _ bool) (int, int, error) {
+				time.Sleep(600 * time.Millisecond)
+				return n, 40, nil
+			},
+			Nodes: func() int { return 60 }, Short: func() []string { return nil },
+			Rules: func() []Rule { return []Rule{{"t", 40, 5 * time.Second}} },
+			Live:  func() bool { return true }})
+		go ps.Run()
+		time.Sleep(time.Second)
+		begun := time.Now()
+		if ok, _ := ps.Keep(ctx, "t", 1); ok || time.Since(begun) > 400*time.Millisecond {
+			t.Errorf("without a deadline: %v after %s, a refusal within 400ms expected", ok, time.Since(begun))
+		}
+		bounded, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
+		defer cancel()
+		if ok, _ := ps.Keep(bounded, "t", 1); !ok {
+			t.Errorf("with a deadline: refused after %s", time.Since(begun))
+		}
+	})
+}
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -132,6 +132,13 @@
 	p.queue += n
 }
 
+// Busy tells whether the core has been asked and has not answered yet.
+func (p *Purse) Busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.busy
+}
+
 // Changed is closed by the core's next word. dry: it had too little just now.
 //
 //	next, dry := p.Changed()
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -71,7 +71,7 @@
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
-// core.
+// core; where the context has a deadline, it waits until then for a core that does not answer.
 //
 //	ok, again := ps.Keep(ctx, "counter", 1)
 func (ps *Purses) Keep(ctx context.Context, tenant string, n int) (bool, time.Duration) {
@@ -99,7 +99,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return false, again
+			if _, bounded := ctx.Deadline(); !bounded || !p.Busy() {
+				return false, again
+			}
 		case <-ctx.Done():
 			return false, again
 		}
