Failures at runners are shared: what other routers lost there keeps a router away

Also idle units of small quotas are wanted back from half of the quota on. Ruled out: more heartbeats or probes (priced, and the ill ones answer them well).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -161,7 +161,7 @@
 	if model != "" && len(r.info.Models) > 0 && !r.serves(model) {
 		return false, false
 	}
-	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) ||
+	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.fleetFails >= fleetBarred ||
 		r.failures > 0 && len(r.open) > 0 // after its failure one request tries whether it serves again
 	return true, barred
 }
@@ -179,6 +179,7 @@
 const (
 	failureCostMs  = 400.0 // of a runner that fails each request
 	fullCostMs     = 200.0 // of one that just said it is full
+	fleetBarred    = 0.5   // share of failures of all routers from which on a runner is a last resort
 	fullSpan       = 150 * time.Millisecond
 	otherZoneMs    = 1.5      // a request to another zone costs bytes between zones and a longer way
 	decodeCostMs   = 1.5      // for each stream under way there
@@ -200,7 +201,7 @@
 // milliseconds. The caller holds the lock.
 func (r *Runner) waitCost(request Request, zone string, now time.Time) float64 {
 	cost := r.fadedWait(now) + float64(r.promptOpen)/r.rate()
-	cost += r.fadedFailures(now) * failureCostMs
+	cost += max(r.fadedFailures(now), r.fleetFails) * failureCostMs
 	if request.Input > 0 || r.promptOpen > 0 {
 		cost += decodeCostMs * float64(len(r.open))
 	} else {
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -39,6 +39,49 @@
 	serviceMs   float64 // moving average of whole answers of ordinary services
 	gapMs       float64 // moving average of the pause between events
 	full        time.Time
+	tally       Tally
+	fleetFails  float64 // share of attempts that failed lately for all routers, as far as it is large
+}
+
+// Tally counts how attempts at a runner ended.
+type Tally struct{ Tries, Fails int }
+
+// Tally gives for each runner used since the last call how its attempts ended. Those under way at a runner
+// that is silent count as failed.
+func (b *Balancer) Tally() map[string]Tally {
+	now := time.Now()
+	out := map[string]Tally{}
+	for _, runners := range *b.byService.Load() {
+		for _, runner := range runners {
+			if tally := runner.takeTally(now); tally.Tries > 0 {
+				out[runner.Info().ID] = tally
+			}
+		}
+	}
+	return out
+}
+
+func (r *Runner) takeTally(now time.Time) Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tally := r.tally
+	r.tally = Tally{}
+	if r.silent(now) {
+		tally.Tries += len(r.open)
+		tally.Fails += len(r.open)
+	}
+	return tally
+}
+
+// Failing takes the runners that fail for all routers together, with the share of attempts that fail.
+func (b *Balancer) Failing(shares map[string]float64) {
+	for _, runners := range *b.byService.Load() {
+		for _, runner := range runners {
+			runner.mu.Lock()
+			runner.fleetFails = shares[runner.info.ID]
+			runner.mu.Unlock()
+		}
+	}
 }
 
 // Attempt is one request sent to a runner.
@@ -174,6 +217,8 @@
 
 // noteFailure moves the share of failed attempts towards the newest outcome. The caller holds the lock.
 func (r *Runner) noteFailure(outcome float64, now time.Time) {
+	r.tally.Tries++
+	r.tally.Fails += int(outcome)
 	r.failRate = r.fadedFailures(now) + 0.2*(outcome-r.fadedFailures(now))
 	r.failAt = now
 }
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -219,6 +219,8 @@
 		out.Nodes = s.live()
 	}
 	s.runners.Tell(in, out, time.Now())
+	s.health.note(in.Tallies, time.Now())
+	out.Failing = s.health.failing(time.Now())
 	for t, at := range s.short {
 		if time.Since(at) < 5*time.Second {
 			out.Short = append(out.Short, t)
--- /dev/null
+++ b/internal/core/health_test.go
@@ -0,0 +1,37 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// A runner that fails most attempts is named soon, whichever routers met it, and is forgotten soon after.
+func TestFailingRunners(t *testing.T) {
+	var health runnerHealth
+	now := time.Now()
+	health.note([]RunnerTally{{ID: "well", Tries: 20, Fails: 1}, {ID: "ill", Tries: 1, Fails: 1}, {ID: "half", Tries: 1, Fails: 1}}, now)
+	health.note([]RunnerTally{{ID: "ill", Tries: 1, Fails: 1}, {ID: "half", Tries: 1}}, now.Add(100*time.Millisecond))
+	failing := health.failing(now.Add(200 * time.Millisecond))
+	if len(failing) != 1 || failing[0].ID != "ill" || failing[0].Share < 0.99 {
+		t.Errorf("failing: %+v, ill alone expected", failing)
+	}
+	if failing = health.failing(now.Add(2 * time.Second)); len(failing) != 0 {
+		t.Errorf("failing two seconds later: %+v, none expected", failing)
+	}
+	health.failing(now.Add(20 * time.Second))
+	if len(health.runners) != 0 {
+		t.Errorf("%d runners remembered for long, none expected", len(health.runners))
+	}
+}
+
+// A runner that serves nearly all attempts is not named, however many it fails.
+func TestManyAttemptsFewFailures(t *testing.T) {
+	var health runnerHealth
+	now := time.Now()
+	for range 74 {
+		health.note([]RunnerTally{{ID: "a", Tries: 10, Fails: 1}}, now)
+	}
+	if failing := health.failing(now); len(failing) != 0 {
+		t.Errorf("failing: %+v, none expected", failing)
+	}
+}
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -60,6 +60,21 @@
 	RunnersWanted  bool   `msg:"w"` // it keeps a copy of the registry of runners
 	RunnersEpoch   uint64 `msg:"e"` // what it has of it; zeros: nothing
 	RunnersVersion uint64 `msg:"v"`
+
+	Tallies []RunnerTally `msg:"t"` // of the runners used since the last beat
+}
+
+// RunnerTally counts how attempts at a runner ended.
+type RunnerTally struct {
+	ID    string `msg:"i"`
+	Tries int    `msg:"t"`
+	Fails int    `msg:"f"`
+}
+
+// FailingRunner is a runner that lately failed a large share of the attempts of all routers.
+type FailingRunner struct {
+	ID    string  `msg:"i"`
+	Share float64 `msg:"s"` // from 0 to 1
 }
 
 // Told answers a Beat.
@@ -75,6 +90,7 @@
 	RunnersVersion uint64           `msg:"rv"`
 	Runners        []routing.Runner `msg:"rr"` // those changed since the version it had
 	RunnersWhole   bool             `msg:"rw"` // Runners are all: one that is not named is to be dropped
+	Failing        []FailingRunner  `msg:"rf"` // all that fail now
 }
 
 // RunnerBeat is a runner's heartbeat.
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -19,9 +19,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "n"
-	o = append(o, 0x87, 0xa1, 0x6e)
+	o = append(o, 0x88, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -45,6 +45,21 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.RunnersVersion)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tallies)))
+	for za0001 := range z.Tallies {
+		// map header, size 3
+		// string "i"
+		o = append(o, 0x83, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Tallies[za0001].ID)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.Tallies[za0001].Tries)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendInt(o, z.Tallies[za0001].Fails)
+	}
 	return
 }
 
@@ -112,6 +127,68 @@
 				err = msgp.WrapError(err, "RunnersVersion")
 				return
 			}
+		case "t":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tallies")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tallies) >= int(zb0002) {
+				z.Tallies = (z.Tallies)[:zb0002]
+			} else {
+				z.Tallies = make([]RunnerTally, zb0002)
+			}
+			for za0001 := range z.Tallies {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tallies", za0001)
+					return
+				}
+				if zb0003 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Tallies", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Tallies[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tallies", za0001, "ID")
+							return
+						}
+					case "t":
+						z.Tallies[za0001].Tries, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tallies", za0001, "Tries")
+							return
+						}
+					case "f":
+						z.Tallies[za0001].Fails, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tallies", za0001, "Fails")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tallies", za0001)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -126,7 +203,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Tallies {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Tallies[za0001].ID) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
 	return
 }
 
@@ -464,6 +544,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z FailingRunner) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendFloat64(o, z.Share)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FailingRunner) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "s":
+			z.Share, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Share")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FailingRunner) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Flaw) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1460,6 +1605,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RunnerTally) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Tries)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Fails)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunnerTally) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "t":
+			z.Tries, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tries")
+				return
+			}
+		case "f":
+			z.Fails, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fails")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RunnerTally) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2017,9 +2236,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "v"
-	o = append(o, 0x8a, 0xa1, 0x76)
+	o = append(o, 0x8b, 0xa1, 0x76)
 	o, err = z.View.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -2069,6 +2288,18 @@
 	// string "rw"
 	o = append(o, 0xa2, 0x72, 0x77)
 	o = msgp.AppendBool(o, z.RunnersWhole)
+	// string "rf"
+	o = append(o, 0xa2, 0x72, 0x66)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Failing)))
+	for za0004 := range z.Failing {
+		// map header, size 2
+		// string "i"
+		o = append(o, 0x82, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Failing[za0004].ID)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendFloat64(o, z.Failing[za0004].Share)
+	}
 	return
 }
 
@@ -2205,6 +2436,62 @@
 				err = msgp.WrapError(err, "RunnersWhole")
 				return
 			}
+		case "rf":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failing")
+				return
+			}
+			if zb0005 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Failing) >= int(zb0005) {
+				z.Failing = (z.Failing)[:zb0005]
+			} else {
+				z.Failing = make([]FailingRunner, zb0005)
+			}
+			for za0004 := range z.Failing {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Failing", za0004)
+					return
+				}
+				if zb0006 > z78411aa4limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Failing", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Failing[za0004].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Failing", za0004, "ID")
+							return
+						}
+					case "s":
+						z.Failing[za0004].Share, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Failing", za0004, "Share")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Failing", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2231,7 +2518,10 @@
 	for za0003 := range z.Runners {
 		s += z.Runners[za0003].Msgsize()
 	}
-	s += 3 + msgp.BoolSize
+	s += 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	for za0004 := range z.Failing {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Failing[za0004].ID) + 2 + msgp.Float64Size
+	}
 	return
 }
 
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -120,7 +120,7 @@
 
 // lowPart is the part of a small quota from which on idle units are wanted back: there are more routers than
 // units, and each that has some idle keeps them from many others.
-const lowPart = 4
+const lowPart = 2
 
 // noteShort notes that idle units of a tenant are wanted back: since a draw got none, or soon may get none.
 func (s *Server) noteShort(tenant string, none bool, quota, free int) {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -140,6 +140,7 @@
 
 	runners *RunnerRegistry
 	news    runnerNews
+	health  runnerHealth
 }
 
 type seat struct {
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -45,6 +45,8 @@
 
 	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
 	runners  *registry.Registry                      // nil: none is kept
+	tally    func() []core.RunnerTally               // nil: none is told
+	failing  func([]core.FailingRunner)
 
 	mu    sync.Mutex
 	roll  uint64
@@ -84,6 +86,14 @@
 	return func(h *Hub) { h.runners = reg }
 }
 
+// Health has the hub tell the core how attempts at runners ended since the last beat, and pass on which
+// runners fail for all routers together.
+//
+//	hub := node.NewHub(ctx, addr, face, seeds, hook, node.Health(balancer.Tally, balancer.Failing))
+func Health(tally func() []core.RunnerTally, failing func([]core.FailingRunner)) Option {
+	return func(h *Hub) { h.tally, h.failing = tally, failing }
+}
+
 // NewHub makes a hub. hook sees every record of news that is taken, besides the configuration and the
 // registered runners.
 //
@@ -430,6 +440,9 @@
 		in.RunnersWanted = true
 		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
 	}
+	if h.tally != nil {
+		in.Tallies = h.tally()
+	}
 	if err := h.Core.Call(ctx, "core.beat", &in, &out, true); err != nil {
 		if wire.Is(err, core.NameTaken) {
 			h.ctx.Log.Error("Another router has our name. Each needs its own.", "name", h.ctx.Name)
@@ -455,6 +468,9 @@
 	if h.runners != nil {
 		h.runners.Apply(&out)
 	}
+	if h.failing != nil {
+		h.failing(out.Failing)
+	}
 	// One that was not understood is not fetched again and again.
 	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
 		var sheet core.Sheet
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/balance"
+	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/gateway"
 	"yarrowridge/internal/node"
@@ -64,7 +65,7 @@
 	g.Pool = upstream.New(upstream.Options{})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
-		node.Document(g.take), node.Runners(g.Registry))
+		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
@@ -72,6 +73,24 @@
 	return g
 }
 
+// tally tells the core what became of attempts at runners since the last beat.
+func (g *Gateway) tally() []core.RunnerTally {
+	var out []core.RunnerTally
+	for id, tally := range g.Balancer.Tally() {
+		out = append(out, core.RunnerTally{ID: id, Tries: tally.Tries, Fails: tally.Fails})
+	}
+	return out
+}
+
+// failing tells the balancer which runners fail for all routers together.
+func (g *Gateway) failing(list []core.FailingRunner) {
+	shares := make(map[string]float64, len(list))
+	for _, runner := range list {
+		shares[runner.ID] = runner.Share
+	}
+	g.Balancer.Failing(shares)
+}
+
 // take puts a newer configuration in force.
 func (g *Gateway) take(sequence uint64, raw []byte) error {
 	table, flaws := g.settings.Parse(raw)
