--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -82,6 +82,8 @@
 		return wire.On(body, func(in *Settle) (*Done, error) { return s.settle(ctx, in) })
 	case "core.move":
 		return wire.On(body, func(in *Move) (*Moved, error) { return s.move(ctx, in) })
+	case "core.moves":
+		return wire.On(body, func(in *Moves) (*MovedAll, error) { return s.moveAll(ctx, in) })
 	case "core.peek":
 		return wire.On(body, func(*Peek) (*State, error) { return s.Peek(), nil })
 	}
@@ -217,6 +219,8 @@
 		out.Nodes = s.live()
 	}
 	s.runners.Tell(in, out, time.Now())
+	s.health.note(in.Tallies, time.Now())
+	out.Failing = s.health.failing(time.Now())
 	for t, at := range s.short {
 		if time.Since(at) < 5*time.Second {
 			out.Short = append(out.Short, t)
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -60,6 +60,21 @@
 	RunnersWanted  bool   `msg:"w"` // it keeps a copy of the registry of runners
 	RunnersEpoch   uint64 `msg:"e"` // what it has of it; zeros: nothing
 	RunnersVersion uint64 `msg:"v"`
+
+	Tallies []RunnerTally `msg:"t"` // of the runners used since the last beat
+}
+
+// RunnerTally counts how attempts at a runner ended.
+type RunnerTally struct {
+	ID    string `msg:"i"`
+	Tries int    `msg:"t"`
+	Fails int    `msg:"f"`
+}
+
+// FailingRunner is a runner that lately failed a large share of the attempts of all routers.
+type FailingRunner struct {
+	ID    string  `msg:"i"`
+	Share float64 `msg:"s"` // from 0 to 1
 }
 
 // Told answers a Beat.
@@ -75,6 +90,7 @@
 	RunnersVersion uint64           `msg:"rv"`
 	Runners        []routing.Runner `msg:"rr"` // those changed since the version it had
 	RunnersWhole   bool             `msg:"rw"` // Runners are all: one that is not named is to be dropped
+	Failing        []FailingRunner  `msg:"rf"` // all that fail now
 }
 
 // RunnerBeat is a runner's heartbeat.
@@ -182,6 +198,18 @@
 	Under int `msg:"u"` // what all have, or the quota if larger
 }
 
+// Moves are draws and gives of one holder, of as many tenants as it has moves to make: one call and one
+// write carry them all.
+type Moves struct {
+	Holder string `msg:"n"`
+	List   []Move `msg:"l"` // their Holder is empty
+}
+
+// MovedAll answers Moves, in their order.
+type MovedAll struct {
+	List []Moved `msg:"l"`
+}
+
 // Peek asks for the fleet's state.
 type Peek struct{}
 
