--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -98,6 +98,7 @@
 		return eris.Wrapf(flaws[0], "router: configuration %d", sequence)
 	}
 	g.table.Store(table)
+	g.Purses.Wake()
 	return nil
 }
 
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -84,14 +84,11 @@
 	}
 	var timer *time.Timer
 	for {
-		changed, dry := p.Changed()
+		changed, _ := p.Changed()
 		ok, again := p.Keep(n)
 		if ok {
 			return true, 0
 		}
-		if !dry {
-			ps.draw(tenant, p)
-		}
 		if timer == nil {
 			timer = time.NewTimer(wait)
 			defer timer.Stop()
@@ -151,9 +148,13 @@
 //
 //	go ps.Run()
 func (ps *Purses) Run() {
-	if !env.Wait(ps.ctx, rand.N(roundEvery)) { // nodes that started together do not ask the core together
+	select { // nodes that started together do not ask the core together
+	case <-time.After(rand.N(roundEvery)):
+	case <-ps.bell:
+	case <-ps.ctx.Done():
 		return
 	}
+	ps.round()
 	env.Loop(ps.ctx, ps.bell, roundEvery, func(struct{}) { ps.round() }, ps.round)
 }
 
