Wire: frames and bytes are counted by kind of message and direction

The control plane's cost per message kind could not be read from a running process. Ruled out: counters per connection, which would have to be added up over hundreds of links.

--- a/internal/wire/msgs.go
+++ b/internal/wire/msgs.go
@@ -16,4 +16,6 @@
 
 	Packed  bool `msg:"z"` // Body is compressed
 	Unpacks bool `msg:"u"` // the sender reads compressed bodies; a build that does not passes this over
+
+	size int `msg:"-"` // on the wire, known once it was written or read
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -92,6 +92,7 @@
 		return err
 	}
 	binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
+	f.size = len(buf)
 	_, err = w.Write(buf)
 	return err
 }
@@ -105,6 +106,7 @@
 	if n > Most+1024 {
 		return eris.Errorf("wire: frame of %d bytes, at most %d expected", n, Most)
 	}
+	f.size = len(head) + int(n)
 	buf := make([]byte, n)
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return err
@@ -157,6 +159,8 @@
 		if read(con, &f) != nil {
 			return
 		}
+		counters := traffic.of(f.Kind)
+		counters.callsReceived.add(f.size)
 		go func() {
 			out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind, Unpacks: true}
 			ans, err := hand(ctx, f.Kind, f.Body)
@@ -178,7 +182,9 @@
 			con.SetWriteDeadline(time.Now().Add(5 * time.Second))
 			if write(con, &out) != nil {
 				con.Close()
+				return
 			}
+			counters.answersSent.add(out.size)
 		}()
 	}
 }
@@ -248,6 +254,7 @@
 			l.kill()
 			return
 		}
+		traffic.of(f.Kind).answersReceived.add(f.size)
 		l.pack.Store(f.Unpacks)
 		l.mu.Lock()
 		ch := l.wait[f.Id]
@@ -340,6 +347,7 @@
 		l.kill()
 		return eris.Wrapf(errors.Join(ErrDoubt, err), "%s to %s", kind, addr)
 	}
+	traffic.of(kind).callsSent.add(f.size)
 	select {
 	case ans, ok := <-ch:
 		if !ok {
