--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -130,7 +130,9 @@
 		face := &operator.Face{Ctx: p.Ctx.Part("operator"), KeyHash: func() string { return p.Now("operator-key-hash") },
 			Core:  core.NewClient(p.Ctx, cal, append([]string{p.Set["addr"]}, seeds...)),
 			Ready: srv.Why,
-			Views: map[string]func() any{"/v1/standing": func() any { return srv.Peek() }}}
+			Views: map[string]func() any{
+				"/v1/standing": func() any { return srv.Peek() },
+				"/v1/traffic":  func() any { return wire.TrafficByKind() }}}
 		h, err := face.Handler()
 		if err != nil {
 			return err
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -35,7 +35,7 @@
 		Seconds:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_tries_total", Help: "Second tries, by service and whether they were let through."}, []string{"service", "let"}),
 		Repeats:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_runs_total", Help: "Second runs of lost streams, by lane and code."}, []string{"lane", "code"}),
 	}
-	m.reg.MustRegister(m.Queries, m.Allowance, m.Wait, m.Dispatch, m.Firsts, m.Seconds, m.Repeats)
+	m.reg.MustRegister(m.Queries, m.Allowance, m.Wait, m.Dispatch, m.Firsts, m.Seconds, m.Repeats, wireTraffic{})
 	for k, f := range gauge {
 		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: k, Help: "See docs/metrics.md."}, f))
 	}
--- /dev/null
+++ b/internal/meter/traffic.go
@@ -0,0 +1,31 @@
+package meter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"yarrowridge/internal/wire"
+)
+
+var (
+	wireFrames = prometheus.NewDesc("yarrowridge_wire_frames_total", "Messages between our own processes, by kind and direction.", []string{"kind", "direction"}, nil)
+	wireBytes  = prometheus.NewDesc("yarrowridge_wire_bytes_total", "Bytes of messages between our own processes, by kind and direction.", []string{"kind", "direction"}, nil)
+)
+
+// wireTraffic shows the counters that package wire keeps.
+type wireTraffic struct{}
+
+// Describe names the metrics, as prometheus asks for.
+func (wireTraffic) Describe(out chan<- *prometheus.Desc) {
+	out <- wireFrames
+	out <- wireBytes
+}
+
+// Collect reads the counters, as prometheus asks for.
+func (wireTraffic) Collect(out chan<- prometheus.Metric) {
+	for kind, traffic := range wire.TrafficByKind() {
+		for direction, count := range map[string]wire.Count{"sent": traffic.Sent(), "received": traffic.Received()} {
+			out <- prometheus.MustNewConstMetric(wireFrames, prometheus.CounterValue, float64(count.Frames), kind, direction)
+			out <- prometheus.MustNewConstMetric(wireBytes, prometheus.CounterValue, float64(count.Bytes), kind, direction)
+		}
+	}
+}
