Wire: connections unused for 10 s are closed once others are opened

Digests go to random nodes, so in time each router held a connection to every other, 2 x (n-1) sockets a router and n x (n-1) in the fleet. One just asked for is never closed, nor one with a call under way (tested).

--- a/internal/wire/traffic_test.go
+++ b/internal/wire/traffic_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -51,3 +52,53 @@
 		t.Errorf("%d kinds, %+v others", len(got), got[otherKinds])
 	}
 }
+
+// pipeNet opens connections that are served in memory.
+type pipeNet struct{ hand Hand }
+
+func (p pipeNet) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go serve(context.WithoutCancel(ctx), far, p.hand)
+	return near, nil
+}
+
+func (pipeNet) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// A connection that is not used goes once others are opened; one in use or with a call under way stays.
+func TestIdleConnectionsGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := make(chan struct{})
+		cal := NewCaller(pipeNet{func(_ context.Context, kind string, _ []byte) (msgp.Marshaler, error) {
+			if kind == "a.slow" {
+				<-slow
+			}
+			return text(""), nil
+		}})
+		call := func(addr, kind string) {
+			if err := cal.Call(t.Context(), addr, kind, nil, nil); err != nil {
+				t.Errorf("%s at %s: %v", kind, addr, err)
+			}
+		}
+		ended := make(chan struct{})
+		go func() {
+			call("slow:1", "a.slow")
+			close(ended)
+		}()
+		call("used:1", "a.quick")
+		for i := range 50 {
+			call(fmt.Sprint("once:", i), "a.quick")
+			time.Sleep(time.Second)
+			call("used:1", "a.quick")
+		}
+		cal.mu.Lock()
+		open, used, waiting := len(cal.open), cal.open["used:1"] != nil, cal.open["slow:1"] != nil
+		cal.mu.Unlock()
+		if open > 14 || !used || !waiting {
+			t.Errorf("%d connections open, the used one %v, the one with a call under way %v", open, used, waiting)
+		}
+		close(slow)
+		<-ended
+		cal.Close()
+		synctest.Wait()
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,6 +22,10 @@
 // dialWait is the most that opening a connection may take.
 const dialWait = 700 * time.Millisecond
 
+// idleAfter is how long a connection is kept unused once others are opened. Digests go to random nodes: without
+// a bound every router would in time hold a connection to every other.
+const idleAfter = 10 * time.Second
+
 // Two kinds of trouble a caller must tell apart.
 var (
 	// ErrUnsent means no byte of the call has left this process.
@@ -212,6 +216,14 @@
 	wait map[uint64]chan Frame
 	dead atomic.Bool // read without the lock, which a slow write may hold
 	pack atomic.Bool // the far side has said that it reads compressed bodies
+	used time.Time   // when it was last asked for; under the caller's lock
+}
+
+// idle tells whether no call waits for an answer.
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.wait) == 0
 }
 
 // NewCaller makes a caller over a net.
@@ -270,6 +282,7 @@
 func (c *Caller) reach(ctx context.Context, addr string) (*link, error) {
 	c.mu.Lock()
 	if l := c.open[addr]; l != nil && !l.dead.Load() {
+		l.used = time.Now()
 		c.mu.Unlock()
 		return l, nil
 	}
@@ -300,7 +313,8 @@
 		err = net.ErrClosed
 	}
 	if d.err = err; err == nil {
-		d.l = &link{con: con, wait: map[uint64]chan Frame{}}
+		d.l = &link{con: con, wait: map[uint64]chan Frame{}, used: time.Now()}
+		c.closeIdle()
 		c.open[addr] = d.l
 		go d.l.loop()
 	}
@@ -308,6 +322,17 @@
 	close(d.done)
 }
 
+// closeIdle closes connections unused for long, and forgets broken ones; the caller holds the lock. One that was
+// just asked for is not idle, so no call meets a connection that is closed under it.
+func (c *Caller) closeIdle() {
+	for addr, l := range c.open {
+		if l.dead.Load() || time.Since(l.used) > idleAfter && l.idle() {
+			go l.kill()
+			delete(c.open, addr)
+		}
+	}
+}
+
 // Call sends in to addr and reads the answer into out (nil where none is wanted).
 // The error wraps ErrUnsent, ErrDoubt or a Fault, with the step and the peer.
 //
