A runner's word that says nothing new is no news; equal lists and known views are not sent

drill scale at 300 routers and 600 runners, primary killed: a write was taken after 4.7 s, known to all after 19.2 s, no heartbeat was acknowledged for 18.7 s and a router had lost all 600 runners. A new primary announces every runner anew, and each word made each router build and sort the whole list: 444 ms for 600 (BenchmarkManyNew). Each 10 s a router asked for the whole list: it now sends a digest of what it has, and gets nothing where that is equal. A beat's answer holds the view only where the router does not know it. Older cores ignore both fields and answer in full; a beat of an older router has zeros and is answered in full. Ruled out: dropping the whole lists, which mend whatever went wrong (a digest that differs still brings one); a longer time between them, which only makes a wrong copy stand longer. A late word cannot undo a newer one that was kept and not shown (tested).

--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -210,7 +210,10 @@
 		defer s.replaceHolder(n, time.Duration(in.AgeMs)*time.Millisecond)
 	}
 	s.prune()
-	out := &Told{View: s.vot.View(), Seq: s.sheet.Seq, Roll: s.roll}
+	out := &Told{Seq: s.sheet.Seq, Roll: s.roll}
+	if v := s.vot.View(); v.Epoch != in.ViewEpoch {
+		out.View = v
+	}
 	// A primary that has just begun does not know all nodes yet, so it names none.
 	if in.Roll != s.roll && time.Since(s.since) > nodeTerm {
 		out.Whole = true
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -60,11 +60,14 @@
 	RunnersWanted  bool   `msg:"w"` // it keeps a copy of the registry of runners
 	RunnersEpoch   uint64 `msg:"e"` // what it has of it; zeros: nothing
 	RunnersVersion uint64 `msg:"v"`
+	RunnersDigest  uint64 `msg:"d"` // with version 0: of what it has, so that an equal list need not be sent; 0: none
+
+	ViewEpoch uint64 `msg:"ve"` // of the view it knows, so that the same need not be sent
 }
 
 // Told answers a Beat.
 type Told struct {
-	View  view.View `msg:"v"`
+	View  view.View `msg:"v"` // epoch 0 where the node knows it
 	Seq   uint64    `msg:"s"` // newest layout
 	Roll  uint64    `msg:"r"`
 	Nodes []Node    `msg:"n"` // all live nodes, where the roll changed
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -19,9 +19,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "n"
-	o = append(o, 0x87, 0xa1, 0x6e)
+	o = append(o, 0x89, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -45,6 +45,12 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.RunnersVersion)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.RunnersDigest)
+	// string "ve"
+	o = append(o, 0xa2, 0x76, 0x65)
+	o = msgp.AppendUint64(o, z.ViewEpoch)
 	return
 }
 
@@ -112,6 +118,18 @@
 				err = msgp.WrapError(err, "RunnersVersion")
 				return
 			}
+		case "d":
+			z.RunnersDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersDigest")
+				return
+			}
+		case "ve":
+			z.ViewEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ViewEpoch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -126,7 +144,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size
 	return
 }
 
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -97,7 +96,7 @@
 		return known.told
 	}
 	known.runner, known.heard = runner, now
-	if !sameForRouters(old, runner) {
+	if !old.SaysSame(runner) {
 		r.version++
 		known.version = r.version
 	}
@@ -108,13 +107,6 @@
 	return known.told
 }
 
-// sameForRouters tells whether two heartbeats of a runner say the same to routers.
-func sameForRouters(a, b routing.Runner) bool {
-	return a.State == b.State && a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone &&
-		a.Slots == b.Slots && a.Phase == b.Phase && (a.WarmupLeftMs > 0) == (b.WarmupLeftMs > 0) &&
-		slices.Equal(a.Models, b.Models)
-}
-
 // check marks silent runners and forgets those unheard for long; the caller holds the lock.
 func (r *RunnerRegistry) check(now time.Time) {
 	if now.Sub(r.checked) < runnerCheck {
@@ -154,6 +146,9 @@
 	has := beat.RunnersVersion
 	all := beat.RunnersEpoch != r.epoch || has == 0 || has < r.settled || has > r.version
 	told.RunnersEpoch, told.RunnersVersion = r.epoch, r.version
+	if r.holdsAll(beat) {
+		return
+	}
 	told.RunnersWhole = all && r.settled > 0
 	for _, known := range r.runners {
 		if all || known.version > has {
@@ -163,6 +158,18 @@
 	sort.Slice(told.Runners, func(i, j int) bool { return told.Runners[i].ID < told.Runners[j].ID })
 }
 
+// holdsAll tells whether a router that asks for a whole list has exactly that; the caller holds the lock.
+func (r *RunnerRegistry) holdsAll(beat *Beat) bool {
+	if beat.RunnersEpoch != r.epoch || beat.RunnersVersion != 0 || beat.RunnersDigest == 0 {
+		return false
+	}
+	digest := uint64(0)
+	for _, known := range r.runners {
+		digest ^= known.runner.Digest()
+	}
+	return digest == beat.RunnersDigest
+}
+
 // List names all known runners, sorted by ID.
 //
 //	for _, runner := range registry.List(time.Now()) { ... }
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -285,3 +285,46 @@
 		t.Errorf("ten thousand runners take %d bytes, a frame %d", size, wire.Most)
 	}
 }
+
+// A router that asks for a whole list gets none where it has exactly that, and all once anything differs.
+func TestEqualListIsNotSent(t *testing.T) {
+	r := newRegistryAt()
+	r.beat("a", 1, routing.RunnerReady)
+	r.beat("b", 1, routing.RunnerReady)
+	r.now = r.now.Add(runnerSettle)
+	r.beat("a", 2, routing.RunnerReady)
+	r.beat("b", 2, routing.RunnerReady)
+	ask := func(epoch uint64, runners []routing.Runner) *Told {
+		var told Told
+		beat := Beat{RunnersWanted: true, RunnersEpoch: epoch}
+		for _, runner := range runners {
+			beat.RunnersDigest ^= runner.Digest()
+		}
+		r.Tell(&beat, &told, r.now)
+		return &told
+	}
+	has := r.tell(0, 0).Runners
+	if told := ask(1, has); len(told.Runners) > 0 || told.RunnersWhole || told.RunnersEpoch != 1 || told.RunnersVersion == 0 {
+		t.Errorf("an equal list: %+v", told)
+	}
+	r.beat("a", 3, routing.RunnerReady) // a heartbeat alone is nothing that routers must know
+	if told := ask(1, has); len(told.Runners) > 0 {
+		t.Errorf("after a heartbeat that says the same: %+v", told)
+	}
+	for name, told := range map[string]*Told{"another primary's list": ask(7, has), "one runner less": ask(1, has[:1]), "none": ask(1, nil)} {
+		if len(told.Runners) != 2 || !told.RunnersWhole {
+			t.Errorf("%s: %+v", name, told)
+		}
+	}
+	r.beat("a", 4, routing.RunnerDraining)
+	if told := ask(1, has); len(told.Runners) != 2 || !told.RunnersWhole {
+		t.Errorf("after a change of state: %+v", told)
+	}
+	has = r.tell(0, 0).Runners
+	r.beat("a", 5, routing.RunnerDraining)
+	r.now = r.now.Add(runnerForget + time.Second)
+	r.beat("a", 6, routing.RunnerDraining)
+	if told := ask(1, has); len(told.Runners) != 1 || !told.RunnersWhole {
+		t.Errorf("after a runner was forgotten: %+v", told)
+	}
+}
--- a/internal/drill/scale.go
+++ b/internal/drill/scale.go
@@ -96,6 +96,7 @@
 		settings.Routers, settings.Runners = flags.routers[i], flags.runners[i]
 		result, err := measureOne(ctx, flags.bin, flags.dir, settings, out)
 		if err != nil {
+			scale.Print(out, results) // what was measured before counts
 			fmt.Fprintf(out, "drill scale: %s\n", err)
 			return env.ExitTrouble
 		}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -416,10 +416,13 @@
 	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
 	defer end()
 	var out core.Told
-	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds())}
+	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds()), ViewEpoch: h.Core.View().Epoch}
 	if h.runners != nil {
 		in.RunnersWanted = true
 		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
+		if in.RunnersVersion == 0 {
+			in.RunnersDigest = h.runners.Digest()
+		}
 	}
 	if err := h.Core.Call(ctx, "core.beat", &in, &out, true); err != nil {
 		if wire.Is(err, core.NameTaken) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -2,6 +2,7 @@
 package registry
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -45,7 +46,8 @@
 	return r
 }
 
-// List names the runners sorted by ID. The list is shared: it must not be changed.
+// List names the runners sorted by ID, each by its newest word that says anything new. The list is shared: it must
+// not be changed.
 //
 //	for _, runner := range reg.List() { ... }
 func (r *Registry) List() []routing.Runner { return *r.snapshot.Load() }
@@ -64,6 +66,17 @@
 	return r.epoch, r.version
 }
 
+// Digest is of all runners known here, for a beat that asks for a whole list: one that is equal is not sent.
+//
+//	beat.RunnersDigest = reg.Digest()
+func (r *Registry) Digest() uint64 {
+	digest := uint64(0)
+	for _, runner := range r.List() {
+		digest ^= runner.Digest()
+	}
+	return digest
+}
+
 // See takes a record that relays brought.
 //
 //	reg.See(rec)
@@ -74,11 +87,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.take(runner) {
-		return
+	kept, news := r.take(runner)
+	if kept {
+		r.runners[runner.ID] = entry{runner: runner, pushed: time.Now()}
+	}
+	if news {
+		r.publishOne(runner)
 	}
-	r.runners[runner.ID] = entry{runner: runner, pushed: time.Now()}
-	r.publish()
 }
 
 // Apply takes the core's answer to a beat.
@@ -93,7 +108,8 @@
 	r.epoch, r.version = told.RunnersEpoch, told.RunnersVersion
 	changed := false
 	for _, runner := range told.Runners {
-		changed = r.take(runner) || changed
+		_, news := r.take(runner)
+		changed = changed || news
 	}
 	if told.RunnersWhole {
 		changed = r.dropOthers(told.Runners) || changed
@@ -103,14 +119,15 @@
 	}
 }
 
-// take keeps a runner's word if it is newer than the one known; the caller holds the lock.
-func (r *Registry) take(runner routing.Runner) bool {
+// take keeps a runner's word if it is newer than the one known, and tells whether it says anything else; the
+// caller holds the lock. A new primary tells every runner's word anew: hardly one of them is news.
+func (r *Registry) take(runner routing.Runner) (kept, news bool) {
 	old, known := r.runners[runner.ID]
 	if known && !supersedes(runner, old.runner) {
-		return false
+		return false, false
 	}
 	r.runners[runner.ID] = entry{runner: runner, pushed: old.pushed}
-	return true
+	return true, !known || !old.runner.SaysSame(runner)
 }
 
 // supersedes tells whether a word of a runner replaces the one known. A runner that has left stays gone.
@@ -148,6 +165,24 @@
 		list = append(list, known.runner)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	r.show(list)
+}
+
+// publishOne is publish where one runner's word has changed or is new: the rest is copied as it is. Many may come
+// one after the other.
+func (r *Registry) publishOne(runner routing.Runner) {
+	old := r.List()
+	at, known := slices.BinarySearchFunc(old, runner.ID, func(one routing.Runner, id string) int { return strings.Compare(one.ID, id) })
+	list := make([]routing.Runner, 0, len(old)+1)
+	list = append(append(list, old[:at]...), runner)
+	if known {
+		at++
+	}
+	r.show(append(list, old[at:]...))
+}
+
+// show makes a list the one that is read; the caller holds the lock.
+func (r *Registry) show(list []routing.Runner) {
 	r.snapshot.Store(&list)
 	if r.hook != nil {
 		r.hook(list)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -108,3 +108,86 @@
 		}
 	})
 }
+
+// The digest of a copy is that of the runners it lists, whatever their order and their heartbeats' numbers.
+func TestDigestOfACopy(t *testing.T) {
+	one, other := New(nil), New(nil)
+	if one.Digest() != 0 {
+		t.Error("an empty copy has a digest")
+	}
+	one.See(record(t, runner("a", 1, routing.RunnerReady)))
+	one.See(record(t, runner("b", 1, routing.RunnerDraining)))
+	other.See(record(t, runner("b", 4, routing.RunnerDraining)))
+	if one.Digest() == other.Digest() {
+		t.Error("a copy that lacks a runner has the same digest")
+	}
+	other.See(record(t, runner("a", 9, routing.RunnerReady)))
+	if one.Digest() != other.Digest() {
+		t.Error("equal copies have different digests")
+	}
+}
+
+// A word that says the same again, as a new primary tells of every runner, is kept but is no news.
+func TestSameWordIsNoNews(t *testing.T) {
+	news := 0
+	reg := New(func([]routing.Runner) { news++ })
+	for i := range 600 {
+		reg.See(record(t, runner(fmt.Sprintf("r%03d", i), 1, routing.RunnerReady)))
+	}
+	if news != 600 || len(reg.List()) != 600 {
+		t.Fatalf("%d runners, told %d times", len(reg.List()), news)
+	}
+	news = 0
+	told := &core.Told{RunnersEpoch: 2, RunnersVersion: 601}
+	for i := range 600 {
+		again := runner(fmt.Sprintf("r%03d", i), 2, routing.RunnerReady)
+		told.Runners = append(told.Runners, again)
+		reg.See(record(t, again))
+	}
+	reg.Apply(told)
+	if news > 0 {
+		t.Errorf("600 words that say the same were told as news %d times", news)
+	}
+	reg.See(record(t, runner("r007", 1, routing.RunnerDraining)))
+	if news > 0 || reg.List()[7].State != routing.RunnerReady {
+		t.Error("a word older than one that was kept was taken")
+	}
+	reg.See(record(t, runner("r007", 3, routing.RunnerDraining)))
+	if news != 1 || reg.List()[7].State != routing.RunnerDraining {
+		t.Errorf("a new state: told %d times, %s", news, reg.List()[7].State)
+	}
+}
+
+// The list stays sorted, whole and without doubles, in whatever order runners come.
+func TestListAfterSingleChanges(t *testing.T) {
+	reg := New(nil)
+	for i := range 500 {
+		reg.See(record(t, runner(fmt.Sprintf("r%02d", i*37%50), uint64(i+1), []routing.RunnerState{routing.RunnerReady, routing.RunnerDraining}[i/50%2])))
+		list := reg.List()
+		if want := min(i+1, 50); len(list) != want {
+			t.Fatalf("%d runners after %d words, %d expected", len(list), i+1, want)
+		}
+		for j := 1; j < len(list); j++ {
+			if list[j-1].ID >= list[j].ID {
+				t.Fatalf("%s stands before %s", list[j-1].ID, list[j].ID)
+			}
+		}
+	}
+	for _, one := range reg.List() {
+		if one.State != routing.RunnerDraining {
+			t.Errorf("%s is %s by its last word", one.ID, one.State)
+		}
+	}
+}
+
+// BenchmarkManyNew is what it takes to hear of 600 runners one by one.
+func BenchmarkManyNew(b *testing.B) {
+	for b.Loop() {
+		reg := New(nil)
+		for i := range 600 {
+			word := runner(fmt.Sprintf("r%03d", i), 1, routing.RunnerReady)
+			body, _ := word.MarshalMsg(nil)
+			reg.See(relay.Rec{Key: relay.RunnerHead + word.ID, Turn: 1, Body: body})
+		}
+	}
+}
--- a/internal/routing/runner.go
+++ b/internal/routing/runner.go
@@ -1,5 +1,11 @@
 package routing
 
+import (
+	"hash/fnv"
+	"slices"
+	"strconv"
+)
+
 //go:generate go tool msgp -tests=false -io=false
 
 // A length read from the wire is believed up to this only.
@@ -35,3 +41,31 @@
 	Models       []RunnerModel `msg:"m" json:"models"`
 	Sequence     uint64        `msg:"q" json:"sequence"` // goes up with every heartbeat
 }
+
+// SaysSame tells whether two words of one runner say the same to routers: all but the heartbeats' numbers and how
+// long exactly it stays slow.
+func (r Runner) SaysSame(other Runner) bool {
+	return r.State == other.State && r.Address == other.Address && r.Service == other.Service && r.Zone == other.Zone &&
+		r.Slots == other.Slots && r.Phase == other.Phase && (r.WarmupLeftMs > 0) == (other.WarmupLeftMs > 0) &&
+		slices.Equal(r.Models, other.Models)
+}
+
+// Digest is a hash of all that routers must know of a runner: all but its heartbeats' numbers and how long exactly
+// it stays slow. Two copies of a fleet's runners are alike where the digests of all, taken together by XOR, are.
+func (r Runner) Digest() uint64 {
+	hash := fnv.New64a()
+	add := func(field string) {
+		hash.Write(strconv.AppendInt(nil, int64(len(field)), 10)) // so that no field runs into the next
+		hash.Write([]byte{' '})
+		hash.Write([]byte(field))
+	}
+	for _, field := range []string{r.ID, r.Service, r.Address, r.Zone, string(r.State), strconv.Itoa(r.Slots),
+		strconv.FormatBool(r.WarmupLeftMs > 0), r.Phase} {
+		add(field)
+	}
+	for _, model := range r.Models {
+		add(model.Name)
+		add(strconv.Itoa(model.Revision))
+	}
+	return hash.Sum64()
+}
