A configuration on its way by the relays is not fetched from the primary as well

drill scale at 300 routers, a configuration of 142 KB each second: 121 fetches a second from the primary, 11.0 MB/s beside 2.1 MB/s of pushes: a beat that named the new sequence before the relay brought it had the router fetch it. A router now fetches one that was missing for a whole beat (0.4 s), a blank one at once. Ruled out: a random wait before the fetch, which only spreads the same bytes.

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -43,6 +43,7 @@
 	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
+	told     uint64                                  // the sequence that the core last named; only the beat touches it
 	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
 	runners  *registry.Registry                      // nil: none is kept
 
@@ -449,8 +450,12 @@
 	if h.runners != nil {
 		h.runners.Apply(&out)
 	}
-	// One that was not understood is not fetched again and again.
-	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
+	// One that was not understood is not fetched again and again. A new one is on its way by the relays: it is
+	// fetched only if it was missing for a whole beat, else a large part of the fleet would ask the primary at once.
+	rec, _, _ := h.Board.Get(relay.LayoutKey)
+	overdue := h.Sequence() == 0 || rec.Turn < h.told
+	h.told = out.Seq
+	if h.Sequence() < out.Seq && rec.Turn < out.Seq && overdue {
 		var sheet core.Sheet
 		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
 			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
--- a/internal/sim/beat_test.go
+++ b/internal/sim/beat_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowridge/internal/core"
+	"yarrowridge/internal/wire"
 )
 
 // The answer to a beat holds the view only where the router does not know it.
@@ -36,3 +37,29 @@
 		}
 	})
 }
+
+// A new configuration reaches routers by relays. They do not all fetch it from the primary as well, as soon as a beat
+// has told them of it; one that relays do not reach fetches it.
+func TestRelaysComeFirst(t *testing.T) {
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := newFleet(t, seed, 40)
+		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
+		time.Sleep(5 * time.Second) // every router knows the others
+		o := f.operator()
+		if p := o.put(1, 0, ""); p.code != 200 {
+			t.Fatalf("the first write was answered %d", p.code)
+		}
+		time.Sleep(2 * time.Second)
+		before := wire.TrafficByKind()["core.layout"]
+		for mark := range 10 {
+			if p := o.put(mark+2, 0, ""); p.code != 200 {
+				t.Fatalf("a write was answered %d", p.code)
+			}
+			time.Sleep(time.Duration(100+f.chance(400)) * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		if n := wire.TrafficByKind()["core.layout"].Minus(before).CallsSent.Frames; n > 4 {
+			t.Errorf("%d fetches from the primary for 10 configurations at 40 routers", n)
+		}
+	})
+}
