--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -65,12 +66,12 @@
 
 // How long a request waits for units: for the core's first word about the tenant, or for a draw.
 const (
-	firstWait = time.Second
-	drawWait  = 60 * time.Millisecond
+	firstWait = 300 * time.Millisecond
+	drawWait  = 35 * time.Millisecond
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
-// core.
+// core; where the context has a deadline, it waits until then for a core that does not answer.
 //
 //	ok, again := ps.Keep(ctx, "counter", 1)
 func (ps *Purses) Keep(ctx context.Context, tenant string, n int) (bool, time.Duration) {
@@ -85,18 +86,26 @@
 	for {
 		changed, dry := p.Changed()
 		ok, again := p.Keep(n)
-		if ok || dry {
-			return ok, again
+		if ok {
+			return true, 0
+		}
+		if !dry {
+			ps.draw(tenant, p)
 		}
-		ps.draw(tenant, p)
 		if timer == nil {
 			timer = time.NewTimer(wait)
 			defer timer.Stop()
+			p.Await(n)
+			defer p.Await(-n)
 		}
+		ps.draw(tenant, p)
 		select {
 		case <-changed:
+		case <-time.After(dryFor / 2):
 		case <-timer.C:
-			return false, again
+			if _, bounded := ctx.Deadline(); !bounded || !p.Busy() {
+				return false, again
+			}
 		case <-ctx.Done():
 			return false, again
 		}
@@ -135,11 +144,17 @@
 	return out
 }
 
+// roundEvery is how often units are drawn and given.
+const roundEvery = 500 * time.Millisecond
+
 // Run draws and gives until the context ends.
 //
 //	go ps.Run()
 func (ps *Purses) Run() {
-	env.Loop(ps.ctx, ps.bell, 500*time.Millisecond, func(struct{}) { ps.round() }, ps.round)
+	if !env.Wait(ps.ctx, rand.N(roundEvery)) { // nodes that started together do not ask the core together
+		return
+	}
+	env.Loop(ps.ctx, ps.bell, roundEvery, func(struct{}) { ps.round() }, ps.round)
 }
 
 func (ps *Purses) round() {
@@ -158,7 +173,7 @@
 		if ps.draw(t, p) {
 			continue
 		}
-		if turn, n, ok := p.Spare(short[t]); ok {
+		if turn, n, ok := p.Spare(short[t], ps.ways.Nodes()); ok {
 			go ps.carry(t, p, turn, n, true)
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,8 +19,9 @@
 // Most is the largest frame body read, in bytes.
 const Most = 8 << 20
 
-// dialWait is the most that opening a connection may take.
-const dialWait = 700 * time.Millisecond
+// dialWait is the most that opening a connection may take. The opening packet to a machine that is just starting
+// is lost, and the system sends it again after a second only: the next try comes sooner.
+const dialWait = 250 * time.Millisecond
 
 // idleAfter is how long a connection is kept unused once others are opened. Digests go to random nodes: without
 // a bound every router would in time hold a connection to every other.
