Router: seams for the runners' connections and the listeners of clients and probes

Cause: the users' path could only be tested over real sockets and in real time. Ruled out: dialing runners by the context's net, which binds the address that other processes know us by. Conclusion: Dial and Listen in the settings, servers made on a given listener; the simulated network now shows a closed connection to whoever looks with a deadline that has passed, as the pool does.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 
-	"github.com/rotisserie/eris"
-
 	"yarrowridge/internal/routing"
 )
 
@@ -20,15 +18,11 @@
 	server   *http.Server
 }
 
-// Listen binds an address for clients, under the limits of a configuration.
-func Listen(address string, handler http.Handler, limits routing.Limits) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "gateway: listen on %s", address)
-	}
+// NewServer serves clients on a listener, under the limits of a configuration.
+func NewServer(listener net.Listener, handler http.Handler, limits routing.Limits) *Server {
 	server := &http.Server{Handler: handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout: limits.IdleTimeout, ErrorLog: log.New(io.Discard, "", 0)}
-	return &Server{listener: listener, server: server}, nil
+	return &Server{listener: listener, server: server}
 }
 
 // Run serves until Drain.
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -36,6 +37,17 @@
 	Dialect     gateway.Dialect
 	Parse       func(raw []byte) (*routing.Table, []routing.Flaw)
 	Ready       func(why func() string) (http.Handler, error) // answers readiness probes
+
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // reaches runners; nil: TCP
+	Listen func(address string) (net.Listener, error)                  // for clients and probes; nil: TCP
+}
+
+// listen binds an address for clients or probes.
+func (s GatewaySettings) listen(address string) (net.Listener, error) {
+	if s.Listen != nil {
+		return s.Listen(address)
+	}
+	return net.Listen("tcp", address)
 }
 
 // Gateway is the parts of a router that carries opaque requests, put together.
@@ -61,7 +73,7 @@
 // NewGateway puts a gateway's parts together.
 func NewGateway(ctx env.Ctx, settings GatewaySettings) *Gateway {
 	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Hall)}
-	g.Pool = upstream.New(upstream.Options{})
+	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
 		node.Document(g.take), node.Runners(g.Registry))
@@ -170,19 +182,20 @@
 		if err != nil {
 			return err
 		}
-		readiness, err := web.Listen(settings.Readiness, handler)
+		listener, err := settings.listen(settings.Readiness)
 		if err != nil {
-			return err
+			return eris.Wrap(err, "router: readiness listener")
 		}
-		go readiness.Run()
+		go web.NewServer(listener, handler).Run()
 	}
 	go wire.Serve(ctx, internal, g.Hub.Hand)
 	g.Start()
 	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Hall)
-	server, err := gateway.Listen(settings.Data, g.Front, startLimits)
+	data, err := settings.listen(settings.Data)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "router: clients' listener")
 	}
+	server := gateway.NewServer(data, g.Front, startLimits)
 	go server.Run()
 	<-p.Stop
 	g.stop(ctx, server)
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -273,10 +273,6 @@
 			c.w.mu.Unlock()
 			return 0, io.ErrUnexpectedEOF
 		}
-		if !c.until.IsZero() && !time.Now().Before(c.until) {
-			c.w.mu.Unlock()
-			return 0, os.ErrDeadlineExceeded
-		}
 		wait := time.Duration(-1)
 		if len(c.in) > 0 && !c.w.cut(c.to, c.m.addr) {
 			if wait = time.Until(c.in[0].at); wait <= 0 {
@@ -291,8 +287,15 @@
 			c.w.mu.Unlock()
 			return 0, io.EOF
 		}
+		// What has arrived, the other end's close too, is seen even past the deadline: whoever looks
+		// whether an idle connection is clean sets one that has passed.
 		if !c.until.IsZero() {
-			if d := time.Until(c.until); wait < 0 || d < wait {
+			d := time.Until(c.until)
+			if d <= 0 {
+				c.w.mu.Unlock()
+				return 0, os.ErrDeadlineExceeded
+			}
+			if wait < 0 || d < wait {
 				wait = d
 			}
 		}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -74,6 +74,13 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "web: listen on %s", addr)
 	}
+	return NewServer(l, h), nil
+}
+
+// NewServer serves a handler on a listener.
+//
+//	go web.NewServer(listener, h).Run()
+func NewServer(l net.Listener, h http.Handler) *Server {
 	// Nothing of the query before on the same connection bounds the writing of this answer.
 	fresh := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctl := http.NewResponseController(w)
@@ -81,7 +88,7 @@
 		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), ctlKey{}, ctl)))
 	})
 	return &Server{l, &http.Server{Handler: fresh, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second,
-		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}, nil
+		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}
 }
 
 // Run serves until Drain.
