--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -58,8 +58,10 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		m.dead = true
-		if e := w.ears[addr]; e != nil && e.m == m {
-			e.shut()
+		for _, e := range w.ears {
+			if e.m == m {
+				e.shut()
+			}
 		}
 		for c := range w.cons {
 			if c.m == m || c.far.m == m {
