--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -35,10 +35,53 @@
 	failAt      time.Time
 	waitMs      float64 // moving average of the wait that the prompt's own work does not explain
 	waitAt      time.Time
-	promptRate  float64 // prompt tokens read in a millisecond
+	speed       *speed  // of all runners of its service
 	serviceMs   float64 // moving average of whole answers of ordinary services
 	gapMs       float64 // moving average of the pause between events
 	full        time.Time
+	tally       Tally
+	fleetFails  float64 // share of attempts that failed lately for all routers, as far as it is large
+}
+
+// Tally counts how attempts at a runner ended.
+type Tally struct{ Tries, Fails int }
+
+// Tally gives for each runner used since the last call how its attempts ended. Those under way at a runner
+// that is silent count as failed.
+func (b *Balancer) Tally() map[string]Tally {
+	now := time.Now()
+	out := map[string]Tally{}
+	for _, runners := range *b.byService.Load() {
+		for _, runner := range runners {
+			if tally := runner.takeTally(now); tally.Tries > 0 {
+				out[runner.Info().ID] = tally
+			}
+		}
+	}
+	return out
+}
+
+func (r *Runner) takeTally(now time.Time) Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tally := r.tally
+	r.tally = Tally{}
+	if r.silent(now) {
+		tally.Tries += len(r.open)
+		tally.Fails += len(r.open)
+	}
+	return tally
+}
+
+// Failing takes the runners that fail for all routers together, with the share of attempts that fail.
+func (b *Balancer) Failing(shares map[string]float64) {
+	for _, runners := range *b.byService.Load() {
+		for _, runner := range runners {
+			runner.mu.Lock()
+			runner.fleetFails = shares[runner.info.ID]
+			runner.mu.Unlock()
+		}
+	}
 }
 
 // Attempt is one request sent to a runner.
@@ -51,8 +94,8 @@
 	finished bool
 }
 
-func newRunner(index int, info routing.Runner, now time.Time) *Runner {
-	return &Runner{Index: index, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
+func newRunner(index int, info routing.Runner, speed *speed, now time.Time) *Runner {
+	return &Runner{Index: index, speed: speed, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
 }
 
 // Info is what the runner last said of itself.
@@ -174,6 +217,8 @@
 
 // noteFailure moves the share of failed attempts towards the newest outcome. The caller holds the lock.
 func (r *Runner) noteFailure(outcome float64, now time.Time) {
+	r.tally.Tries++
+	r.tally.Fails += int(outcome)
 	r.failRate = r.fadedFailures(now) + 0.2*(outcome-r.fadedFailures(now))
 	r.failAt = now
 }
@@ -185,14 +230,8 @@
 // sampleFirst learns from the time to the first byte: what the prompt's own reading does not explain is
 // wait. The caller holds the lock.
 func (r *Runner) sampleFirst(ms float64, prompt int, now time.Time) {
-	if prompt > 500 && ms > 0 {
-		// The fastest reading seen is the rate; it gives way slowly so that one lucky sample does not stay.
-		rate := float64(prompt) / ms
-		if rate > r.promptRate {
-			r.promptRate = rate
-		} else {
-			r.promptRate += 0.01 * (rate - r.promptRate)
-		}
+	if prompt >= rateSample && ms > 0 {
+		r.speed.sample(float64(prompt) / ms)
 	}
 	wait := max(0, ms-float64(prompt)/r.rate())
 	r.waitMs = average(r.fadedWait(now), wait)
@@ -203,11 +242,44 @@
 	return fade(r.waitMs, now.Sub(r.waitAt), waitFade)
 }
 
-func (r *Runner) rate() float64 {
-	if r.promptRate > 0 {
-		return r.promptRate
+// rate is how many prompt tokens the runner reads in a millisecond. It is measured over all runners of the
+// service: a single slow answer must not keep a router from a runner for good, and what a runner is slower
+// than the others shows in its measured wait.
+func (r *Runner) rate() float64 { return r.speed.rate() }
+
+// How the speed of a service's runners is learnt: nearly the fastest readings count, since the others waited.
+const (
+	rateSample = 500  // tokens of a prompt that tells something
+	rateRise   = 0.10 // weight of a faster reading
+	rateFall   = 0.02 // weight of a slower one
+)
+
+// speed is how fast the runners of one service read prompts.
+type speed struct {
+	mu       sync.Mutex
+	measured float64 // prompt tokens in a millisecond; 0: not yet
+}
+
+func (s *speed) rate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.measured == 0 {
+		return firstRate
+	}
+	return s.measured
+}
+
+func (s *speed) sample(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.measured == 0:
+		s.measured = max(rate, firstRate)
+	case rate > s.measured:
+		s.measured += rateRise * (rate - s.measured)
+	default:
+		s.measured += rateFall * (rate - s.measured)
 	}
-	return firstRate
 }
 
 // silent tells whether requests are under way and nothing has come for far longer than it should.
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -71,7 +71,7 @@
 	case "core.beat":
 		return wire.On(body, func(in *Beat) (*Told, error) { return s.takeBeat(ctx, in) })
 	case "core.runner":
-		return wire.On(body, s.takeRunner)
+		return wire.On(body, func(in *RunnerBeat) (*Done, error) { return s.takeRunner(ctx, in) })
 	case "core.layout":
 		return wire.On(body, s.giveLayout)
 	case "core.write":
@@ -82,6 +82,8 @@
 		return wire.On(body, func(in *Settle) (*Done, error) { return s.settle(ctx, in) })
 	case "core.move":
 		return wire.On(body, func(in *Move) (*Moved, error) { return s.move(ctx, in) })
+	case "core.moves":
+		return wire.On(body, func(in *Moves) (*MovedAll, error) { return s.moveAll(ctx, in) })
 	case "core.peek":
 		return wire.On(body, func(*Peek) (*State, error) { return s.Peek(), nil })
 	}
@@ -217,6 +219,8 @@
 		out.Nodes = s.live()
 	}
 	s.runners.Tell(in, out, time.Now())
+	s.health.note(in.Tallies, time.Now())
+	out.Failing = s.health.failing(time.Now())
 	for t, at := range s.short {
 		if time.Since(at) < 5*time.Second {
 			out.Short = append(out.Short, t)
@@ -470,7 +474,7 @@
 // sweep ends what has had its time: cooled units and old claims. Time is counted from when this
 // run of this process first saw them, so a restart only makes them last longer.
 func (s *Server) sweep() {
-	if time.Since(s.swept) < sweepEvery {
+	if since := time.Since(s.swept); since < sweepEvery && !(s.cooling && since >= sweepCooling) {
 		return
 	}
 	s.swept = time.Now()
@@ -499,12 +503,16 @@
 	if time.Since(s.swept10) > 10*time.Second {
 		s.swept10 = time.Now()
 		s.sweepClaims(doc.Claims)
+		s.sweepRunners(s.runners.List(time.Now()))
 	}
 	s.sweepQuotas(doc.Windows, live, here)
 }
 
-// sweepEvery is how often the run loop looks for what has had its time.
-const sweepEvery = 500 * time.Millisecond
+// How often the run loop looks for what has had its time: in general, and while units of quotas cool.
+const (
+	sweepEvery   = 500 * time.Millisecond
+	sweepCooling = 100 * time.Millisecond
+)
 
 // dropLater has the run loop remove keys.
 func (s *Server) dropLater(keys []string) {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -67,6 +67,7 @@
 	step     = 500 * time.Millisecond  // one step of a decision
 	silent   = 1500 * time.Millisecond // a backup silent so long is let go
 	diskWait = 1500 * time.Millisecond // a disk slower than this is in trouble
+	holdWait = 600 * time.Millisecond  // a backup that holds a write no sooner is let go: all writes wait for it
 	mendWait = 3 * time.Second         // a write waits so long for a new backup
 	nodeTerm = 2 * time.Second         // a node's lease
 	chunk    = 1 << 20                 // bytes of state in one Copy
@@ -107,9 +108,11 @@
 	next    time.Time            // earliest next try at taking over
 	bad     map[string]time.Time // members that lately failed as backup
 	aged    map[string]time.Time // cooling and silent holders: since when
+	pot     potCache
 	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
 	swept10 time.Time            // of the claims
+	cooling bool                 // units of some quota cool
 	greeted time.Time            // when silent places were last told the view
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
@@ -137,6 +140,7 @@
 
 	runners *RunnerRegistry
 	news    runnerNews
+	health  runnerHealth
 }
 
 type seat struct {
@@ -237,7 +241,7 @@
 	s := &Server{keep: env.NewGate(), run: rand.Uint64() | 1, ctx: ctx, set: set, disk: disk, vot: vot, cal: wire.NewCaller(ctx.Net),
 		box: make(chan *job, 4*most), bad: map[string]time.Time{},
 		synced: map[string]bool{},
-		aged:   map[string]time.Time{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
+		aged:   map[string]time.Time{}, pot: potCache{}, mute: map[string]time.Time{}, ls: lease.New(set.Term), nodes: map[string]*seat{},
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.runners = NewRunnerRegistry(set.RunnerSilence, s.announce)
 	s.st.Store(st)
@@ -539,7 +543,7 @@
 	}
 	s.ran.load(s.st.Load())
 	s.mu.Lock()
-	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.began, time.Now())
+	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.began, time.Now(), s.storedRunners())
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
 	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backups", addrs(v, v.Backups()), "sequence", sheet.Seq)
@@ -673,6 +677,24 @@
 	}
 }
 
+// last gives the newest put of each key: what a batch puts several times is stored and sent once.
+func (t *Tx) last() []store.Put {
+	if len(t.over) == len(t.puts) {
+		return t.puts
+	}
+	newest := make(map[string]int, len(t.over))
+	for i := range t.puts {
+		newest[t.puts[i].Key] = i
+	}
+	out := make([]store.Put, 0, len(newest))
+	for i, p := range t.puts {
+		if newest[p.Key] == i {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // undo strikes the puts a failed job made.
 func (t *Tx) undo(mark int) {
 	for _, p := range t.puts[mark:] {
@@ -695,7 +717,7 @@
 		return nil
 	}
 	st := tx.st
-	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.puts}
+	b := store.Batch{Seq: st.Seq() + 1, Puts: tx.last()}
 	mine, far := make(chan error, 1), make(chan []string, 1)
 	go func() { mine <- st.Add(b) }()
 	go func() { far <- s.holdAt(v, b) }()
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/balance"
+	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/gateway"
 	"yarrowridge/internal/node"
@@ -25,11 +26,11 @@
 
 // GatewaySettings are what a router that carries opaque requests is told about its place.
 type GatewaySettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Data        string        // ip:port of the clients' listener
-	Readiness   string        // ip:port of the readiness listener; "": none
-	Seeds       []string      // ip:port of some cores
-	QuotaWindow time.Duration // over which tenants' limits are judged
+	Internal    string            // ip:port where other processes reach it
+	Data        string            // ip:port of the clients' listener
+	Readiness   string            // ip:port of the readiness listener; "": none
+	Seeds       []string          // ip:port of some cores
+	Quota       routing.QuotaRule // how tenants' rates are judged
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
 	Grace       time.Duration // from the stop signal to the kill
@@ -76,14 +77,32 @@
 	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
-		node.Document(g.take), node.Runners(g.Registry))
-	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(g.Hub), Nodes: func() int { return len(g.Hub.Nodes()) },
+		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
+	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
 		Pool: g.Pool, Quotas: quotas{g.Purses}, Retries: settings.Retries, Part: g.part, Log: ctx.Part("gateway").Log})
 	return g
 }
 
+// tally tells the core what became of attempts at runners since the last beat.
+func (g *Gateway) tally() []core.RunnerTally {
+	var out []core.RunnerTally
+	for id, tally := range g.Balancer.Tally() {
+		out = append(out, core.RunnerTally{ID: id, Tries: tally.Tries, Fails: tally.Fails})
+	}
+	return out
+}
+
+// failing tells the balancer which runners fail for all routers together.
+func (g *Gateway) failing(list []core.FailingRunner) {
+	shares := make(map[string]float64, len(list))
+	for _, runner := range list {
+		shares[runner.ID] = runner.Share
+	}
+	g.Balancer.Failing(shares)
+}
+
 // take puts a newer configuration in force.
 func (g *Gateway) take(sequence uint64, raw []byte) error {
 	table, flaws := g.settings.Parse(raw)
@@ -113,8 +132,15 @@
 	return ""
 }
 
-// part is this router's part of a whole that all routers share.
+// assumedRouters is how many routers are assumed where the fleet is not known yet: for the first seconds of a
+// new primary.
+const assumedRouters = 16
+
+// part is this router's part of a whole that all routers share, one at least.
 func (g *Gateway) part(whole int) int {
+	if len(g.Hub.Nodes()) == 0 {
+		return max(1, whole/assumedRouters)
+	}
 	return max(1, g.Hub.Part(whole))
 }
 
@@ -127,7 +153,8 @@
 	var rules []share.Rule
 	for _, tenant := range table.Tenants {
 		if tenant.Rate > 0 {
-			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: tenant.Units(g.settings.QuotaWindow), Window: g.settings.QuotaWindow})
+			quota := g.settings.Quota.For(&tenant)
+			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: quota.Requests, Window: quota.Period})
 		}
 	}
 	return rules
@@ -147,14 +174,8 @@
 // Release ends a reservation unspent.
 func (q quotas) Release(tenant string) { q.purses.For(tenant).Loose(1) }
 
-// Load tells how much of what is held here the tenant has spent in the window, from 0 to 1.
-func (q quotas) Load(tenant string) float64 {
-	held, _, spent := q.purses.For(tenant).Stat()
-	if held == 0 {
-		return 0
-	}
-	return float64(spent) / float64(held)
-}
+// Scarce tells whether the core lately had too little left of the tenant's quota.
+func (q quotas) Scarce(tenant string) bool { return q.purses.For(tenant).Scarce() }
 
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
