--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -43,6 +43,7 @@
 	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
+	told     uint64                                  // the sequence that the core last named; only the beat touches it
 	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
 	runners  *registry.Registry                      // nil: none is kept
 	tally    func() []core.RunnerTally               // nil: none is told
@@ -435,10 +436,13 @@
 	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
 	defer end()
 	var out core.Told
-	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds())}
+	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds()), ViewEpoch: h.Core.View().Epoch}
 	if h.runners != nil {
 		in.RunnersWanted = true
 		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
+		if in.RunnersVersion == 0 {
+			in.RunnersDigest = h.runners.Digest()
+		}
 	}
 	if h.tally != nil {
 		in.Tallies = h.tally()
@@ -471,8 +475,12 @@
 	if h.failing != nil {
 		h.failing(out.Failing)
 	}
-	// One that was not understood is not fetched again and again.
-	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
+	// One that was not understood is not fetched again and again. A new one is on its way by the relays: it is
+	// fetched only if it was missing for a whole beat, else a large part of the fleet would ask the primary at once.
+	rec, _, _ := h.Board.Get(relay.LayoutKey)
+	overdue := h.Sequence() == 0 || rec.Turn < h.told
+	h.told = out.Seq
+	if h.Sequence() < out.Seq && rec.Turn < out.Seq && overdue {
 		var sheet core.Sheet
 		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
 			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
