A draw answered at the very end of a request's wait is not missed

Cause: Keep's timer and the core's answer at the same moment: the draw was no longer under way, so the request was refused although the units had just come. TestWaitForACoreThatChangesHands failed in 5 of 8 runs of its package, with and without other changes in the tree. Conclusion: one last look before the refusal; 12 runs of the test and the package pass.

--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -101,7 +101,7 @@
 		case <-time.After(dryFor / 2):
 		case <-timer.C:
 			if _, bounded := ctx.Deadline(); !bounded || !p.Busy() {
-				return false, again
+				return p.Keep(n) // the core's answer may have come at this very moment
 			}
 		case <-ctx.Done():
 			return false, again
