Runner package: Pool, Instance, Slot, API, Report, health in place of yard, entry, seat, face

Cause: the users withdrew the project's own words; a newcomer needed a glossary for this package. Ruled out: text search and replace, which takes alike names for one. The names were changed by declaration, and every identifier was checked to mean the same declaration as before. Message field tags, JSON names, strings and metrics are as they were; msgs_gen.go was made anew.

--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -48,7 +48,7 @@
 }
 
 // send sends the query to one runner and carries its answer. left says a byte may have left us.
-func (y *way) send(e *runner.Seat) (left bool, err error) {
+func (y *way) send(e *runner.Slot) (left bool, err error) {
 	ok := false
 	// A query that may run only once, or whose stream may be resumed, runs on without its origin.
 	ctx, end := context.WithCancelCause(y.r.Context())
@@ -60,7 +60,7 @@
 	}
 	defer func() {
 		end(nil)
-		if came := e.Leave(ok); ok && came > 0 {
+		if came := e.Release(ok); ok && came > 0 {
 			y.f.Desk.Habits.Add(y.lane.Name, y.tokens, came)
 		}
 		y.f.Desk.Wake()
@@ -70,13 +70,13 @@
 	}
 	dog := time.AfterFunc(y.lane.Silence+y.quiet(), func() { end(errSilent) })
 	defer dog.Stop()
-	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Out{Method: y.r.Method, Path: y.r.URL.RequestURI(), Head: y.r.Header, Body: y.body, Tenant: y.tn.Name, Id: y.q.Id})
+	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Request{Method: y.r.Method, Path: y.r.URL.RequestURI(), Header: y.r.Header, Body: y.body, Tenant: y.tn.Name, ID: y.q.Id})
 	if err != nil && !left {
 		if context.Cause(ctx) == errKey {
 			return false, &Bounce{Status: 401, Code: "unknown-key", Text: "The key was withdrawn before the query was sent."}
 		}
 		if ctx.Err() == nil {
-			e.Fail()
+			e.MarkFailed()
 		}
 		return false, err
 	}
@@ -96,7 +96,7 @@
 		return true, err
 	}
 	if ans.ContentLength < 0 && !slices.Contains(ans.TransferEncoding, "chunked") {
-		e.Fail()
+		e.MarkFailed()
 		return true, &Bounce{Status: 502, Code: "answer-unframed", Unknown: true,
 			Text: "The runner's answer has neither a length nor chunks, so a whole one can't be told from a cut one."}
 	}
@@ -156,15 +156,15 @@
 var bounceKey = &Bounce{Status: 401, Code: "key-withdrawn", Unknown: true, Text: "The key was withdrawn while the query ran."}
 
 // lost says what became of a query whose runner broke off.
-func (y *way) lost(e *runner.Seat, ctx context.Context, err error) error {
+func (y *way) lost(e *runner.Slot, ctx context.Context, err error) error {
 	if context.Cause(ctx) == errKey {
 		return bounceKey
 	}
 	if y.r.Context().Err() != nil && y.claim == nil && ctx.Err() != nil {
 		return &Bounce{Code: "origin-left", Unknown: true}
 	}
-	e.Fail()
-	y.skip[e.Idx] = true
+	e.MarkFailed()
+	y.skip[e.Index] = true
 	y.f.Ctx.Log.Warn("Runner lost a query.", "query", y.q.Id, "peer", e.Addr, "trouble", err.Error())
 	if context.Cause(ctx) == errSilent {
 		return &Bounce{Status: 504, Code: "runner-silent", Unknown: true, Text: "The runner sent nothing for too long."}
@@ -174,17 +174,17 @@
 
 // pass copies the runner's headers for the origin.
 func (y *way) pass(ans *http.Response) {
-	for k, v := range runner.Clean(ans.Header) {
+	for k, v := range runner.ForwardedHeader(ans.Header) {
 		y.w.Header()[k] = v
 	}
-	y.w.Header().Set(runner.QueryHead, y.q.Id)
+	y.w.Header().Set(runner.RequestHeader, y.q.Id)
 	if y.low > 0 {
-		y.w.Header().Set(runner.OwnHead+"Lowered-To", strconv.Itoa(y.low))
+		y.w.Header().Set(runner.OwnHeaderPrefix+"Lowered-To", strconv.Itoa(y.low))
 	}
 }
 
 // whole reads the answer to its framed end before a byte of it is handed over.
-func (y *way) whole(ctx context.Context, e *runner.Seat, ans *http.Response, dog *time.Timer) (err error) {
+func (y *way) whole(ctx context.Context, e *runner.Slot, ans *http.Response, dog *time.Timer) (err error) {
 	var raw []byte
 	buf := make([]byte, 32<<10)
 	for err == nil {
@@ -193,7 +193,7 @@
 		raw = append(raw, buf[:n]...)
 		dog.Reset(y.lane.Silence)
 		if n > 0 {
-			e.Token(0)
+			e.AddTokens(0)
 		}
 		if len(raw) > answerMost {
 			return &Bounce{Status: 502, Code: "answer-too-large", Unknown: true, Text: fmt.Sprintf("The runner's answer is over %d bytes.", answerMost)}
@@ -207,10 +207,10 @@
 		if n <= 0 || n > y.tokens {
 			n = min(y.tokens, len(raw)/4) // the runner does not say: about four bytes a token
 		}
-		e.Token(n)
+		e.AddTokens(n)
 	}
 	if ans.StatusCode >= 500 {
-		e.Fail()
+		e.MarkFailed()
 	}
 	if y.claim != nil {
 		y.claim.done(ans.StatusCode, ans.Header.Get("Content-Type"), raw)
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -43,7 +43,7 @@
 type Front struct {
 	Ctx     env.Ctx
 	Hub     *node.Hub
-	Yard    *runner.Yard
+	Yard    *runner.Pool
 	Desk    *place.Desk
 	Send    *runner.Sender
 	Meter   *meter.Meter
@@ -106,7 +106,7 @@
 //	http.Handle("/", front)
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	y := &way{f: f, q: query.New(), w: w, r: r}
-	w.Header().Set(runner.QueryHead, y.q.Id)
+	w.Header().Set(runner.RequestHeader, y.q.Id)
 	err := y.run()
 	y.loosen()
 	code := "done"
@@ -169,7 +169,7 @@
 	}
 	h := y.w.Header()
 	for k := range h {
-		if k != runner.QueryHead {
+		if k != runner.RequestHeader {
 			h.Del(k)
 		}
 	}
@@ -328,8 +328,8 @@
 }
 
 // could lists the runners that serve what is asked, whatever their standing.
-func (y *way) could() []*runner.Entry {
-	var out []*runner.Entry
+func (y *way) could() []*runner.Instance {
+	var out []*runner.Instance
 	for _, e := range y.f.Yard.List() {
 		if e.Serves(y.pool.Select, y.model, y.tokens) {
 			out = append(out, e)
@@ -393,8 +393,8 @@
 		waiting := float64(ahead + min(far, ahead*routers))
 		var feeds []allow.Feed
 		for _, e := range y.could() {
-			if e.Standing() == "" {
-				queued, rate := e.Feed(waiting > 0)
+			if e.Health() == "" {
+				queued, rate := e.Estimate(waiting > 0)
 				feeds = append(feeds, allow.Feed{Queued: queued, Rate: rate})
 			}
 		}
@@ -508,7 +508,7 @@
 		if err == nil || left || errors.As(err, &b) {
 			return err
 		}
-		y.skip[e.Idx] = true
+		y.skip[e.Index] = true
 		if len(y.skip) >= len(y.could()) || !y.f.Again.May(svc) {
 			return &Bounce{Status: 502, Code: "runner-unreached", Retry: time.Second, Text: "The runner could not be reached."}
 		}
--- a/internal/origin/repeat.go
+++ b/internal/origin/repeat.go
@@ -33,13 +33,13 @@
 func (c *carry) open(y *way, ans *http.Response) {
 	var q *node.StreamQuery
 	if y.lane.Repeat {
-		head := runner.Clean(y.r.Header)
+		head := runner.ForwardedHeader(y.r.Header)
 		head.Del("Authorization")
 		q = &node.StreamQuery{Method: y.r.Method, Path: y.r.URL.RequestURI(), Head: head, Body: y.body, Key: y.key}
 	}
 	c.st = y.f.Streams.Open(c.id, y.q.Tenant, q)
 	y.pass(ans)
-	y.w.Header().Set(runner.QueryHead, c.id)
+	y.w.Header().Set(runner.RequestHeader, c.id)
 	y.w.Header().Del("Content-Length") // pieces get their numbers
 	y.w.WriteHeader(http.StatusOK)
 }
@@ -129,7 +129,7 @@
 // router falls, many streams want one at once, and first tries earn more every moment.
 func (z *way) earned() bool {
 	for until := time.Now().Add(z.lane.Patience); ; {
-		if !slices.ContainsFunc(z.could(), func(e *runner.Entry) bool { return !z.skip[e.Idx] }) {
+		if !slices.ContainsFunc(z.could(), func(e *runner.Instance) bool { return !z.skip[e.Index] }) {
 			return false // nowhere else to run
 		}
 		if z.f.Again.May(z.lay.Services[z.pool.Service]) {
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -81,7 +81,7 @@
 // stream carries one run of a stream piece by piece: each is numbered, held by the understudy, and
 // only then shown. A second run has to repeat, byte for byte, what is held, before it adds to it. The
 // end event is handed over only after the runner's own end has been read to its frame.
-func (y *way) stream(ctx context.Context, e *runner.Seat, ans *http.Response, dog *time.Timer) (err error) {
+func (y *way) stream(ctx context.Context, e *runner.Slot, ans *http.Response, dog *time.Timer) (err error) {
 	c := y.car
 	if c.st == nil {
 		c.open(y, ans)
@@ -117,7 +117,7 @@
 		}
 		dog.Reset(y.lane.Silence)
 		if came > 0 {
-			e.Token(came)
+			e.AddTokens(came)
 		}
 		if len(batch) > 0 {
 			if err := y.f.Streams.Add(ctx, c.st, batch); err != nil {
--- a/internal/place/desk.go
+++ b/internal/place/desk.go
@@ -28,11 +28,11 @@
 	Tokens int
 	Quiet  time.Duration // how long its answer takes before anything of it is sent
 	Keys   []uint64
-	Could  func() []*runner.Entry // runners that serve this query
-	Skip   map[int]bool           // runs tried already
-	Check  func() error           // asked again before it goes; an error ends the wait
+	Could  func() []*runner.Instance // runners that serve this query
+	Skip   map[int]bool              // runs tried already
+	Check  func() error              // asked again before it goes; an error ends the wait
 
-	ch   chan *runner.Seat
+	ch   chan *runner.Slot
 	over bool // set under the desk's lock: given a runner, or ended
 	out  error
 }
@@ -128,8 +128,8 @@
 // beyond it the newest of the lowest rank is bounced, be it this one or another.
 //
 //	seat, err := desk.Enter(ctx, w, 2*time.Second, 1000)
-func (d *Desk) Enter(ctx context.Context, w *Wait, patience time.Duration, most int) (*runner.Seat, error) {
-	w.ch = make(chan *runner.Seat, 1)
+func (d *Desk) Enter(ctx context.Context, w *Wait, patience time.Duration, most int) (*runner.Slot, error) {
+	w.ch = make(chan *runner.Slot, 1)
 	w.over, w.out = false, nil
 	d.mu.Lock()
 	if d.n >= most && !d.evict(w.Rank) {
@@ -165,7 +165,7 @@
 		return nil, w.out
 	}
 	if err == ErrGone {
-		e.Leave(false)
+		e.Release(false)
 		d.Wake()
 		return nil, ErrGone
 	}
@@ -286,18 +286,18 @@
 	}
 }
 
-func (d *Desk) pick(w *Wait, full map[int]bool) *runner.Seat {
+func (d *Desk) pick(w *Wait, full map[int]bool) *runner.Slot {
 	var all []One
 	for _, e := range w.Could() {
-		if w.Skip[e.Idx] || full[e.Idx] {
+		if w.Skip[e.Index] || full[e.Index] {
 			continue
 		}
-		if e.Standing() != "" || !e.Roomy() {
-			full[e.Idx] = true
+		if e.Health() != "" || !e.HasRoom() {
+			full[e.Index] = true
 			continue
 		}
 		n, room := e.Load()
-		all = append(all, One{Entry: e, Idx: e.Idx, Addr: e.Addr, Home: e.Hall() == d.hall, Load: n, Room: room})
+		all = append(all, One{Entry: e, Idx: e.Index, Addr: e.Addr, Home: e.Zone() == d.hall, Load: n, Room: room})
 	}
 	depth := d.mem.Match(w.Keys)
 	for len(all) > 0 {
@@ -306,11 +306,11 @@
 			return nil
 		}
 		e := all[i].Entry
-		if s := e.Sit(w.Tokens, w.Quiet); s != nil {
-			d.mem.Note(w.Keys, e.Idx)
+		if s := e.Acquire(w.Tokens, w.Quiet); s != nil {
+			d.mem.Note(w.Keys, e.Index)
 			return s
 		}
-		full[e.Idx] = true
+		full[e.Index] = true
 		all = append(all[:i], all[i+1:]...)
 	}
 	return nil
--- a/internal/place/nominate.go
+++ b/internal/place/nominate.go
@@ -4,7 +4,7 @@
 
 // One is a runner that could take the prompt, as nomination sees it.
 type One struct {
-	Entry *runner.Entry
+	Entry *runner.Instance
 	Idx   int
 	Addr  string
 	Home  bool // in our own hall
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -17,11 +17,11 @@
 )
 
 // one is a yard with a runner of the given room.
-func one(room int, wake func()) (*runner.Yard, *runner.Entry) {
-	y := runner.NewYard("r1", wake)
-	n := runner.News{Name: "m", Addr: "10.0.0.1:1", Born: "1", State: "ready", Room: room, Labels: map[string]string{}}
+func one(room int, wake func()) (*runner.Pool, *runner.Instance) {
+	y := runner.NewPool("r1", wake)
+	n := runner.Report{Name: "m", Addr: "10.0.0.1:1", Born: "1", State: "ready", Room: room, Labels: map[string]string{}}
 	raw, _ := n.MarshalMsg(nil)
-	y.See(relay.Rec{Key: runner.KeyHead + n.Addr, Gen: 1, Turn: 1, Body: raw})
+	y.Apply(relay.Rec{Key: runner.KeyPrefix + n.Addr, Gen: 1, Turn: 1, Body: raw})
 	return y, y.List()[0]
 }
 
@@ -34,7 +34,7 @@
 			defer end()
 			d := NewDesk("east", NewMemory(100))
 			y, e := one(1, d.Wake)
-			seat := e.Sit(1, 0)
+			seat := e.Acquire(1, 0)
 			if seat == nil {
 				rt.Fatal("the runner takes no query")
 			}
@@ -52,17 +52,17 @@
 					}
 					order = append(order, a.no)
 					time.Sleep(time.Second)
-					got.Leave(true)
+					got.Release(true)
 					d.Wake()
 				}()
 				synctest.Wait()
 			}
 			go d.Run(ctx)
-			seat.Leave(true)
+			seat.Release(true)
 			d.Wake()
 			stop := time.Now().Add(time.Duration(len(asks)+2) * 1100 * time.Millisecond)
 			for time.Now().Before(stop) {
-				y.See(beat(y)) // the runner beats on
+				y.Apply(beat(y)) // the runner beats on
 				time.Sleep(time.Second)
 			}
 			var want []int
@@ -95,11 +95,11 @@
 
 var turn uint64
 
-func beat(y *runner.Yard) relay.Rec {
-	n := y.List()[0].News()
+func beat(y *runner.Pool) relay.Rec {
+	n := y.List()[0].Report()
 	raw, _ := n.MarshalMsg(nil)
 	turn++
-	return relay.Rec{Key: runner.KeyHead + n.Addr, Gen: 1, Turn: turn, Body: raw}
+	return relay.Rec{Key: runner.KeyPrefix + n.Addr, Gen: 1, Turn: turn, Body: raw}
 }
 
 // Patience ends a wait at its time, a full queue bounces the newest of the lowest rank, an origin
@@ -111,7 +111,7 @@
 		d := NewDesk("east", NewMemory(100))
 		y, e := one(1, d.Wake)
 		go d.Run(ctx)
-		seat := e.Sit(1, 0)
+		seat := e.Acquire(1, 0)
 		if seat == nil {
 			t.Fatal("the runner takes no query")
 		}
@@ -142,7 +142,7 @@
 		if err := <-gone; !errors.Is(err, ErrGone) {
 			t.Errorf("an origin that left: %v", err)
 		}
-		seat.Leave(true)
+		seat.Release(true)
 		d.Wake()
 		if err := <-high; err != nil {
 			t.Errorf("the highest rank: %v", err)
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -65,7 +65,7 @@
 // Router is the parts of one router, put together.
 type Router struct {
 	Hub     *node.Hub
-	Yard    *runner.Yard
+	Yard    *runner.Pool
 	Desk    *place.Desk
 	Purses  *share.Purses
 	Claims  *origin.Claims
@@ -82,8 +82,8 @@
 //	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
 func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
 	r := &Router{ctx: ctx, Desk: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: query.NewLog(256), send: runner.NewSender(dial)}
-	r.Yard = runner.NewYard(ctx.Name, r.Desk.Wake)
-	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Yard.See)
+	r.Yard = runner.NewPool(ctx.Name, r.Desk.Wake)
+	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Yard.Apply)
 	r.Meter = meter.New(map[string]func() float64{
 		"yarrowridge_queued":          func() float64 { n, _ := r.Desk.Waiting(); return float64(n) },
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
@@ -112,7 +112,7 @@
 
 func run(p *env.Proc) error {
 	ctx := p.Ctx
-	r := New(ctx, p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), runner.From(p.Set["from"]))
+	r := New(ctx, p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), runner.DialFrom(p.Set["from"]))
 	tr, err := trail.Open(p.Set["trace"], ctx.Name)
 	if err != nil {
 		return err
@@ -130,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	rh, err := (&runner.Face{Hub: r.Hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
+	rh, err := (&runner.API{Hub: r.Hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
 	if err != nil {
 		return err
 	}
@@ -211,11 +211,11 @@
 // tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
 func (r *Router) tell() func() {
 	gen, turn, last, still := uint64(1), uint64(0), "", 0
-	key := runner.WorkHead + r.ctx.Name
+	key := runner.WorkPrefix + r.ctx.Name
 	return func() {
-		r.Yard.Tally()
+		r.Yard.SumRemoteWork()
 		r.Yard.Forget(time.Minute)
-		w := r.Yard.Own()
+		w := r.Yard.OwnWork()
 		_, w.Queued = r.Desk.Waiting()
 		raw, err := w.MarshalMsg(nil)
 		if err != nil {
@@ -247,13 +247,13 @@
 			out := []any{}
 			for _, e := range r.Yard.List() {
 				n, room := e.Load()
-				queued, more := e.Owed()
-				_, rate := e.Feed(false)
-				why := e.Standing()
+				queued, more := e.QueuedTokens()
+				_, rate := e.Estimate(false)
+				why := e.Health()
 				if why == "" {
 					why = "ready"
 				}
-				out = append(out, map[string]any{"runner": e.News(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued + more), "rate": rate})
+				out = append(out, map[string]any{"runner": e.Report(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued + more), "rate": rate})
 			}
 			return out
 		},
--- a/internal/runner/msgs.go
+++ b/internal/runner/msgs.go
@@ -5,16 +5,16 @@
 // A length read from the wire is believed up to this only.
 //msgp:limit arrays:10000000 maps:200000
 
-// News is a runner as it told of itself, handed on between routers.
-type News struct {
-	Name   string            `msg:"n" json:"name"`
-	Addr   string            `msg:"a" json:"addr"`
-	Born   string            `msg:"b" json:"born"` // any word that differs between runs at one address
-	Labels map[string]string `msg:"l" json:"labels"`
-	State  string            `msg:"s" json:"state"` // starting, ready or leaving
-	Room   int               `msg:"r" json:"room"`  // streams it takes at once
-	Most   int               `msg:"m" json:"max_length"`
-	Fill   float64           `msg:"f" json:"fill"`
-	Queued int               `msg:"q" json:"queued_tokens"` // its own late count of output still to come
-	Hall   string            `msg:"h" json:"hall"`
+// Report is a runner as it told of itself, handed on between routers.
+type Report struct {
+	Name      string            `msg:"n" json:"name"`
+	Addr      string            `msg:"a" json:"addr"`
+	Born      string            `msg:"b" json:"born"` // any word that differs between runs at one address
+	Labels    map[string]string `msg:"l" json:"labels"`
+	State     string            `msg:"s" json:"state"` // starting, ready or leaving
+	Room      int               `msg:"r" json:"room"`  // streams it takes at once
+	MaxTokens int               `msg:"m" json:"max_length"`
+	Fill      float64           `msg:"f" json:"fill"`
+	Queued    int               `msg:"q" json:"queued_tokens"` // its own late count of output still to come
+	Zone      string            `msg:"h" json:"hall"`
 }
--- a/internal/runner/msgs_gen.go
+++ b/internal/runner/msgs_gen.go
@@ -13,7 +13,7 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 10
 	// string "n"
@@ -40,7 +40,7 @@
 	o = msgp.AppendInt(o, z.Room)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt(o, z.Most)
+	o = msgp.AppendInt(o, z.MaxTokens)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendFloat64(o, z.Fill)
@@ -49,12 +49,12 @@
 	o = msgp.AppendInt(o, z.Queued)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Hall)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *News) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Report) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -138,9 +138,9 @@
 				return
 			}
 		case "m":
-			z.Most, bts, err = msgp.ReadIntBytes(bts)
+			z.MaxTokens, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Most")
+				err = msgp.WrapError(err, "MaxTokens")
 				return
 			}
 		case "f":
@@ -156,9 +156,9 @@
 				return
 			}
 		case "h":
-			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Hall")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -174,7 +174,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *News) Msgsize() (s int) {
+func (z *Report) Msgsize() (s int) {
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Born) + 2 + msgp.MapHeaderSize
 	if z.Labels != nil {
 		for za0001, za0002 := range z.Labels {
@@ -182,6 +182,6 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.StringPrefixSize + len(za0002)
 		}
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.State) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Hall)
+	s += 2 + msgp.StringPrefixSize + len(z.State) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
--- a/internal/runner/send_test.go
+++ b/internal/runner/send_test.go
@@ -13,13 +13,13 @@
 	"testing"
 )
 
-// raw is a runner of bare sockets: it keeps the bytes of each query it reads.
+// raw is a runner of bare sockets: it keeps the bytes of each request it reads.
 type raw struct {
 	l    net.Listener
 	seen chan string
 }
 
-// listen answers the n-th query with what say gives; "" closes the connection without a word.
+// listen answers the n-th request with what say gives; "" closes the connection without a word.
 func listen(t *testing.T, say func(n int) string) *raw {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,13 +59,13 @@
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// A runner that closes a kept-alive connection upon our second query sees that query once only:
+// A runner that closes a kept-alive connection upon our second request sees that request once only:
 // net/http would resend a GET, and whatever bears an Idempotency-Key, by itself.
 func TestNeverResent(t *testing.T) {
-	for _, c := range []Out{
-		{Method: "GET", Path: "/v1/status/1", Head: http.Header{}},
-		{Method: "POST", Path: "/v1/notes", Head: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(`{"a":1}`)},
-		{Method: "POST", Path: "/v1/notes", Head: http.Header{"Idempotency-Key": {"k"}}},
+	for _, c := range []Request{
+		{Method: "GET", Path: "/v1/status/1", Header: http.Header{}},
+		{Method: "POST", Path: "/v1/notes", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(`{"a":1}`)},
+		{Method: "POST", Path: "/v1/notes", Header: http.Header{"Idempotency-Key": {"k"}}},
 	} {
 		t.Run(fmt.Sprintf("%s-%d", c.Method, len(c.Body)), func(t *testing.T) {
 			r := listen(t, func(n int) string {
@@ -99,7 +99,7 @@
 	body := []byte("{ \"model\" : \"m\",\t\"max_tokens\":1e0 }\n")
 	head := http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer secret"}, "Connection": {"keep-alive, X-Hop"}, "X-Hop": {"1"},
 		"X-Yarrowridge-Tenant": {"liar"}, "X_yarrowridge_tenant": {"liar"}, "X-Tenant": {"liar"}, "Te": {"trailers"}, "X-Own": {"a", "b"}, "Expect": {"100-continue"}}
-	ans, _, err := s.Send(t.Context(), r.l.Addr().String(), Out{Method: "POST", Path: "/v1/a%2Fb?x=1;y=%20", Head: head, Body: body, Tenant: "desk", Id: "q1"})
+	ans, _, err := s.Send(t.Context(), r.l.Addr().String(), Request{Method: "POST", Path: "/v1/a%2Fb?x=1;y=%20", Header: head, Body: body, Tenant: "desk", ID: "q1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 	})
 	s := NewSender(nil)
 	send := func() *http.Response {
-		ans, _, err := s.Send(t.Context(), r.l.Addr().String(), Out{Method: "GET", Path: "/", Head: http.Header{}})
+		ans, _, err := s.Send(t.Context(), r.l.Addr().String(), Request{Method: "GET", Path: "/", Header: http.Header{}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -146,7 +146,7 @@
 	}
 }
 
-// Only a query of which no byte has left may be sent again.
+// Only a request of which no byte has left may be sent again.
 func TestLeft(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -155,11 +155,11 @@
 	addr := l.Addr().String()
 	l.Close()
 	s := NewSender(nil)
-	if _, left, err := s.Send(t.Context(), addr, Out{Method: "GET", Path: "/", Head: http.Header{}}); err == nil || left {
+	if _, left, err := s.Send(t.Context(), addr, Request{Method: "GET", Path: "/", Header: http.Header{}}); err == nil || left {
 		t.Errorf("nobody listens: left %v, error %v", left, err)
 	}
 	r := listen(t, func(int) string { return "" })
-	if _, left, err := s.Send(context.Background(), r.l.Addr().String(), Out{Method: "POST", Path: "/", Head: http.Header{}, Body: []byte("x")}); err == nil || !left {
+	if _, left, err := s.Send(context.Background(), r.l.Addr().String(), Request{Method: "POST", Path: "/", Header: http.Header{}, Body: []byte("x")}); err == nil || !left {
 		t.Errorf("closed upon the query: left %v, error %v", left, err)
 	}
 }
--- a/internal/sim/answer_test.go
+++ b/internal/sim/answer_test.go
@@ -29,7 +29,7 @@
 		}
 		time.Sleep(time.Duration(20+w.chance(40)) * time.Second)
 		for i, r := range w.full {
-			if why := r.r.Yard.List()[0].Standing(); why != "" {
+			if why := r.r.Yard.List()[0].Health(); why != "" {
 				t.Errorf("%s: the runner at work on long answers is %s", r.name, why)
 			}
 			l.add(w.send(w.ctx, r, ask{n: uint64(10 + i), tenant: "rich", path: "/ask", body: prompt(2)}))
@@ -117,10 +117,10 @@
 		}()
 		time.Sleep(18 * time.Second)
 		e := r.r.Yard.List()[0]
-		if n, _ := e.Load(); n != 0 || e.Standing() != "" {
-			t.Errorf("18 s into a stream of 15 s the runner has %d streams and is %q", n, e.Standing())
+		if n, _ := e.Load(); n != 0 || e.Health() != "" {
+			t.Errorf("18 s into a stream of 15 s the runner has %d streams and is %q", n, e.Health())
 		}
-		g := w.send(w.ctx, w.full[2], ask{n: 2, tenant: "rich", path: "/v1/streams/" + d.Header().Get(runner.QueryHead), method: "GET"})
+		g := w.send(w.ctx, w.full[2], ask{n: 2, tenant: "rich", path: "/v1/streams/" + d.Header().Get(runner.RequestHeader), method: "GET"})
 		if n := strings.Count(string(g.body), "data: {"); n != 300 || !strings.HasSuffix(string(g.body), "data: [DONE]\n\n") {
 			t.Errorf("resumed elsewhere: %d pieces of 300, ended %q", n, tail(g.body))
 		}
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -345,11 +345,11 @@
 			go w.send(w.ctx, w.full[i%2], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": fmt.Sprint(i)}})
 			time.Sleep(100 * time.Millisecond)
 			for _, e := range w.full[0].r.Yard.List() {
-				if e.Addr == a.addr && i == 300 && e.Standing() == "" {
+				if e.Addr == a.addr && i == 300 && e.Health() == "" {
 					t.Error("after 30 s of silence the runner is in good standing")
 				}
 				if e.Addr == a.addr {
-					if why := e.Standing(); why != was {
+					if why := e.Health(); why != was {
 						was = why
 						flips++
 					}
@@ -385,12 +385,12 @@
 		a.name, b.name = "a", "b"
 		w := newWhole(t, seed, 6, plainLay(""), a, b)
 		told := w.full[w.chance(len(w.full))]
-		face := &runner.Face{Hub: told.r.Hub, KeyHash: func() string { return "" }}
+		face := &runner.API{Hub: told.r.Hub, KeyHash: func() string { return "" }}
 		a.mu.Lock()
 		a.state, a.mute = "leaving", true
 		raw := fmt.Sprintf(`{"name":"a","addr":%q,"born":"1","turn":%d,"state":"leaving","room":8,"labels":{"app":"model","model":"m"}}`, a.addr, a.turn+1)
 		a.mu.Unlock()
-		if code := post(face.Beat, raw); code != 200 {
+		if code := post(face.Heartbeat, raw); code != 200 {
 			t.Fatalf("the word was answered %d", code)
 		}
 		w.crashFull(told)
@@ -584,13 +584,13 @@
 		a.state, a.mute = "leaving", true
 		raw := fmt.Sprintf(`{"name":"m","addr":%q,"born":"1","turn":%d,"state":"leaving","room":8,"labels":{"app":"model","model":"m"}}`, a.addr, a.turn+1)
 		a.mu.Unlock()
-		if code := post((&runner.Face{Hub: told.r.Hub, KeyHash: func() string { return "" }}).Beat, raw); code != 200 {
+		if code := post((&runner.API{Hub: told.r.Hub, KeyHash: func() string { return "" }}).Heartbeat, raw); code != 200 {
 			t.Fatalf("the word was answered %d", code)
 		}
 		w.crashFull(told)
 		w.within(2*time.Second, "all know", func() bool {
 			for _, r := range w.full[1:] {
-				if r.r.Yard.List()[0].Standing() != "leaving" {
+				if r.r.Yard.List()[0].Health() != "leaving" {
 					return false
 				}
 			}
@@ -651,7 +651,7 @@
 			for _, r := range w.full {
 				for _, e := range r.r.Yard.List() {
 					key := r.name + " " + e.Addr
-					now := e.Standing()
+					now := e.Health()
 					if old, ok := was[key]; ok && old != now && now != "on trial" {
 						turns[e.Addr]++
 					}
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	beats := http.HandlerFunc((&runner.Face{Hub: run.Hub, KeyHash: func() string { return "" }}).Beat)
+	beats := http.HandlerFunc((&runner.API{Hub: run.Hub, KeyHash: func() string { return "" }}).Heartbeat)
 	lb, err := n.Listen(r.face)
 	if err != nil {
 		w.t.Fatal(err)
@@ -306,7 +306,7 @@
 	body, err := io.ReadAll(r.Body)
 	n, _ := strconv.ParseUint(r.Header.Get("X-N"), 10, 64)
 	s.w.diary.mu.Lock()
-	s.w.diary.all = append(s.w.diary.all, seen{n, r.Header.Get(runner.QueryHead), r.Header.Get(runner.TenantHead), s.name, time.Now(), s.addr})
+	s.w.diary.all = append(s.w.diary.all, seen{n, r.Header.Get(runner.RequestHeader), r.Header.Get(runner.TenantHeader), s.name, time.Now(), s.addr})
 	s.w.diary.mu.Unlock()
 	if err != nil {
 		return
@@ -393,7 +393,7 @@
 			differ := s.differ
 			s.mu.Unlock()
 			if differ > 0 && i+1 >= differ {
-				mark = fmt.Sprintf(`,"run":%q`, r.Header.Get(runner.QueryHead))
+				mark = fmt.Sprintf(`,"run":%q`, r.Header.Get(runner.RequestHeader))
 			}
 			if i == steps-1 && !s.bare {
 				mark += `,"last":true`
@@ -477,7 +477,7 @@
 		run.Front.ServeHTTP(rec, req)
 	}()
 	g.took = time.Since(g.begun)
-	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.QueryHead)
+	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.RequestHeader)
 	if g.torn && len(g.body) == 0 {
 		g.status = 0
 	}
@@ -543,7 +543,7 @@
 				t.Errorf("%s counts %d streams on the runner, there are 6", r.name, n)
 			}
 			// Whole answers settle at their end, so all that was asked is still ahead.
-			if q, _ := e.Owed(); q != 600 {
+			if q, _ := e.QueuedTokens(); q != 600 {
 				t.Errorf("%s counts %g tokens ahead, there are 600", r.name, q)
 			}
 		}
--- a/internal/sim/stream_test.go
+++ b/internal/sim/stream_test.go
@@ -92,7 +92,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.code != 0 {
-		id = p.head.Get(runner.QueryHead)
+		id = p.head.Get(runner.RequestHeader)
 	}
 	return p.code, id, p.buf.String()
 }
