Operators' and runners' bodies are typed structs; operator API and router parts renamed

Cause: bodies put together from map[string]any tell a reader nothing, and a slip in a name is found by nobody. Ruled out: other field names or another order; encoding/json sorts maps by key, so the structs' fields stand in that order and the bytes stay as they were. Renamed: operator.Face -> API, its files by job (api, config, fleet, bodies); router parts Yard, Desk, Purses, Meter, Front -> Runners, Scheduler, QuotaShares, Metrics, Clients.

--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -127,7 +127,7 @@
 	cal := wire.NewCaller(p.Ctx.Net)
 	defer cal.Close()
 	if at := p.Set["operator"]; at != "" {
-		face := &operator.Face{Ctx: p.Ctx.Part("operator"), KeyHash: func() string { return p.Now("operator-key-hash") },
+		face := &operator.API{Ctx: p.Ctx.Part("operator"), KeyHash: func() string { return p.Now("operator-key-hash") },
 			Core:  core.NewClient(p.Ctx, cal, append([]string{p.Set["addr"]}, seeds...)),
 			Ready: srv.Why,
 			Views: map[string]func() any{"/v1/standing": func() any { return srv.Peek() }}}
--- /dev/null
+++ b/internal/operator/config.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/layout"
+	"yarrowridge/internal/web"
+	"yarrowridge/internal/wire"
+)
+
+// writeRetryable answers with an error that may be gone when the operator asks again.
+func writeRetryable(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Retry-After", "1")
+	web.WriteError(w, status, code, message)
+}
+
+// getConfig answers with the config in force, or an earlier version of it.
+func (api *API) getConfig(w http.ResponseWriter, r *http.Request) {
+	var wanted core.Want
+	if text := r.URL.Query().Get("sequence"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || number == 0 {
+			web.WriteError(w, http.StatusBadRequest, "bad-sequence", "sequence: a whole number above zero is expected.")
+			return
+		}
+		wanted.Seq = number
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	var sheet core.Sheet
+	switch err := api.Core.Call(ctx, "core.layout", &wanted, &sheet, true); {
+	case wire.Is(err, "no-such-sequence"):
+		web.WriteError(w, http.StatusNotFound, "no-such-sequence", "This sequence is not kept.")
+	case err != nil:
+		writeRetryable(w, http.StatusServiceUnavailable, "no-core", "The core did not answer in time.")
+	case sheet.Seq == 0:
+		web.WriteError(w, http.StatusNotFound, "no-layout", "No layout has been put yet.")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(sheet.Seq, 10)))
+		w.Write(sheet.Raw)
+	}
+}
+
+// readWrite reads a write of the config; where it is not one, it answers and ok is false.
+func readWrite(w http.ResponseWriter, r *http.Request) (write core.Write, ok bool) {
+	write = core.Write{Id: r.Header.Get(WriteIDHeader), Patch: r.Method == http.MethodPatch, Any: true}
+	if len(write.Id) > 200 {
+		web.WriteError(w, http.StatusBadRequest, "bad-write-id", WriteIDHeader+": at most 200 bytes are expected.")
+		return write, false
+	}
+	if match := r.Header.Get("If-Match"); match != "" && match != "*" {
+		version, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
+		if err != nil {
+			web.WriteError(w, http.StatusBadRequest, "bad-if-match", "If-Match: a sequence, or *, is expected.")
+			return write, false
+		}
+		write.Match, write.Any = version, false
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, layout.Most+1))
+	if err != nil {
+		web.WriteError(w, http.StatusBadRequest, "body-unread", "The body broke off before its end.")
+		return write, false
+	}
+	if len(raw) > layout.Most {
+		web.WriteError(w, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("A layout of at most %d bytes is taken.", layout.Most))
+		return write, false
+	}
+	write.Raw = raw
+	return write, true
+}
+
+// putConfig takes a whole config, or with PATCH a change of it.
+func (api *API) putConfig(w http.ResponseWriter, r *http.Request) {
+	write, ok := readWrite(w, r)
+	if !ok {
+		return
+	}
+	// The write goes on if the operator hangs up: its outcome is settled either way.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), 6*time.Second)
+	defer cancel()
+	var written core.Wrote
+	err := api.Core.Call(ctx, "core.write", &write, &written, write.Id != "")
+	switch {
+	case core.Doubt(err):
+		writeRetryable(w, http.StatusGatewayTimeout, "in-doubt", "The write may yet take effect. Read the layout back, or repeat it with the same "+WriteIDHeader+".")
+	case errors.Is(err, wire.ErrUnsent), wire.Is(err, core.NotReady), wire.Is(err, core.NotPrimary):
+		writeRetryable(w, http.StatusServiceUnavailable, "not-taken", "The core can't take writes now. This one was surely not taken.")
+	case err != nil:
+		api.Ctx.Log.Error("Write in trouble.", "trouble", err.Error())
+		writeRetryable(w, http.StatusGatewayTimeout, "in-doubt", "The write may yet take effect. Read the layout back.")
+	case written.Code == 200:
+		w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(written.Seq, 10)))
+		web.WriteJSON(w, http.StatusOK, Written{Repeated: written.Again, Version: written.Seq})
+	case written.Code == 412:
+		web.WriteError(w, http.StatusPreconditionFailed, "lost-race", fmt.Sprintf("The layout is at sequence %d by now.", written.Seq))
+	case written.Code == 413:
+		web.WriteError(w, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("A layout of at most %d bytes is taken.", layout.Most))
+	case written.Code == 422:
+		web.WriteError(w, http.StatusUnprocessableEntity, "write-id-clash", "This "+WriteIDHeader+" was used for another write.")
+	default:
+		web.WriteJSON(w, http.StatusBadRequest, BadConfigBody{BadConfig{Code: "bad-layout", Message: "The layout has troubles; nothing was changed.", Flaws: written.Flaws}})
+	}
+}
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,34 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/web"
+)
+
+// getFleet answers with what the core knows of the fleet.
+func (api *API) getFleet(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
+	defer cancel()
+	var state core.State
+	if err := api.Core.Call(ctx, "core.peek", &core.Peek{}, &state, true); err != nil {
+		writeRetryable(w, http.StatusServiceUnavailable, "no-core", "The core did not answer in time. GET /v1/standing tells what this process knows.")
+		return
+	}
+	routers := make([]relay.Seat, len(state.Nodes))
+	for i, node := range state.Nodes {
+		routers[i] = relay.Seat{Name: node.Name, Hall: node.Hall, Addr: node.Addr}
+	}
+	neighbours := map[string][]string{}
+	for _, router := range routers {
+		neighbours[router.Name] = []string{}
+		for _, neighbour := range relay.Near(router.Name, routers) {
+			neighbours[router.Name] = append(neighbours[router.Name], neighbour.Name)
+		}
+	}
+	web.WriteJSON(w, http.StatusOK, Fleet{State: state, Relays: neighbours})
+}
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -50,12 +50,12 @@
 //
 //	os.Exit(router.Main(os.Args[1:], os.Stderr))
 func Main(args []string, out io.Writer) int {
-	p, code := env.Start("router", Items, args, out)
+	process, code := env.Start("router", Items, args, out)
 	if code >= 0 {
 		return code
 	}
-	defer p.End()
-	if err := run(p); err != nil {
+	defer process.End()
+	if err := run(process); err != nil {
 		fmt.Fprintf(out, "router: %s\n", err)
 		return env.ExitTrouble
 	}
@@ -64,38 +64,38 @@
 
 // Router is the parts of one router, put together.
 type Router struct {
-	Hub     *node.Hub
-	Yard    *runner.Pool
-	Desk    *place.Desk
-	Purses  *share.Purses
-	Claims  *origin.Claims
-	Streams *node.Streams
-	Log     *query.Log
-	Meter   *meter.Meter
-	Front   *origin.Front
-	ctx     env.Ctx
-	send    *runner.Sender
+	Hub         *node.Hub
+	Runners     *runner.Pool
+	Scheduler   *place.Desk
+	QuotaShares *share.Purses
+	Claims      *origin.Claims
+	Streams     *node.Streams
+	Log         *query.Log
+	Metrics     *meter.Meter
+	Clients     *origin.Front
+	ctx         env.Ctx
+	sender      *runner.Sender
 }
 
 // New puts a router together. face is where origins reach it, dial how it reaches runners (nil: TCP).
 //
 //	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
 func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
-	r := &Router{ctx: ctx, Desk: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: query.NewLog(256), send: runner.NewSender(dial)}
-	r.Yard = runner.NewPool(ctx.Name, r.Desk.Wake)
-	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Yard.Apply)
-	r.Meter = meter.New(map[string]func() float64{
-		"yarrowridge_queued":          func() float64 { n, _ := r.Desk.Waiting(); return float64(n) },
+	r := &Router{ctx: ctx, Scheduler: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: query.NewLog(256), sender: runner.NewSender(dial)}
+	r.Runners = runner.NewPool(ctx.Name, r.Scheduler.Wake)
+	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Runners.Apply)
+	r.Metrics = meter.New(map[string]func() float64{
+		"yarrowridge_queued":          func() float64 { n, _ := r.Scheduler.Waiting(); return float64(n) },
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
 	})
-	r.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: mover(r.Hub), Nodes: func() int { return len(r.Hub.Nodes()) },
-		Short: r.Hub.Short, Rules: rules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
+	r.QuotaShares = share.NewPurses(ctx.Part("share"), share.Ways{Move: quotaMover(r.Hub), Nodes: func() int { return len(r.Hub.Nodes()) },
+		Short: r.Hub.Short, Rules: quotaRules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
 	r.Claims = origin.NewClaims(ctx.Part("claim"), r.Hub)
 	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
-	r.Front = &origin.Front{Ctx: ctx.Part("origin"), Hub: r.Hub, Yard: r.Yard, Desk: r.Desk, Send: r.send,
-		Meter: r.Meter, Log: r.Log, Purses: r.Purses, Again: origin.NewSecond(r.Meter), Claims: r.Claims, Streams: r.Streams}
-	r.Streams.Heir = r.Front.Inherit
+	r.Clients = &origin.Front{Ctx: ctx.Part("origin"), Hub: r.Hub, Yard: r.Runners, Desk: r.Scheduler, Send: r.sender,
+		Meter: r.Metrics, Log: r.Log, Purses: r.QuotaShares, Again: origin.NewSecond(r.Metrics), Claims: r.Claims, Streams: r.Streams}
+	r.Streams.Heir = r.Clients.Inherit
 	return r
 }
 
@@ -103,39 +103,39 @@
 //
 //	r.Start()
 func (r *Router) Start() {
-	go r.Desk.Run(r.ctx)
-	go r.Purses.Run()
+	go r.Scheduler.Run(r.ctx)
+	go r.QuotaShares.Run()
 	go r.Streams.Run()
 	go r.Hub.Run()
-	go env.Loop(r.ctx, nil, 250*time.Millisecond, func(struct{}) {}, r.tell())
+	go env.Loop(r.ctx, nil, 250*time.Millisecond, func(struct{}) {}, r.workSpreader())
 }
 
-func run(p *env.Proc) error {
-	ctx := p.Ctx
-	r := New(ctx, p.Set["addr"], p.Set["origin"], p.Set.Addrs("seeds"), runner.DialFrom(p.Set["from"]))
-	tr, err := trail.Open(p.Set["trace"], ctx.Name)
+func run(process *env.Proc) error {
+	ctx := process.Ctx
+	r := New(ctx, process.Set["addr"], process.Set["origin"], process.Set.Addrs("seeds"), runner.DialFrom(process.Set["from"]))
+	tr, err := trail.Open(process.Set["trace"], ctx.Name)
 	if err != nil {
 		return err
 	}
 	defer tr.Close()
-	r.Front.Trail = tr
-	l, err := ctx.Net.Listen(p.Set.Or("listen", "addr"))
+	r.Clients.Trail = tr
+	listener, err := ctx.Net.Listen(process.Set.Or("listen", "addr"))
 	if err != nil {
 		return err
 	}
 	oh, err := web.Handler([]rest.Route{
 		{Method: "GET", Path: "/alive", Handler: func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\"alive\":true}\n") }},
 		{Method: "GET", Path: "/ready", Handler: operator.Ready(r.Hub.Ready)},
-	}, r.Front)
+	}, r.Clients)
 	if err != nil {
 		return err
 	}
-	rh, err := (&runner.API{Hub: r.Hub, KeyHash: func() string { return p.Now("runner-key-hash") }}).Handler()
+	rh, err := (&runner.API{Hub: r.Hub, KeyHash: func() string { return process.Now("runner-key-hash") }}).Handler()
 	if err != nil {
 		return err
 	}
-	ph, err := (&operator.Face{Ctx: ctx.Part("operator"), Core: r.Hub.Core, KeyHash: func() string { return p.Now("operator-key-hash") },
-		Ready: r.Hub.Ready, Metrics: r.Meter.Handler(), Views: r.views()}).Handler()
+	ph, err := (&operator.API{Ctx: ctx.Part("operator"), Core: r.Hub.Core, KeyHash: func() string { return process.Now("operator-key-hash") },
+		Ready: r.Hub.Ready, Metrics: r.Metrics.Handler(), Views: r.views()}).Handler()
 	if err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 	for _, f := range []struct {
 		at string
 		h  http.Handler
-	}{{p.Set["origin"], oh}, {p.Set["runner"], rh}, {p.Set["operator"], ph}} {
+	}{{process.Set["origin"], oh}, {process.Set["runner"], rh}, {process.Set["operator"], ph}} {
 		if f.at == "" {
 			continue
 		}
@@ -154,21 +154,21 @@
 		go s.Run()
 		faces = append(faces, s)
 	}
-	go wire.Serve(ctx, l, r.Hub.Hand)
+	go wire.Serve(ctx, listener, r.Hub.Hand)
 	r.Start()
-	ctx.Log.Info("Router is up.", "addr", p.Set["addr"], "origin", p.Set["origin"], "hall", ctx.Hall)
+	ctx.Log.Info("Router is up.", "addr", process.Set["addr"], "origin", process.Set["origin"], "hall", ctx.Hall)
 
-	<-p.Stop
+	<-process.Stop
 	if strike.Out("drain") {
 		return nil
 	}
 	ctx.Log.Info("Router leaves. Queries under way are finished.")
 	r.Hub.Quit()
-	env.Wait(ctx, p.Set.Span("notice"))
+	env.Wait(ctx, process.Set.Span("notice"))
 	// What was read is finished however long it takes; the platform's kill is the bound, unless an
 	// operator has set one below it.
 	in, end := ctx.Context, context.CancelFunc(func() {})
-	if d := p.Set.Span("drain"); d > 0 {
+	if d := process.Set.Span("drain"); d > 0 {
 		in, end = context.WithTimeout(ctx, d)
 	}
 	defer end()
@@ -177,15 +177,15 @@
 			ctx.Log.Warn("Drain ended before its queries did.", "trouble", err.Error())
 		}
 	}
-	for r.Claims.Open()+r.Front.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
+	for r.Claims.Open()+r.Clients.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
 	}
 	r.Hub.Leave()
-	r.send.Close()
+	r.sender.Close()
 	return nil
 }
 
-// rules gives the quotas of the layout in force. A tenant whose quota was struck has none left to draw.
-func rules(hub *node.Hub) func() []share.Rule {
+// quotaRules gives the quotas of the layout in force. A tenant whose quota was struck has none left to draw.
+func quotaRules(hub *node.Hub) func() []share.Rule {
 	return func() []share.Rule {
 		var out []share.Rule
 		if lay := hub.Layout(); lay != nil {
@@ -199,8 +199,8 @@
 	}
 }
 
-// mover carries a draw or a give to the core.
-func mover(hub *node.Hub) share.Mover {
+// quotaMover carries a draw or a give to the core.
+func quotaMover(hub *node.Hub) share.Mover {
 	return func(ctx context.Context, ten string, turn uint64, units int, give bool) (int, int, error) {
 		var out core.Moved
 		err := hub.Core.Call(ctx, "core.move", &core.Move{Tenant: ten, Holder: core.Holder(hub.Me()), Turn: turn, Units: units, Give: give}, &out, true)
@@ -208,15 +208,15 @@
 	}
 }
 
-// tell spreads our own work, for the other routers' estimates, whenever it differs from the last.
-func (r *Router) tell() func() {
+// workSpreader spreads our own work, for the other routers' estimates, whenever it differs from the last.
+func (r *Router) workSpreader() func() {
 	gen, turn, last, still := uint64(1), uint64(0), "", 0
 	key := runner.WorkPrefix + r.ctx.Name
 	return func() {
-		r.Yard.SumRemoteWork()
-		r.Yard.Forget(time.Minute)
-		w := r.Yard.OwnWork()
-		_, w.Queued = r.Desk.Waiting()
+		r.Runners.SumRemoteWork()
+		r.Runners.Forget(time.Minute)
+		w := r.Runners.OwnWork()
+		_, w.Queued = r.Scheduler.Waiting()
 		raw, err := w.MarshalMsg(nil)
 		if err != nil {
 			return
@@ -235,37 +235,3 @@
 		r.Hub.Spread(relay.Tell{Recs: []relay.Rec{{Key: key, Gen: gen, Turn: turn, Body: raw}}})
 	}
 }
-
-// views are what operators may read of this router.
-func (r *Router) views() map[string]func() any {
-	return map[string]func() any{
-		"/v1/standing": func() any {
-			return map[string]any{"node": r.Hub.Me(), "layout_sha256": r.Hub.Hash(), "stale": r.Hub.Stale(), "why_not_ready": r.Hub.Ready(), "view": r.Hub.Core.View()}
-		},
-		"/v1/relays": func() any { return map[string]any{"near": r.Hub.Near(), "nodes": r.Hub.Nodes()} },
-		"/v1/runners": func() any {
-			out := []any{}
-			for _, e := range r.Yard.List() {
-				n, room := e.Load()
-				queued, more := e.QueuedTokens()
-				_, rate := e.Estimate(false)
-				why := e.Health()
-				if why == "" {
-					why = "ready"
-				}
-				out = append(out, map[string]any{"runner": e.Report(), "standing": why, "load": n, "room": room, "queued_tokens": int(queued + more), "rate": rate})
-			}
-			return out
-		},
-		"/v1/shares": func() any {
-			out := map[string]any{}
-			for _, t := range r.Purses.Names() {
-				held, free, spent := r.Purses.For(t).Stat()
-				out[t] = map[string]int{"held": held, "free": free, "spent_in_window": spent}
-			}
-			return out
-		},
-		"/v1/queries": func() any { return r.Log.All() },
-		"/v1/streams": func() any { return r.Streams.List() },
-	}
-}
--- /dev/null
+++ b/internal/router/views.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/relay"
+	"yarrowridge/internal/runner"
+	"yarrowridge/internal/view"
+)
+
+// statusView is the body of /v1/standing.
+type statusView struct {
+	ConfigHash  string    `json:"layout_sha256"`
+	Node        core.Node `json:"node"`
+	Stale       bool      `json:"stale"`
+	View        view.View `json:"view"`
+	WhyNotReady string    `json:"why_not_ready"`
+}
+
+// relaysView is the body of /v1/relays.
+type relaysView struct {
+	Near  []relay.Seat `json:"near"`
+	Nodes []core.Node  `json:"nodes"`
+}
+
+// runnerView is one runner in the body of /v1/runners.
+type runnerView struct {
+	Load         int           `json:"load"`
+	QueuedTokens int           `json:"queued_tokens"`
+	Rate         float64       `json:"rate"`
+	Room         int           `json:"room"`
+	Report       runner.Report `json:"runner"`
+	Health       string        `json:"standing"`
+}
+
+// shareView is one tenant's part of its quota in the body of /v1/shares.
+type shareView struct {
+	Free          int `json:"free"`
+	Held          int `json:"held"`
+	SpentInWindow int `json:"spent_in_window"`
+}
+
+// views are what operators may read of this router, by path.
+func (r *Router) views() map[string]func() any {
+	return map[string]func() any{
+		"/v1/standing": func() any {
+			return statusView{ConfigHash: r.Hub.Hash(), Node: r.Hub.Me(), Stale: r.Hub.Stale(), View: r.Hub.Core.View(), WhyNotReady: r.Hub.Ready()}
+		},
+		"/v1/relays":  func() any { return relaysView{Near: r.Hub.Near(), Nodes: r.Hub.Nodes()} },
+		"/v1/runners": func() any { return r.runnerViews() },
+		"/v1/shares":  func() any { return r.shareViews() },
+		"/v1/queries": func() any { return r.Log.All() },
+		"/v1/streams": func() any { return r.Streams.List() },
+	}
+}
+
+func (r *Router) runnerViews() []runnerView {
+	views := []runnerView{}
+	for _, instance := range r.Runners.List() {
+		load, room := instance.Load()
+		queued, more := instance.QueuedTokens()
+		_, rate := instance.Estimate(false)
+		health := instance.Health()
+		if health == "" {
+			health = "ready"
+		}
+		views = append(views, runnerView{Report: instance.Report(), Health: health, Load: load, Room: room, QueuedTokens: int(queued + more), Rate: rate})
+	}
+	return views
+}
+
+func (r *Router) shareViews() map[string]shareView {
+	views := map[string]shareView{}
+	for _, tenant := range r.QuotaShares.Names() {
+		held, free, spent := r.QuotaShares.For(tenant).Stat()
+		views[tenant] = shareView{Held: held, Free: free, SpentInWindow: spent}
+	}
+	return views
+}
--- a/internal/runner/api.go
+++ b/internal/runner/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,6 +24,11 @@
 	KeyHash func() string // hex SHA-256 of the runners' key; "" takes heartbeats without one
 }
 
+// Taken tells a runner that its heartbeat was taken.
+type Taken struct {
+	Taken bool `json:"taken"`
+}
+
 // Handler makes the API's routes.
 //
 //	h, err := api.Handler()
@@ -32,12 +36,6 @@
 	return web.Handler([]rest.Route{{Method: "POST", Path: "/v1/runners/beat", Handler: api.Heartbeat}}, nil)
 }
 
-func writeJSON(w http.ResponseWriter, code int, v map[string]any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	json.NewEncoder(w).Encode(v)
-}
-
 // ParseHeartbeat reads a heartbeat and tells everything that is wrong with it.
 //
 //	news, turn, bad := runner.ParseHeartbeat(raw)
@@ -99,18 +97,18 @@
 	if hash := api.KeyHash(); hash != "" {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if layout.HashKey(key) != hash {
-			writeJSON(w, 401, map[string]any{"error": map[string]any{"code": "unknown-key", "message": "The runners' key is expected."}})
+			web.WriteError(w, http.StatusUnauthorized, "unknown-key", "The runners' key is expected.")
 			return
 		}
 	}
 	raw, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	if err != nil {
-		writeJSON(w, 400, map[string]any{"error": map[string]any{"code": "body-unread", "message": "The beat broke off."}})
+		web.WriteError(w, http.StatusBadRequest, "body-unread", "The beat broke off.")
 		return
 	}
 	report, turn, bad := ParseHeartbeat(raw)
 	if len(bad) > 0 {
-		writeJSON(w, 400, map[string]any{"error": map[string]any{"code": "bad-beat", "message": strings.Join(bad, "; ")}})
+		web.WriteError(w, http.StatusBadRequest, "bad-beat", strings.Join(bad, "; "))
 		return
 	}
 	if report.Zone == "" {
@@ -125,11 +123,11 @@
 		defer end()
 		if !api.Hub.Sure(ctx, recs) && report.State == "leaving" {
 			w.Header().Set("Retry-After", "1")
-			writeJSON(w, 503, map[string]any{"error": map[string]any{"code": "not-spread", "message": "No other router could be told yet. Beat again."}})
+			web.WriteError(w, http.StatusServiceUnavailable, "not-spread", "No other router could be told yet. Beat again.")
 			return
 		}
 	}
-	writeJSON(w, 200, map[string]any{"taken": true})
+	web.WriteJSON(w, http.StatusOK, Taken{Taken: true})
 }
 
 // NextRecord makes the news store's next record for a runner's word, and tells whether its state changed.
--- a/internal/sim/answer_test.go
+++ b/internal/sim/answer_test.go
@@ -29,7 +29,7 @@
 		}
 		time.Sleep(time.Duration(20+w.chance(40)) * time.Second)
 		for i, r := range w.full {
-			if why := r.r.Yard.List()[0].Health(); why != "" {
+			if why := r.r.Runners.List()[0].Health(); why != "" {
 				t.Errorf("%s: the runner at work on long answers is %s", r.name, why)
 			}
 			l.add(w.send(w.ctx, r, ask{n: uint64(10 + i), tenant: "rich", path: "/ask", body: prompt(2)}))
@@ -113,10 +113,10 @@
 		begun := time.Now()
 		go func() {
 			defer func() { recover(); over <- time.Now() }()
-			r.r.Front.ServeHTTP(d, req)
+			r.r.Clients.ServeHTTP(d, req)
 		}()
 		time.Sleep(18 * time.Second)
-		e := r.r.Yard.List()[0]
+		e := r.r.Runners.List()[0]
 		if n, _ := e.Load(); n != 0 || e.Health() != "" {
 			t.Errorf("18 s into a stream of 15 s the runner has %d streams and is %q", n, e.Health())
 		}
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -41,7 +41,7 @@
 			}
 			first, again := 0, 0
 			for _, r := range w.full {
-				f, a := r.r.Front.Again.Counts("model")
+				f, a := r.r.Clients.Again.Counts("model")
 				first, again = first+f, again+a
 			}
 			if most := 0.2*float64(first) + 20; float64(again) > most {
@@ -53,8 +53,8 @@
 		}
 		denied := 0.0
 		for _, r := range w.full {
-			second += testutil.ToFloat64(r.r.Meter.Seconds.WithLabelValues("model", "yes"))
-			denied += testutil.ToFloat64(r.r.Meter.Seconds.WithLabelValues("model", "no"))
+			second += testutil.ToFloat64(r.r.Metrics.Seconds.WithLabelValues("model", "yes"))
+			denied += testutil.ToFloat64(r.r.Metrics.Seconds.WithLabelValues("model", "no"))
 		}
 		t.Logf("%g second tries made, %g wanted and not made; at worst %.2f of the first ones in ten seconds", second, denied, worst)
 		if second == 0 || denied == 0 {
@@ -89,7 +89,7 @@
 			}
 			all.Go(func() { l.add(w.send(w.ctx, r, a)) })
 			for _, r := range w.full {
-				q, _ := r.r.Desk.Waiting()
+				q, _ := r.r.Scheduler.Waiting()
 				most = max(most, q)
 			}
 			time.Sleep(2500 * time.Microsecond)
@@ -386,7 +386,7 @@
 	sum := func() (all float64) {
 		for _, kind := range []string{"funded", "unfunded"} {
 			var m dto.Metric
-			if err := r.r.Meter.Wait.WithLabelValues(kind).(prometheus.Metric).Write(&m); err != nil {
+			if err := r.r.Metrics.Wait.WithLabelValues(kind).(prometheus.Metric).Write(&m); err != nil {
 				w.t.Error(err)
 			}
 			all += m.Histogram.GetSampleSum()
--- a/internal/sim/promise_test.go
+++ b/internal/sim/promise_test.go
@@ -344,7 +344,7 @@
 			i := i
 			go w.send(w.ctx, w.full[i%2], ask{n: uint64(i + 1), tenant: "rich", path: "/ask", body: map[string]any{"model": "m", "max_tokens": 2, "prompt": fmt.Sprint(i)}})
 			time.Sleep(100 * time.Millisecond)
-			for _, e := range w.full[0].r.Yard.List() {
+			for _, e := range w.full[0].r.Runners.List() {
 				if e.Addr == a.addr && i == 300 && e.Health() == "" {
 					t.Error("after 30 s of silence the runner is in good standing")
 				}
@@ -590,7 +590,7 @@
 		w.crashFull(told)
 		w.within(2*time.Second, "all know", func() bool {
 			for _, r := range w.full[1:] {
-				if r.r.Yard.List()[0].Health() != "leaving" {
+				if r.r.Runners.List()[0].Health() != "leaving" {
 					return false
 				}
 			}
@@ -649,7 +649,7 @@
 			}()
 			time.Sleep(20 * time.Millisecond)
 			for _, r := range w.full {
-				for _, e := range r.r.Yard.List() {
+				for _, e := range r.r.Runners.List() {
 					key := r.name + " " + e.Addr
 					now := e.Health()
 					if old, ok := was[key]; ok && old != now && now != "on trial" {
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -159,7 +159,7 @@
 				continue
 			}
 			l := r.r.Hub.Layout()
-			if l == nil || l.Seq < p.seq || r.r.Hub.Ready() != "" || len(r.r.Yard.List()) < len(w.runners) {
+			if l == nil || l.Seq < p.seq || r.r.Hub.Ready() != "" || len(r.r.Runners.List()) < len(w.runners) {
 				return false
 			}
 		}
@@ -474,7 +474,7 @@
 				panic(e)
 			}
 		}()
-		run.Front.ServeHTTP(rec, req)
+		run.Clients.ServeHTTP(rec, req)
 	}()
 	g.took = time.Since(g.begun)
 	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.RequestHeader)
@@ -538,7 +538,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		for _, r := range w.full {
-			e := r.r.Yard.List()[0]
+			e := r.r.Runners.List()[0]
 			if n, _ := e.Load(); n != 6 {
 				t.Errorf("%s counts %d streams on the runner, there are 6", r.name, n)
 			}
@@ -559,14 +559,14 @@
 		w.crashFull(r)
 		r.born = 7 // the clock says 1970
 		w.startFull(r)
-		w.within(5*time.Second, "it is ready", func() bool { return r.r.Hub.Ready() == "" && len(r.r.Yard.List()) == 1 })
+		w.within(5*time.Second, "it is ready", func() bool { return r.r.Hub.Ready() == "" && len(r.r.Runners.List()) == 1 })
 		time.Sleep(7 * time.Second)
 		for i := range 4 {
 			go w.send(w.ctx, r, ask{n: uint64(i + 1), tenant: "metered", path: "/ask", body: prompt(100)})
 		}
 		time.Sleep(3 * time.Second)
 		for _, o := range w.full {
-			if n, _ := o.r.Yard.List()[0].Load(); n != 4 {
+			if n, _ := o.r.Runners.List()[0].Load(); n != 4 {
 				t.Errorf("%s counts %d streams on the runner, there are 4", o.name, n)
 			}
 		}
--- a/internal/sim/stream_test.go
+++ b/internal/sim/stream_test.go
@@ -74,7 +74,7 @@
 				panic(e)
 			}
 		}()
-		run.Front.ServeHTTP(p, req.WithContext(ctx))
+		run.Clients.ServeHTTP(p, req.WithContext(ctx))
 	}()
 	t := time.NewTicker(5 * time.Millisecond)
 	defer t.Stop()
