query, trail and meter are named request, tracing and metrics

Cause: the field's words are request, tracing and metrics. Ruled out: changing the texts of the states, which operators read in logs, traces and /v1/queries. Conclusion: names and comments only, each identifier checked to mean the same declaration as before. go build, go vet, tests of request, tracing, metrics, origin and router pass.

--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -13,7 +13,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"yarrowridge/internal/query"
+	"yarrowridge/internal/request"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/strike"
 	"yarrowridge/internal/web"
@@ -70,7 +70,7 @@
 	}
 	dog := time.AfterFunc(y.lane.Silence+y.quiet(), func() { end(errSilent) })
 	defer dog.Stop()
-	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Request{Method: y.r.Method, Path: y.r.URL.RequestURI(), Header: y.r.Header, Body: y.body, Tenant: y.tn.Name, ID: y.q.Id})
+	ans, left, err := y.f.Send.Send(ctx, e.Addr, runner.Request{Method: y.r.Method, Path: y.r.URL.RequestURI(), Header: y.r.Header, Body: y.body, Tenant: y.tn.Name, ID: y.q.ID})
 	if err != nil && !left {
 		if context.Cause(ctx) == errKey {
 			return false, &Bounce{Status: 401, Code: "unknown-key", Text: "The key was withdrawn before the query was sent."}
@@ -85,14 +85,14 @@
 		y.f.Purses.For(y.tn.Name).Spend(y.cost)
 		y.cost = 0
 	}
-	if e := y.q.Go(query.Sent, e.Addr); e != nil {
+	if e := y.q.Advance(request.Sent, e.Addr); e != nil {
 		return true, e
 	}
 	if err != nil {
 		return true, y.lost(e, ctx, err)
 	}
 	defer ans.Body.Close()
-	if err := y.q.Go(query.Answering, strconv.Itoa(ans.StatusCode)); err != nil {
+	if err := y.q.Advance(request.Responding, strconv.Itoa(ans.StatusCode)); err != nil {
 		return true, err
 	}
 	if ans.ContentLength < 0 && !slices.Contains(ans.TransferEncoding, "chunked") {
@@ -165,7 +165,7 @@
 	}
 	e.MarkFailed()
 	y.skip[e.Index] = true
-	y.f.Ctx.Log.Warn("Runner lost a query.", "query", y.q.Id, "peer", e.Addr, "trouble", err.Error())
+	y.f.Ctx.Log.Warn("Runner lost a query.", "query", y.q.ID, "peer", e.Addr, "trouble", err.Error())
 	if context.Cause(ctx) == errSilent {
 		return &Bounce{Status: 504, Code: "runner-silent", Unknown: true, Text: "The runner sent nothing for too long."}
 	}
@@ -177,7 +177,7 @@
 	for k, v := range runner.ForwardedHeader(ans.Header) {
 		y.w.Header()[k] = v
 	}
-	y.w.Header().Set(runner.RequestHeader, y.q.Id)
+	y.w.Header().Set(runner.RequestHeader, y.q.ID)
 	if y.low > 0 {
 		y.w.Header().Set(runner.OwnHeaderPrefix+"Lowered-To", strconv.Itoa(y.low))
 	}
@@ -218,7 +218,7 @@
 	if y.withdrawn() {
 		return bounceKey // what became of it is known, but not for this origin
 	}
-	if err := y.q.Go(query.Done, ""); err != nil {
+	if err := y.q.Advance(request.Done, ""); err != nil {
 		return err
 	}
 	y.pass(ans)
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -21,13 +21,13 @@
 	"yarrowridge/internal/allow"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/layout"
-	"yarrowridge/internal/meter"
+	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/place"
-	"yarrowridge/internal/query"
+	"yarrowridge/internal/request"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
-	"yarrowridge/internal/trail"
+	"yarrowridge/internal/tracing"
 	"yarrowridge/internal/web"
 )
 
@@ -46,13 +46,13 @@
 	Yard    *runner.Pool
 	Desk    *place.Desk
 	Send    *runner.Sender
-	Meter   *meter.Meter
-	Log     *query.Log
+	Meter   *metrics.Metrics
+	Log     *request.Log
 	Purses  *share.Purses
 	Again   *Second
 	Claims  *Claims
 	Streams *node.Streams
-	Trail   *trail.Trail
+	Trail   *tracing.Tracer
 
 	open atomic.Int64 // known tenants' queries under way
 }
@@ -74,7 +74,7 @@
 // way is one query with all that its steps need.
 type way struct {
 	f      *Front
-	q      *query.Query
+	q      *request.Request
 	w      http.ResponseWriter
 	r      *http.Request
 	lay    *layout.Layout
@@ -105,8 +105,8 @@
 //
 //	http.Handle("/", front)
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	y := &way{f: f, q: query.New(), w: w, r: r}
-	w.Header().Set(runner.RequestHeader, y.q.Id)
+	y := &way{f: f, q: request.New(), w: w, r: r}
+	w.Header().Set(runner.RequestHeader, y.q.ID)
 	err := y.run()
 	y.loosen()
 	code := "done"
@@ -114,8 +114,8 @@
 		code = y.end(err)
 		f.Log.Add(y.q, code)
 	}
-	f.Trail.Add(y.q, code)
-	f.Meter.Queries.WithLabelValues(y.q.Lane, code).Inc()
+	f.Trail.Export(y.q, code)
+	f.Meter.Requests.WithLabelValues(y.q.Lane, code).Inc()
 	if y.torn {
 		// The frame of a stream that ended in trouble is never closed as if it were complete.
 		panic(http.ErrAbortHandler)
@@ -152,7 +152,7 @@
 	var b *Bounce
 	if !errors.As(err, &b) {
 		b = &Bounce{Status: 500, Code: "internal", Text: "Internal trouble.", Unknown: true}
-		y.f.Ctx.Log.Error("Query in trouble of our own making.", "query", y.q.Id, "trouble", err.Error())
+		y.f.Ctx.Log.Error("Query in trouble of our own making.", "query", y.q.ID, "trouble", err.Error())
 	}
 	at := y.over(b.Code)
 	if y.claim != nil {
@@ -183,17 +183,17 @@
 	}
 	y.w.WriteHeader(b.Status)
 	json.NewEncoder(y.w).Encode(map[string]any{"error": map[string]any{
-		"code": b.Code, "step": at, "run": run, "message": b.Text, "query": y.q.Id}})
+		"code": b.Code, "step": at, "run": run, "message": b.Text, "query": y.q.ID}})
 	return b.Code
 }
 
 // over ends a query that came to no whole answer, by its code, and tells where it stood.
-func (y *way) over(code string) query.State {
+func (y *way) over(code string) request.State {
 	at := y.q.State()
-	if at == query.Sent || at == query.Answering {
-		y.q.Go(query.Troubled, code)
+	if at == request.Sent || at == request.Responding {
+		y.q.Advance(request.Failed, code)
 	} else {
-		y.q.Go(query.Bounced, code)
+		y.q.Advance(request.Rejected, code)
 	}
 	return at
 }
@@ -241,7 +241,7 @@
 	}
 	y.tn = &y.lay.Tenants[y.ten]
 	y.q.Tenant = y.tn.Name
-	return y.q.Go(query.Known, "")
+	return y.q.Advance(request.Known, "")
 }
 
 func (y *way) mapped() error {
@@ -269,7 +269,7 @@
 		}
 		y.kind += "/" + y.model
 	}
-	return y.q.Go(query.Mapped, m.Path)
+	return y.q.Advance(request.Routed, m.Path)
 }
 
 func (y *way) parse() error {
@@ -419,7 +419,7 @@
 	if err := y.pay(); err != nil {
 		return err
 	}
-	return y.q.Go(query.Allowed, note)
+	return y.q.Advance(request.Admitted, note)
 }
 
 // pay reserves the units of the tenant's quota that this run costs.
@@ -481,7 +481,7 @@
 	}
 	keys := place.Blocks(y.ten, y.prompt)
 	for try := 0; ; try++ {
-		if err := y.q.Go(query.Queued, y.kind); err != nil {
+		if err := y.q.Advance(request.Queued, y.kind); err != nil {
 			return err
 		}
 		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Lane: y.lane.Name, Quiet: y.quiet(), Keys: keys, Could: y.could, Skip: y.skip, Check: y.renew}
@@ -497,7 +497,7 @@
 		case err != nil:
 			return &Bounce{Code: "origin-left"}
 		}
-		if err := y.q.Go(query.Nominated, e.Addr); err != nil {
+		if err := y.q.Advance(request.Chosen, e.Addr); err != nil {
 			return err
 		}
 		if try == 0 && !y.second {
--- a/internal/origin/repeat.go
+++ b/internal/origin/repeat.go
@@ -9,7 +9,7 @@
 
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/node"
-	"yarrowridge/internal/query"
+	"yarrowridge/internal/request"
 	"yarrowridge/internal/runner"
 )
 
@@ -24,7 +24,7 @@
 }
 
 func (y *way) newCarry() *carry {
-	c := &carry{id: y.q.Id, to: y.outlet()}
+	c := &carry{id: y.q.ID, to: y.outlet()}
 	c.life, c.die = context.WithCancelCause(y.f.Ctx) // it runs on without its origin, not without its router
 	return c
 }
@@ -119,9 +119,9 @@
 	if !z.earned() {
 		return nil, false
 	}
-	z.q, z.second, z.cost = query.New(), true, 0
+	z.q, z.second, z.cost = request.New(), true, 0
 	z.q.Tenant, z.q.Lane = y.q.Tenant, z.lane.Name
-	y.q.Go(query.Troubled, "a second run follows: "+z.q.Id)
+	y.q.Advance(request.Failed, "a second run follows: "+z.q.ID)
 	return z.rerun("second run of " + z.car.id), true
 }
 
@@ -146,15 +146,15 @@
 
 // rerun takes a second run its way.
 func (z *way) rerun(note string) error {
-	err := z.q.Go(query.Known, note)
+	err := z.q.Advance(request.Known, note)
 	if err == nil {
-		err = z.q.Go(query.Mapped, z.r.URL.Path)
+		err = z.q.Advance(request.Routed, z.r.URL.Path)
 	}
 	if err == nil {
 		err = z.pay()
 	}
 	if err == nil {
-		err = z.q.Go(query.Allowed, "second run")
+		err = z.q.Advance(request.Admitted, "second run")
 	}
 	if err == nil {
 		err = z.serve()
@@ -166,8 +166,8 @@
 		z.over(code)
 		z.f.Log.Add(z.q, code)
 	}
-	z.f.Trail.Add(z.q, code)
-	z.f.Meter.Repeats.WithLabelValues(z.q.Lane, code).Inc()
+	z.f.Trail.Export(z.q, code)
+	z.f.Meter.SecondRuns.WithLabelValues(z.q.Lane, code).Inc()
 	return err
 }
 
@@ -178,7 +178,7 @@
 func (f *Front) Inherit(st *node.Stream, in *node.StreamQuery) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	y := &way{f: f, q: query.New(), body: in.Body, had: true, key: in.Key, skip: map[int]bool{}}
+	y := &way{f: f, q: request.New(), body: in.Body, had: true, key: in.Key, skip: map[int]bool{}}
 	if err := y.stand(st, in); err != nil {
 		f.Streams.Close(f.Ctx, st, bounceOf(err).Code)
 		return
--- a/internal/origin/second.go
+++ b/internal/origin/second.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"yarrowridge/internal/layout"
-	"yarrowridge/internal/meter"
+	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/strike"
 )
 
@@ -14,9 +14,9 @@
 // span of time the second tries of all routers are at most that share of the first ones within it,
 // and the allowance, also when traffic has just fallen away.
 type Second struct {
-	mu    sync.Mutex
-	by    map[string]*tries
-	meter *meter.Meter
+	mu      sync.Mutex
+	by      map[string]*tries
+	metrics *metrics.Metrics
 }
 
 type tries struct {
@@ -27,7 +27,7 @@
 // NewSecond makes the budget.
 //
 //	s := origin.NewSecond(m)
-func NewSecond(m *meter.Meter) *Second { return &Second{by: map[string]*tries{}, meter: m} }
+func NewSecond(m *metrics.Metrics) *Second { return &Second{by: map[string]*tries{}, metrics: m} }
 
 // countSpan is the span that Counts looks back.
 const countSpan = 10 * time.Second
@@ -56,7 +56,7 @@
 	defer s.mu.Unlock()
 	t := s.of(svc.Name)
 	t.first = append(t.first, time.Now())
-	s.meter.Firsts.WithLabelValues(svc.Name).Inc()
+	s.metrics.FirstTries.WithLabelValues(svc.Name).Inc()
 	t.have = min(float64(part), t.have+svc.Share)
 }
 
@@ -83,6 +83,6 @@
 		t.again = append(t.again, time.Now())
 		let = "yes"
 	}
-	s.meter.Seconds.WithLabelValues(svc.Name, let).Inc()
+	s.metrics.SecondTries.WithLabelValues(svc.Name, let).Inc()
 	return let == "yes"
 }
--- a/internal/origin/stream.go
+++ b/internal/origin/stream.go
@@ -15,7 +15,7 @@
 
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/node"
-	"yarrowridge/internal/query"
+	"yarrowridge/internal/request"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/strike"
 )
@@ -142,7 +142,7 @@
 	if y.f.Streams.Close(ctx, c.st, "") != nil {
 		return errTaken
 	}
-	if err := y.q.Go(query.Done, ""); err != nil {
+	if err := y.q.Advance(request.Done, ""); err != nil {
 		return err
 	}
 	c.show([]byte(endEvent))
--- a/internal/query/query_test.go
+++ b/internal/request/request_test.go
@@ -1,4 +1,4 @@
-package query
+package request
 
 import (
 	"testing"
@@ -6,15 +6,15 @@
 	"pgregory.net/rapid"
 )
 
-// Whatever steps are tried, a query ends once, never leaves an end, and is not sent after it was.
+// Whatever steps are tried, a request ends once, never leaves an end, and is not sent after it was.
 func TestChart(t *testing.T) {
-	all := []State{Read, Known, Mapped, Allowed, Queued, Nominated, Sent, Answering, Done, Bounced, Troubled}
+	all := []State{Read, Known, Routed, Admitted, Queued, Chosen, Sent, Responding, Done, Rejected, Failed}
 	rapid.Check(t, func(t *rapid.T) {
-		q := New()
+		r := New()
 		sent, over := 0, false
 		for range 60 {
 			to := rapid.SampledFrom(all).Draw(t, "to")
-			err := q.Go(to, "")
+			err := r.Advance(to, "")
 			if err != nil {
 				continue
 			}
@@ -24,12 +24,12 @@
 			if to == Sent {
 				sent++
 			}
-			if sent > 1 || sent == 1 && (to == Queued || to == Bounced) {
+			if sent > 1 || sent == 1 && (to == Queued || to == Rejected) {
 				t.Fatalf("went to %s after it was sent", to)
 			}
-			over = to == Done || to == Bounced || to == Troubled
+			over = to == Done || to == Rejected || to == Failed
 		}
-		if q.State() == Read && len(q.Record("").Steps) > 1 {
+		if r.State() == Read && len(r.Record("").Steps) > 1 {
 			t.Fatal("came back to read")
 		}
 	})
@@ -42,8 +42,8 @@
 		l.Add(New(), c)
 	}
 	got := ""
-	for _, r := range l.All() {
-		got += r.Code
+	for _, record := range l.All() {
+		got += record.Code
 	}
 	if got != "cde" {
 		t.Errorf("kept %s, cde expected", got)
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -12,17 +12,17 @@
 
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
-	"yarrowridge/internal/meter"
+	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/operator"
 	"yarrowridge/internal/origin"
 	"yarrowridge/internal/place"
-	"yarrowridge/internal/query"
 	"yarrowridge/internal/relay"
+	"yarrowridge/internal/request"
 	"yarrowridge/internal/runner"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/strike"
-	"yarrowridge/internal/trail"
+	"yarrowridge/internal/tracing"
 	"yarrowridge/internal/web"
 	"yarrowridge/internal/wire"
 )
@@ -70,8 +70,8 @@
 	QuotaShares *share.Purses
 	Claims      *origin.Claims
 	Streams     *node.Streams
-	Log         *query.Log
-	Metrics     *meter.Meter
+	Log         *request.Log
+	Metrics     *metrics.Metrics
 	Clients     *origin.Front
 	ctx         env.Ctx
 	sender      *runner.Sender
@@ -81,10 +81,10 @@
 //
 //	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
 func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
-	r := &Router{ctx: ctx, Scheduler: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: query.NewLog(256), sender: runner.NewSender(dial)}
+	r := &Router{ctx: ctx, Scheduler: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
 	r.Runners = runner.NewPool(ctx.Name, r.Scheduler.Wake)
 	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Runners.Apply)
-	r.Metrics = meter.New(map[string]func() float64{
+	r.Metrics = metrics.New(map[string]func() float64{
 		"yarrowridge_queued":          func() float64 { n, _ := r.Scheduler.Waiting(); return float64(n) },
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
@@ -113,7 +113,7 @@
 func run(process *env.Proc) error {
 	ctx := process.Ctx
 	r := New(ctx, process.Set["addr"], process.Set["origin"], process.Set.Addrs("seeds"), runner.DialFrom(process.Set["from"]))
-	tr, err := trail.Open(process.Set["trace"], ctx.Name)
+	tr, err := tracing.Open(process.Set["trace"], ctx.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -53,8 +53,8 @@
 		}
 		denied := 0.0
 		for _, r := range w.full {
-			second += testutil.ToFloat64(r.r.Metrics.Seconds.WithLabelValues("model", "yes"))
-			denied += testutil.ToFloat64(r.r.Metrics.Seconds.WithLabelValues("model", "no"))
+			second += testutil.ToFloat64(r.r.Metrics.SecondTries.WithLabelValues("model", "yes"))
+			denied += testutil.ToFloat64(r.r.Metrics.SecondTries.WithLabelValues("model", "no"))
 		}
 		t.Logf("%g second tries made, %g wanted and not made; at worst %.2f of the first ones in ten seconds", second, denied, worst)
 		if second == 0 || denied == 0 {
--- a/internal/trail/trail_test.go
+++ b/internal/tracing/tracing_test.go
@@ -1,4 +1,4 @@
-package trail
+package tracing
 
 import (
 	"os"
@@ -7,24 +7,24 @@
 
 	"github.com/tidwall/gjson"
 
-	"yarrowridge/internal/query"
+	"yarrowridge/internal/request"
 )
 
-// A query's states stand in the file as events of one span, in order.
-func TestTrail(t *testing.T) {
+// A request's states stand in the file as events of one span, in order.
+func TestTracer(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "traces.json")
 	tr, err := Open(path, "north1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	q := query.New()
-	q.Tenant, q.Lane = "casual", "checks"
-	for _, s := range []query.State{query.Known, query.Mapped, query.Bounced} {
-		if err := q.Go(s, "note"); err != nil {
+	rejected := request.New()
+	rejected.Tenant, rejected.Lane = "casual", "checks"
+	for _, s := range []request.State{request.Known, request.Routed, request.Rejected} {
+		if err := rejected.Advance(s, "note"); err != nil {
 			t.Fatal(err)
 		}
 	}
-	tr.Add(q, "lane-closed")
+	tr.Export(rejected, "lane-closed")
 	tr.Close()
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -37,7 +37,7 @@
 	if got := doc.Get(`Attributes.#(Key=="yarrowridge.code").Value.Value`).Str; got != "lane-closed" {
 		t.Errorf("code %q in %s", got, raw)
 	}
-	var off *Trail
-	off.Add(q, "")
+	var off *Tracer
+	off.Export(rejected, "")
 	off.Close()
 }
