Placement: Scheduler, Waiter, Candidate, Choose, PrefixMemory in place of desk, wait, one, nominate

Cause: the former names were the project's own. Ruled out: a new name for the package, which says what it does.

--- a/internal/origin/answer.go
+++ b/internal/origin/answer.go
@@ -61,7 +61,7 @@
 	defer func() {
 		end(nil)
 		if came := e.Release(ok); ok && came > 0 {
-			y.f.Desk.Habits.Add(y.lane.Name, y.tokens, came)
+			y.f.Desk.Lengths.Add(y.lane.Name, y.tokens, came)
 		}
 		y.f.Desk.Wake()
 	}()
--- a/internal/origin/front.go
+++ b/internal/origin/front.go
@@ -44,7 +44,7 @@
 	Ctx     env.Ctx
 	Hub     *node.Hub
 	Yard    *runner.Pool
-	Desk    *place.Desk
+	Desk    *place.Scheduler
 	Send    *runner.Sender
 	Meter   *metrics.Metrics
 	Log     *request.Log
@@ -388,7 +388,7 @@
 	if !y.lane.Plain {
 		// Routers that queue for the same runners drain alike, so beside each token ahead here
 		// others go ahead elsewhere, as far as there are any.
-		ahead := y.f.Desk.Ahead(y.kind, y.lane.Rank, y.ten)
+		ahead := y.f.Desk.TokensAhead(y.kind, y.lane.Rank, y.ten)
 		far, routers := y.f.Yard.Waiting(y.kind)
 		waiting := float64(ahead + min(far, ahead*routers))
 		var feeds []allow.Feed
@@ -479,13 +479,13 @@
 	if y.second {
 		ctx = y.car.life // its origin may be on its way back
 	}
-	keys := place.Blocks(y.ten, y.prompt)
+	keys := place.PrefixHashes(y.ten, y.prompt)
 	for try := 0; ; try++ {
 		if err := y.q.Advance(request.Queued, y.kind); err != nil {
 			return err
 		}
-		wait := &place.Wait{Kind: y.kind, Rank: y.lane.Rank, Ten: y.ten, Tokens: y.tokens, Lane: y.lane.Name, Quiet: y.quiet(), Keys: keys, Could: y.could, Skip: y.skip, Check: y.renew}
-		e, err := y.f.Desk.Enter(ctx, wait, time.Until(until), y.lay.Limits.Queue)
+		wait := &place.Waiter{Kind: y.kind, Rank: y.lane.Rank, Tenant: y.ten, Tokens: y.tokens, Lane: y.lane.Name, SilentFor: y.quiet(), PrefixHashes: keys, Eligible: y.could, Excluded: y.skip, Check: y.renew}
+		e, err := y.f.Desk.Acquire(ctx, wait, time.Until(until), y.lay.Limits.Queue)
 		var b *Bounce
 		switch {
 		case errors.As(err, &b):
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -16,7 +16,7 @@
 	"yarrowridge/internal/runner"
 )
 
-// one is a yard with a runner of the given room.
+// one is a pool with a runner of the given room.
 func one(room int, wake func()) (*runner.Pool, *runner.Instance) {
 	y := runner.NewPool("r1", wake)
 	n := runner.Report{Name: "m", Addr: "10.0.0.1:1", Born: "1", State: "ready", Room: room, Labels: map[string]string{}}
@@ -25,15 +25,15 @@
 	return y, y.List()[0]
 }
 
-// The order in which waiting queries go, against a plain model: by rank; in a rank the tenants take
+// The order in which waiting requests go, against a plain model: by rank; in a rank the tenants take
 // turns; a tenant's own go first in, first out.
 func TestOrderAgainstModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, end := context.WithCancel(t.Context())
 			defer end()
-			d := NewDesk("east", NewMemory(100))
-			y, e := one(1, d.Wake)
+			s := NewScheduler("east", NewPrefixMemory(100))
+			y, e := one(1, s.Wake)
 			seat := e.Acquire(1, 0)
 			if seat == nil {
 				rt.Fatal("the runner takes no query")
@@ -45,24 +45,24 @@
 				a := ask{i, rapid.IntRange(0, 2).Draw(rt, "rank"), rapid.IntRange(0, 2).Draw(rt, "tenant")}
 				asks = append(asks, a)
 				go func() {
-					w := &Wait{Kind: "k", Rank: a.rank, Ten: a.ten, Tokens: 1, Could: y.List}
-					got, err := d.Enter(ctx, w, time.Hour, 100)
+					waiter := &Waiter{Kind: "k", Rank: a.rank, Tenant: a.ten, Tokens: 1, Eligible: y.List}
+					got, err := s.Acquire(ctx, waiter, time.Hour, 100)
 					if err != nil {
 						return
 					}
 					order = append(order, a.no)
 					time.Sleep(time.Second)
 					got.Release(true)
-					d.Wake()
+					s.Wake()
 				}()
 				synctest.Wait()
 			}
-			go d.Run(ctx)
+			go s.Run(ctx)
 			seat.Release(true)
-			d.Wake()
+			s.Wake()
 			stop := time.Now().Add(time.Duration(len(asks)+2) * 1100 * time.Millisecond)
 			for time.Now().Before(stop) {
-				y.Apply(beat(y)) // the runner beats on
+				y.Apply(beat(y)) // the runner heartbeats on
 				time.Sleep(time.Second)
 			}
 			var want []int
@@ -78,11 +78,11 @@
 					}
 				}
 				for len(turn) > 0 {
-					ten := turn[0]
+					tenant := turn[0]
 					turn = turn[1:]
-					want = append(want, by[ten][0])
-					if by[ten] = by[ten][1:]; len(by[ten]) > 0 {
-						turn = append(turn, ten)
+					want = append(want, by[tenant][0])
+					if by[tenant] = by[tenant][1:]; len(by[tenant]) > 0 {
+						turn = append(turn, tenant)
 					}
 				}
 			}
@@ -102,15 +102,15 @@
 	return relay.Rec{Key: runner.KeyPrefix + n.Addr, Gen: 1, Turn: turn, Body: raw}
 }
 
-// Patience ends a wait at its time, a full queue bounces the newest of the lowest rank, an origin
+// Patience ends a wait at its time, a full queue rejects the newest of the lowest rank, a client
 // that leaves gives its place back; in the end nothing waits and nothing is seated.
 func TestWaitsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
-		d := NewDesk("east", NewMemory(100))
-		y, e := one(1, d.Wake)
-		go d.Run(ctx)
+		s := NewScheduler("east", NewPrefixMemory(100))
+		y, e := one(1, s.Wake)
+		go s.Run(ctx)
 		seat := e.Acquire(1, 0)
 		if seat == nil {
 			t.Fatal("the runner takes no query")
@@ -118,7 +118,7 @@
 		enter := func(ctx context.Context, rank int, patience time.Duration) chan error {
 			ch := make(chan error, 1)
 			go func() {
-				_, err := d.Enter(ctx, &Wait{Kind: "k", Rank: rank, Tokens: 5, Could: y.List}, patience, 2)
+				_, err := s.Acquire(ctx, &Waiter{Kind: "k", Rank: rank, Tokens: 5, Eligible: y.List}, patience, 2)
 				ch <- err
 			}()
 			synctest.Wait()
@@ -143,11 +143,11 @@
 			t.Errorf("an origin that left: %v", err)
 		}
 		seat.Release(true)
-		d.Wake()
+		s.Wake()
 		if err := <-high; err != nil {
 			t.Errorf("the highest rank: %v", err)
 		}
-		if n, sum := d.Waiting(); n != 0 || len(sum) != 0 {
+		if n, sum := s.Waiting(); n != 0 || len(sum) != 0 {
 			t.Errorf("%d wait, tokens %v", n, sum)
 		}
 		if n, _ := e.Load(); n != 1 {
@@ -158,9 +158,9 @@
 
 // A known prefix wins within the load bound, and loses beyond it; tenants' prefixes don't meet.
 func TestNominate(t *testing.T) {
-	m := NewMemory(1000)
-	text := string(make([]byte, 4*Block))
-	keys := Blocks(1, text)
+	m := NewPrefixMemory(1000)
+	text := string(make([]byte, 4*BlockSize))
+	keys := PrefixHashes(1, text)
 	if len(keys) != 4 {
 		t.Fatalf("%d blocks", len(keys))
 	}
@@ -169,24 +169,24 @@
 	if d := m.Match(keys); d[0] != 2 || d[1] != 4 {
 		t.Errorf("matched %v", d)
 	}
-	if d := m.Match(Blocks(2, text)); len(d) != 0 {
+	if d := m.Match(PrefixHashes(2, text)); len(d) != 0 {
 		t.Errorf("another tenant matched %v", d)
 	}
-	all := []One{{Idx: 0, Addr: "a", Room: 100}, {Idx: 1, Addr: "b", Room: 100}, {Idx: 2, Addr: "c", Home: true, Room: 100}}
-	if i := Nominate(keys, all, m.Match(keys)); i != 1 {
+	all := []Candidate{{Index: 0, Addr: "a", Room: 100}, {Index: 1, Addr: "b", Room: 100}, {Index: 2, Addr: "c", SameZone: true, Room: 100}}
+	if i := Choose(keys, all, m.Match(keys)); i != 1 {
 		t.Errorf("nominated %d, the longest prefix is at 1", i)
 	}
 	all[1].Load = 50
-	if i := Nominate(keys, all, m.Match(keys)); i != 0 {
+	if i := Choose(keys, all, m.Match(keys)); i != 0 {
 		t.Errorf("nominated %d, the next prefix within the bound is at 0", i)
 	}
-	if i := Nominate(Blocks(3, text), all, nil); i != 2 {
+	if i := Choose(PrefixHashes(3, text), all, nil); i != 2 {
 		t.Errorf("nominated %d, the own hall's is 2", i)
 	}
 	for i := range all {
 		all[i].Load = 100
 	}
-	if i := Nominate(keys, all, nil); i != -1 {
+	if i := Choose(keys, all, nil); i != -1 {
 		t.Errorf("nominated %d where nobody has room", i)
 	}
 }
@@ -197,7 +197,7 @@
 // play sends a made day's prompts through a policy: a share of hot ones, runners that slow down as
 // they fill, caches that keep all they read. It gives the part of blocks found in a cache, and the
 // busiest runner's prompts over the mean.
-func play(pick policy, note func(keys []uint64, who int), n int) (hits, tilt float64) {
+func play(pick policy, note func(keys []uint64, runner int), n int) (hits, tilt float64) {
 	const runners = 8
 	rnd := rand.New(rand.NewPCG(1, 2))
 	load, took := make([]int, runners), make([]int, runners)
@@ -220,22 +220,22 @@
 		if rnd.IntN(3) == 0 {
 			doc = 0
 		}
-		keys := Blocks(0, strings.Repeat(fmt.Sprintf("sheet %3d; ", doc), 250)+fmt.Sprint(now))
-		who := pick(keys, load)
+		keys := PrefixHashes(0, strings.Repeat(fmt.Sprintf("sheet %3d; ", doc), 250)+fmt.Sprint(now))
+		runner := pick(keys, load)
 		miss := 0
-		for _, k := range keys {
+		for _, key := range keys {
 			all++
-			if cache[who][k] {
+			if cache[runner][key] {
 				hit++
 			} else {
 				miss++
-				cache[who][k] = true
+				cache[runner][key] = true
 			}
 		}
-		note(keys, who)
-		took[who]++
-		load[who]++
-		ends = append(ends, end{now + 12 + miss*2 + load[who], who})
+		note(keys, runner)
+		took[runner]++
+		load[runner]++
+		ends = append(ends, end{now + 12 + miss*2 + load[runner], runner})
 	}
 	most := 0
 	for _, k := range took {
@@ -261,23 +261,23 @@
 	plain := func(keys []uint64, load []int) int {
 		best := 0
 		for i := range load {
-			if Rank(keys[0], addr(i)) > Rank(keys[0], addr(best)) {
+			if RendezvousWeight(keys[0], addr(i)) > RendezvousWeight(keys[0], addr(best)) {
 				best = i
 			}
 		}
 		return best
 	}
-	mem := NewMemory(1 << 14)
+	prefixes := NewPrefixMemory(1 << 14)
 	ours := func(keys []uint64, load []int) int {
-		var all []One
+		var all []Candidate
 		for i := range load {
-			all = append(all, One{Idx: i, Addr: addr(i), Load: load[i], Room: 1000})
+			all = append(all, Candidate{Index: i, Addr: addr(i), Load: load[i], Room: 1000})
 		}
-		return Nominate(keys, all, mem.Match(keys))
+		return Choose(keys, all, prefixes.Match(keys))
 	}
 	hl, tl := play(least, none, n)
 	hr, tr := play(plain, none, n)
-	ho, to := play(ours, mem.Note, n)
+	ho, to := play(ours, prefixes.Note, n)
 	t.Logf("blocks found in a cache, busiest over mean: least-loaded %.3f %.2f, rendezvous %.3f %.2f, prefix bounded by load %.3f %.2f", hl, tl, hr, tr, ho, to)
 	if ho < hl || to > tr {
 		t.Errorf("prefix placement hits %.3f where least-loaded hits %.3f, and tilts %.2f where rendezvous tilts %.2f", ho, hl, to, tr)
--- a/internal/place/prefix.go
+++ b/internal/place/prefix.go
@@ -1,4 +1,4 @@
-// Package place nominates: which runner gets a prompt, and in which order waiting prompts go.
+// Package place chooses the runner that gets a prompt, and the order in which waiting prompts go.
 package place
 
 import (
@@ -8,51 +8,51 @@
 	"sync"
 )
 
-// Block is how many bytes of a prompt share one hash.
-const Block = 256
+// BlockSize is how many bytes of a prompt share one hash.
+const BlockSize = 256
 
-// Blocks hashes a prompt's prefixes, one hash a block, salted by the tenant so that nothing about
+// PrefixHashes hashes a prompt's prefixes, one hash a block, salted by the tenant so that nothing about
 // one tenant's prompts can be told from how another's are placed.
 //
-//	keys := place.Blocks(3, prompt)
-func Blocks(ten int, prompt string) []uint64 {
+//	keys := place.PrefixHashes(3, prompt)
+func PrefixHashes(tenant int, prompt string) []uint64 {
 	var out []uint64
-	h := fnv.New64a()
+	hash := fnv.New64a()
 	var salt [8]byte
-	binary.LittleEndian.PutUint64(salt[:], uint64(ten)+1)
-	h.Write(salt[:])
-	for from := 0; from < len(prompt) && len(out) < 256; from += Block {
-		h.Write([]byte(prompt[from:min(from+Block, len(prompt))]))
-		if from+Block > len(prompt) {
+	binary.LittleEndian.PutUint64(salt[:], uint64(tenant)+1)
+	hash.Write(salt[:])
+	for from := 0; from < len(prompt) && len(out) < 256; from += BlockSize {
+		hash.Write([]byte(prompt[from:min(from+BlockSize, len(prompt))]))
+		if from+BlockSize > len(prompt) {
 			break // a part of a block is in no cache
 		}
-		out = append(out, h.Sum64())
+		out = append(out, hash.Sum64())
 	}
 	return out
 }
 
-const shards = 16
+const shardCount = 16
 
-// Memory remembers which runs of runners lately got which prefixes.
-type Memory struct {
-	most  int
-	shard [shards]struct {
+// PrefixMemory remembers which runs of runners lately got which prefixes.
+type PrefixMemory struct {
+	limit int
+	shard [shardCount]struct {
 		mu  sync.Mutex
 		by  map[uint64]*list.Element
 		old *list.List
 	}
 }
 
-type kept struct {
+type holders struct {
 	key uint64
 	who []int // dense runner indices, newest last
 }
 
-// NewMemory makes a memory of at most n prefixes.
+// NewPrefixMemory makes a memory of at most n prefixes.
 //
-//	m := place.NewMemory(1 << 18)
-func NewMemory(n int) *Memory {
-	m := &Memory{most: max(1, n/shards)}
+//	m := place.NewPrefixMemory(1 << 18)
+func NewPrefixMemory(n int) *PrefixMemory {
+	m := &PrefixMemory{limit: max(1, n/shardCount)}
 	for i := range m.shard {
 		m.shard[i].by = map[uint64]*list.Element{}
 		m.shard[i].old = list.New()
@@ -62,34 +62,34 @@
 
 // Note remembers that a runner got a prompt with these blocks.
 //
-//	m.Note(keys, e.Idx)
-func (m *Memory) Note(keys []uint64, who int) {
-	for _, k := range keys {
-		s := &m.shard[k%shards]
+//	m.Note(keys, instance.Index)
+func (m *PrefixMemory) Note(keys []uint64, runner int) {
+	for _, key := range keys {
+		s := &m.shard[key%shardCount]
 		s.mu.Lock()
-		el := s.by[k]
-		if el == nil {
-			if s.old.Len() >= m.most {
+		element := s.by[key]
+		if element == nil {
+			if s.old.Len() >= m.limit {
 				last := s.old.Back()
-				delete(s.by, last.Value.(*kept).key)
+				delete(s.by, last.Value.(*holders).key)
 				s.old.Remove(last)
 			}
-			el = s.old.PushFront(&kept{key: k})
-			s.by[k] = el
+			element = s.old.PushFront(&holders{key: key})
+			s.by[key] = element
 		} else {
-			s.old.MoveToFront(el)
+			s.old.MoveToFront(element)
 		}
-		v := el.Value.(*kept)
+		v := element.Value.(*holders)
 		next := make([]int, 0, 4)
 		for _, w := range v.who {
-			if w != who {
+			if w != runner {
 				next = append(next, w)
 			}
 		}
 		if len(next) >= 4 {
 			next = next[1:]
 		}
-		v.who = append(next, who)
+		v.who = append(next, runner)
 		s.mu.Unlock()
 	}
 }
@@ -97,18 +97,18 @@
 // Match counts, for each runner, how many leading blocks it lately got.
 //
 //	depth := m.Match(keys)
-func (m *Memory) Match(keys []uint64) map[int]int {
+func (m *PrefixMemory) Match(keys []uint64) map[int]int {
 	out := map[int]int{}
-	for i, k := range keys {
-		s := &m.shard[k%shards]
+	for i, key := range keys {
+		s := &m.shard[key%shardCount]
 		s.mu.Lock()
-		var who []int
-		if el := s.by[k]; el != nil {
-			who = el.Value.(*kept).who
+		var runners []int
+		if element := s.by[key]; element != nil {
+			runners = element.Value.(*holders).who
 		}
 		s.mu.Unlock()
 		hit := false
-		for _, w := range who {
+		for _, w := range runners {
 			if out[w] == i {
 				out[w] = i + 1
 				hit = true
@@ -121,16 +121,16 @@
 	return out
 }
 
-// Rank is the rendezvous weight of a runner for a key: every router works out the same order.
+// RendezvousWeight is the rendezvous weight of a runner for a key: every router works out the same order.
 //
-//	w := place.Rank(keys[0], addr)
-func Rank(key uint64, addr string) uint64 {
-	h := fnv.New64a()
+//	w := place.RendezvousWeight(keys[0], addr)
+func RendezvousWeight(key uint64, addr string) uint64 {
+	hash := fnv.New64a()
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], key)
-	h.Write(b[:])
-	h.Write([]byte(addr))
-	x := h.Sum64()
+	hash.Write(b[:])
+	hash.Write([]byte(addr))
+	x := hash.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -66,7 +66,7 @@
 type Router struct {
 	Hub         *node.Hub
 	Runners     *runner.Pool
-	Scheduler   *place.Desk
+	Scheduler   *place.Scheduler
 	QuotaShares *share.Purses
 	Claims      *origin.Claims
 	Streams     *node.Streams
@@ -81,7 +81,7 @@
 //
 //	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
 func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
-	r := &Router{ctx: ctx, Scheduler: place.NewDesk(ctx.Hall, place.NewMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
+	r := &Router{ctx: ctx, Scheduler: place.NewScheduler(ctx.Hall, place.NewPrefixMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
 	r.Runners = runner.NewPool(ctx.Name, r.Scheduler.Wake)
 	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Runners.Apply)
 	r.Metrics = metrics.New(map[string]func() float64{
