origin is named clientapi; its files are cut by job, its bodies typed; allow's names follow

Cause: front.go had 516 lines with every step of a request, behind names of the project's own (way, bounce, loosen, payer). Ruled out: changing codes, texts, log fields or JSON names, which callers and operators read. Renamed: Front -> Server, Bounce -> Rejection, way -> exchange, Second -> RetryBudget; allow's Feed, Ask, Habit -> Estimate, Demand, LengthRatio. Cut: server, route, body, admission, dispatch, response, clientwriter, stream, resume, secondrun, claims, retries.

--- a/internal/allow/allow.go
+++ b/internal/allow/allow.go
@@ -1,4 +1,4 @@
-// Package allow is the free output allowance: how much output a tenant without funds may ask for,
+// Package allow judges the free output allowance: how much output a tenant without funds may ask for,
 // sized by the estimated wait on the runners that could serve the prompt. The rule and where it
 // departs from its source are told in docs/allowance.md.
 package allow
@@ -9,8 +9,8 @@
 	"yarrowridge/internal/layout"
 )
 
-// Feed is what is known of one eligible runner at the moment of judging.
-type Feed struct {
+// Estimate is what is known of one eligible runner at the moment of judging.
+type Estimate struct {
 	Queued float64 // output tokens ahead on it
 	Rate   float64 // measured tokens a second; 0 where no stream has completed
 }
@@ -18,13 +18,13 @@
 // Wait is the queued output ahead divided by the summed rate. waiting is what stands in queues
 // for these runners and is not yet on any of them.
 //
-//	w := allow.Wait(rule, []allow.Feed{{Queued: 600, Rate: 20}}, 0) // 30s
-func Wait(rule layout.Allowance, feeds []Feed, waiting float64) time.Duration {
+//	w := allow.Wait(rule, []allow.Estimate{{Queued: 600, Rate: 20}}, 0) // 30s
+func Wait(rule layout.Allowance, estimates []Estimate, waiting float64) time.Duration {
 	queued, rate := waiting, 0.0
-	for _, f := range feeds {
-		queued += f.Queued
-		if f.Rate > 0 {
-			rate += f.Rate
+	for _, estimate := range estimates {
+		queued += estimate.Queued
+		if estimate.Rate > 0 {
+			rate += estimate.Rate
 		} else {
 			rate += rule.Rate
 		}
@@ -32,11 +32,11 @@
 	if rate <= 0 || queued <= 0 {
 		return 0
 	}
-	sec := queued / rate
-	if sec > 1e6 {
-		sec = 1e6
+	seconds := queued / rate
+	if seconds > 1e6 {
+		seconds = 1e6
 	}
-	return time.Duration(sec * float64(time.Second))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Size is the allowance in tokens for a wait: the ceiling, then a straight line, then the floor.
@@ -60,16 +60,16 @@
 const (
 	Free     Outcome = "free"      // within the allowance
 	Funded   Outcome = "funded"    // a tenant with funds
-	Lowered  Outcome = "lowered"   // cut to the allowance, with the origin's leave
+	Lowered  Outcome = "lowered"   // cut to the allowance, with the client's leave
 	NoFunds  Outcome = "no-funds"  // over the allowance
 	NoRunner Outcome = "no-runner" // over the floor, and nobody could serve it anyway
 )
 
-// Ask is a prompt at the door.
-type Ask struct {
-	Funded bool
-	Tokens int  // output asked for
-	Lower  bool // the origin allows lowering
+// Demand is what a prompt asks for.
+type Demand struct {
+	Funded   bool
+	Tokens   int  // output asked for
+	MayLower bool // the client allows lowering
 }
 
 // Verdict is the decision, taken once when the prompt arrives.
@@ -80,28 +80,28 @@
 	Wait    time.Duration
 }
 
-// Decide judges a prompt. feeds are the runners eligible at the asked length.
+// Decide judges a prompt. estimates are of the runners eligible at the asked length.
 //
-//	v := allow.Decide(rule, allow.Ask{Tokens: 2000}, feeds, 0)
-func Decide(rule layout.Allowance, ask Ask, feeds []Feed, waiting float64) Verdict {
-	v := Verdict{Tokens: ask.Tokens, Size: rule.Floor}
-	if len(feeds) > 0 {
-		v.Wait = Wait(rule, feeds, waiting)
-		v.Size = Size(rule, v.Wait)
+//	v := allow.Decide(rule, allow.Demand{Tokens: 2000}, estimates, 0)
+func Decide(rule layout.Allowance, demand Demand, estimates []Estimate, waiting float64) Verdict {
+	verdict := Verdict{Tokens: demand.Tokens, Size: rule.Floor}
+	if len(estimates) > 0 {
+		verdict.Wait = Wait(rule, estimates, waiting)
+		verdict.Size = Size(rule, verdict.Wait)
 	}
 	switch {
-	case ask.Funded:
-		v.Outcome = Funded
-	case ask.Tokens <= v.Size:
-		v.Outcome = Free
-	case len(feeds) == 0:
-		v.Outcome = NoRunner
-	case ask.Lower && v.Size > 0:
-		v.Outcome, v.Tokens = Lowered, v.Size
+	case demand.Funded:
+		verdict.Outcome = Funded
+	case demand.Tokens <= verdict.Size:
+		verdict.Outcome = Free
+	case len(estimates) == 0:
+		verdict.Outcome = NoRunner
+	case demand.MayLower && verdict.Size > 0:
+		verdict.Outcome, verdict.Tokens = Lowered, verdict.Size
 	default:
-		v.Outcome = NoFunds
+		verdict.Outcome = NoFunds
 	}
-	return v
+	return verdict
 }
 
 // Bucket names the size class of a token count.
--- a/internal/allow/allow_test.go
+++ b/internal/allow/allow_test.go
@@ -14,24 +14,24 @@
 
 // The curve at its thresholds, between them and past them.
 func TestCurve(t *testing.T) {
-	for sec, want := range map[float64]int{0: 4096, 59.9: 4096, 60: 4096, 120: 3200, 180: 2304, 240: 1408, 299.999: 513, 300: 512, 301: 512, 1e6: 512} {
-		if got := Size(rule, time.Duration(sec*float64(time.Second))); got != want {
-			t.Errorf("wait %g s: allowance %d, %d expected", sec, got, want)
+	for seconds, want := range map[float64]int{0: 4096, 59.9: 4096, 60: 4096, 120: 3200, 180: 2304, 240: 1408, 299.999: 513, 300: 512, 301: 512, 1e6: 512} {
+		if got := Size(rule, time.Duration(seconds*float64(time.Second))); got != want {
+			t.Errorf("wait %g s: allowance %d, %d expected", seconds, got, want)
 		}
 	}
 }
 
 // plain is the rule as the paper tells it, by big steps and with no care for speed.
-func plain(r layout.Allowance, ask Ask, feeds []Feed, waiting float64) (Outcome, int) {
+func plain(r layout.Allowance, demand Demand, estimates []Estimate, waiting float64) (Outcome, int) {
 	size := r.Floor
-	if len(feeds) > 0 {
+	if len(estimates) > 0 {
 		sum, rate := waiting, 0.0
-		for _, f := range feeds {
-			sum += f.Queued
-			if f.Rate == 0 {
-				f.Rate = r.Rate
+		for _, estimate := range estimates {
+			sum += estimate.Queued
+			if estimate.Rate == 0 {
+				estimate.Rate = r.Rate
 			}
-			rate += f.Rate
+			rate += estimate.Rate
 		}
 		wait := sum / rate
 		full, low := r.Full.Seconds(), r.Low.Seconds()
@@ -39,16 +39,16 @@
 		size = min(max(size, r.Floor), r.Ceiling)
 	}
 	switch {
-	case ask.Funded:
-		return Funded, ask.Tokens
-	case ask.Tokens <= size:
-		return Free, ask.Tokens
-	case len(feeds) == 0:
-		return NoRunner, ask.Tokens
-	case ask.Lower:
+	case demand.Funded:
+		return Funded, demand.Tokens
+	case demand.Tokens <= size:
+		return Free, demand.Tokens
+	case len(estimates) == 0:
+		return NoRunner, demand.Tokens
+	case demand.MayLower:
 		return Lowered, size
 	}
-	return NoFunds, ask.Tokens
+	return NoFunds, demand.Tokens
 }
 
 // The decision against the plain model, for any rule, fleet and prompt.
@@ -58,26 +58,26 @@
 		r := layout.Allowance{Floor: floor, Ceiling: floor + rapid.IntRange(0, 8000).Draw(t, "above"),
 			Full: time.Duration(rapid.IntRange(0, 200).Draw(t, "full")) * time.Second, Rate: 10}
 		r.Low = r.Full + time.Duration(rapid.IntRange(1, 500).Draw(t, "low"))*time.Second
-		feeds := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Feed {
-			f := Feed{Queued: float64(rapid.IntRange(0, 50000).Draw(t, "queued"))}
+		estimates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Estimate {
+			estimate := Estimate{Queued: float64(rapid.IntRange(0, 50000).Draw(t, "queued"))}
 			if rapid.Bool().Draw(t, "measured") {
-				f.Rate = float64(rapid.IntRange(1, 300).Draw(t, "rate"))
+				estimate.Rate = float64(rapid.IntRange(1, 300).Draw(t, "rate"))
 			}
-			return f
+			return estimate
 		}), 0, 6).Draw(t, "feeds")
-		ask := Ask{Funded: rapid.Bool().Draw(t, "funded"), Lower: rapid.Bool().Draw(t, "lower"), Tokens: rapid.IntRange(1, 16384).Draw(t, "tokens")}
+		demand := Demand{Funded: rapid.Bool().Draw(t, "funded"), MayLower: rapid.Bool().Draw(t, "lower"), Tokens: rapid.IntRange(1, 16384).Draw(t, "tokens")}
 		waiting := float64(rapid.IntRange(0, 20000).Draw(t, "waiting"))
-		got := Decide(r, ask, feeds, waiting)
-		out, tokens := plain(r, ask, feeds, waiting)
+		got := Decide(r, demand, estimates, waiting)
+		out, tokens := plain(r, demand, estimates, waiting)
 		// A wait in whole nanoseconds may move the line by one token; a prompt just there may go either way.
-		if got.Outcome != out && math.Abs(float64(got.Size-ask.Tokens)) > 1 {
+		if got.Outcome != out && math.Abs(float64(got.Size-demand.Tokens)) > 1 {
 			t.Fatalf("outcome %s, the model says %s (allowance %d)", got.Outcome, out, got.Size)
 		}
 		if got.Outcome == out && math.Abs(float64(got.Tokens-tokens)) > 1 {
 			t.Fatalf("tokens %d, the model says %d", got.Tokens, tokens)
 		}
-		if got.Outcome != Lowered && got.Tokens != ask.Tokens {
-			t.Fatalf("tokens changed from %d to %d without lowering", ask.Tokens, got.Tokens)
+		if got.Outcome != Lowered && got.Tokens != demand.Tokens {
+			t.Fatalf("tokens changed from %d to %d without lowering", demand.Tokens, got.Tokens)
 		}
 	})
 }
@@ -88,7 +88,7 @@
 		q := float64(rapid.IntRange(0, 100000).Draw(t, "queued"))
 		v := float64(rapid.IntRange(1, 500).Draw(t, "rate"))
 		more := float64(rapid.IntRange(0, 100000).Draw(t, "more"))
-		at := func(q, v float64) int { return Decide(rule, Ask{Tokens: 1}, []Feed{{q, v}}, 0).Size }
+		at := func(q, v float64) int { return Decide(rule, Demand{Tokens: 1}, []Estimate{{q, v}}, 0).Size }
 		if at(q+more, v) > at(q, v) || at(q, v+more) < at(q, v) {
 			t.Fatalf("queued %g rate %g more %g: not monotone", q, v, more)
 		}
--- /dev/null
+++ b/internal/allow/lengths.go
@@ -0,0 +1,68 @@
+package allow
+
+import "sync"
+
+// LengthRatio is how much of the length asked for responses have lately come to. What is ahead is counted by
+// that, in the same unit as the runners' measured speed: clients ask for the most that they would take, and a
+// piece of a stream may hold several tokens.
+type LengthRatio struct{ runs, asked, received float64 }
+
+// A ratio counts from so many responses on; at so many, older ones fade.
+const ratioLeastRuns, ratioMostRuns = 4, 256
+
+// Add counts a whole response.
+//
+//	lengths.Add(2000, 310)
+func (r *LengthRatio) Add(asked, came int) {
+	if r.runs >= ratioMostRuns {
+		*r = LengthRatio{r.runs / 2, r.asked / 2, r.received / 2}
+	}
+	r.runs++
+	r.asked += float64(asked)
+	r.received += float64(min(came, asked))
+}
+
+// Share is the part of what is asked for that is likely to come: all, until enough was seen.
+//
+//	n := 2000 * ratio.Share()
+func (r *LengthRatio) Share() float64 {
+	if r.runs < ratioLeastRuns || r.asked <= 0 {
+		return 1
+	}
+	return r.received / r.asked
+}
+
+// LaneLengths is the ratio of each lane.
+type LaneLengths struct {
+	mu     sync.Mutex
+	byLane map[string]*LengthRatio
+}
+
+// NewLaneLengths makes an empty record.
+//
+//	lengths := allow.NewLaneLengths()
+func NewLaneLengths() *LaneLengths { return &LaneLengths{byLane: map[string]*LengthRatio{}} }
+
+// Add counts a whole response of a lane.
+//
+//	lengths.Add("writeups", 2000, 310)
+func (l *LaneLengths) Add(lane string, asked, came int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byLane[lane] == nil {
+		l.byLane[lane] = &LengthRatio{}
+	}
+	l.byLane[lane].Add(asked, came)
+}
+
+// Expect is the output that a request of a lane is likely to come to, of what it asks for.
+//
+//	n := lengths.Expect("writeups", 2000) // 310
+func (l *LaneLengths) Expect(lane string, asked int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byLane[lane] == nil {
+		return asked
+	}
+	return int(float64(asked)*l.byLane[lane].Share() + 0.5)
+}
--- a/internal/balance/feeds.go
+++ b/internal/balance/feeds.go
@@ -10,16 +10,16 @@
 // Feeds tells, for each runner that could serve the model, the output ahead of a newcomer and the measured
 // rate of its output. A runner that batches gives what it owes beside a newcomer, not before it: ahead is
 // only what the measured wait for a first token is worth at its rate.
-func (b *Balancer) Feeds(service, model string) []allow.Feed {
+func (b *Balancer) Feeds(service, model string) []allow.Estimate {
 	now := time.Now()
-	var feeds []allow.Feed
+	var feeds []allow.Estimate
 	for _, runner := range b.Runners(service) {
 		runner.mu.Lock()
 		usable, barred := runner.usable(model, now)
 		if usable && !barred && runner.info.State == routing.RunnerReady {
 			rate := runner.outputRate()
 			wait := runner.fadedWait(now) / 1000
-			feeds = append(feeds, allow.Feed{Queued: wait * max(rate, 1), Rate: rate})
+			feeds = append(feeds, allow.Estimate{Queued: wait * max(rate, 1), Rate: rate})
 		}
 		runner.mu.Unlock()
 	}
--- /dev/null
+++ b/internal/clientapi/claims.go
@@ -0,0 +1,147 @@
+package clientapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/node"
+	"yarrowridge/internal/strike"
+)
+
+// KeyHeader is the header by which a client names a request that may run only once.
+const KeyHeader = "Idempotency-Key"
+
+// maxKeptResponse is the largest response kept with a claim, in bytes.
+const maxKeptResponse = 16 << 10
+
+// Claims takes and settles the durable claims of once-only keys.
+type Claims struct {
+	ctx      env.Ctx
+	hub      *node.Hub
+	next     atomic.Uint64
+	settling atomic.Int64 // settlements under way
+}
+
+// NewClaims makes the part that talks about claims with the core.
+//
+//	claims := clientapi.NewClaims(ctx, hub)
+func NewClaims(ctx env.Ctx, hub *node.Hub) *Claims { return &Claims{ctx: ctx, hub: hub} }
+
+// Settling counts settlements that the core has not answered yet.
+//
+//	for claims.Settling() > 0 { ... }
+func (c *Claims) Settling() int { return int(c.settling.Load()) }
+
+// claim is one durable claim of a key, held while its request runs.
+type claim struct {
+	claims  *Claims
+	key     string
+	record  core.Claim
+	settled bool
+}
+
+// settle tells the core what became of a claim, for as long as that takes.
+func (c *Claims) settle(claim *claim, free bool) {
+	if claim.settled {
+		return
+	}
+	claim.settled = true
+	c.settling.Add(1)
+	in := core.Settle{Key: claim.key, Free: free, Claim: claim.record}
+	go func() {
+		defer c.settling.Add(-1)
+		for {
+			ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
+			err := c.hub.Core.Call(ctx, "core.settle", &in, nil, true)
+			cancel()
+			if err == nil || !env.Wait(c.ctx, 200*time.Millisecond) {
+				return
+			}
+		}
+	}()
+}
+
+// release settles a claim whose request has no whole response: free where it surely never ran.
+func (claim *claim) release(unknown bool) {
+	if unknown {
+		claim.record.State = core.ClaimUnknown
+	}
+	claim.claims.settle(claim, !unknown)
+}
+
+// complete settles a claim with its response, kept where it is small enough.
+func (claim *claim) complete(status int, kind string, raw []byte) {
+	claim.record.State, claim.record.Status, claim.record.Kind = core.ClaimDone, status, kind
+	if len(raw) <= maxKeptResponse {
+		claim.record.Answer = append([]byte{}, raw...)
+		claim.record.Kept = true
+	}
+	claim.claims.settle(claim, false)
+}
+
+// takeClaim takes the durable claim for a keyed request on a once-only lane, or tells what became of
+// the earlier one. Without the core it doesn't run.
+func (x *exchange) takeClaim() error {
+	key := x.incoming.Header.Get(KeyHeader)
+	if !x.lane.Once || key == "" || strike.Out("claim") {
+		return nil
+	}
+	if len(key) > 200 {
+		return &Rejection{Status: 400, Code: "bad-key", Message: "A " + KeyHeader + " of at most 200 bytes is expected."}
+	}
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s %s\n", x.incoming.Method, x.incoming.URL.RequestURI())
+	hash.Write(x.body)
+	claims := x.server.Claims
+	claim := &claim{claims: claims, key: x.tenant.Name + "/" + key, record: core.Claim{Sum: hex.EncodeToString(hash.Sum(nil)),
+		Id:   fmt.Sprintf("%s/%x/%d", claims.ctx.Name, claims.ctx.Born, claims.next.Add(1)),
+		Node: claims.ctx.Name, Born: claims.ctx.Born}}
+	ctx, cancel := context.WithTimeout(x.incoming.Context(), min(x.lane.Patience, 3*time.Second))
+	defer cancel()
+	var taken core.Took
+	err := x.server.Hub.Core.Call(ctx, "core.take", &core.Take{Key: claim.key, Claim: claim.record}, &taken, true)
+	if err != nil {
+		if core.Doubt(err) {
+			claim.release(false) // it may stand there: nothing was run, so let it go when the core is back
+		}
+		return &Rejection{Status: 503, Code: "no-core", RetryAfter: 2 * time.Second, Message: "The core can't be asked whether this key has run, so it was not run."}
+	}
+	switch {
+	case taken.Got:
+		x.claim = claim
+		return nil
+	case taken.Ran:
+		return &Rejection{Status: 409, Code: "ran-before", OutcomeUnknown: true, Message: "A query with this key ran before; what came of it is no longer kept. It is not run again."}
+	case taken.Full:
+		return &Rejection{Status: 503, Code: "keys-full", RetryAfter: time.Minute, Message: "The core keeps as many keys that ran as limits.ran_most allows, so it can take no new one yet."}
+	case taken.Clash:
+		return &Rejection{Status: 422, Code: "key-clash", Message: "This key was used for another query."}
+	case taken.Live:
+		return &Rejection{Status: 409, Code: "still-running", RetryAfter: time.Second, OutcomeUnknown: true, Message: "The query with this key is still running."}
+	case taken.Claim.State == core.ClaimDone && taken.Claim.Kept:
+		return x.replay(taken.Claim)
+	case taken.Claim.State == core.ClaimDone:
+		return &Rejection{Status: 409, Code: "done-not-kept", OutcomeUnknown: true, Message: "The query with this key ran to its end; its answer is not kept."}
+	}
+	return &Rejection{Status: 409, Code: "outcome-unknown", OutcomeUnknown: true, Message: "What became of the query with this key is not known. It won't be run again."}
+}
+
+// replay answers from a claim that is done.
+func (x *exchange) replay(record core.Claim) error {
+	header := x.writer.Header()
+	if record.Kind != "" {
+		header.Set("Content-Type", record.Kind)
+	}
+	header.Set("X-Yarrowridge-Replayed", "true")
+	header.Set("Content-Length", strconv.Itoa(len(record.Answer)))
+	x.writer.WriteHeader(record.Status)
+	x.writer.Write(record.Answer)
+	return &Rejection{Code: "replayed"}
+}
--- a/internal/origin/stream_test.go
+++ b/internal/clientapi/stream_test.go
@@ -1,4 +1,4 @@
-package origin
+package clientapi
 
 import (
 	"bufio"
@@ -17,20 +17,20 @@
 		in := bufio.NewReaderSize(bytes.NewReader(raw), 16)
 		var all []byte
 		for {
-			ev, err := event(in)
-			all = append(all, ev...)
+			event, err := readEvent(in)
+			all = append(all, event...)
 			if err != nil {
 				if err != io.EOF {
 					t.Fatal(err)
 				}
 				break
 			}
-			if len(bytes.TrimRight(ev[max(0, len(ev)-2):], "\r\n")) > 0 {
-				t.Errorf("event %q ends with no blank line", ev)
+			if len(bytes.TrimRight(event[max(0, len(event)-2):], "\r\n")) > 0 {
+				t.Errorf("event %q ends with no blank line", event)
 			}
-			body := bytes.TrimRight(ev, "\r\n")
-			if got := string(number(ev, 12)); got != string(body)+"\nid: 12\n\n" {
-				t.Errorf("%q became %q", ev, got)
+			body := bytes.TrimRight(event, "\r\n")
+			if got := string(numberEvent(event, 12)); got != string(body)+"\nid: 12\n\n" {
+				t.Errorf("%q became %q", event, got)
 			}
 		}
 		if !bytes.Equal(all, raw) {
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -23,7 +23,7 @@
 	feeds := r.gateway.Balancer.Feeds(r.service.Name, r.meta.Model)
 	rule := layout.Allowance{Ceiling: allowanceCeiling, Floor: allowanceFloor,
 		Full: r.route.TargetLatency, Low: max(r.route.Timeout/2, 2*r.route.TargetLatency), Rate: assumedRate}
-	verdict := allow.Decide(rule, allow.Ask{Funded: r.funded(), Tokens: r.meta.OutputTokens}, feeds, 0)
+	verdict := allow.Decide(rule, allow.Demand{Funded: r.funded(), Tokens: r.meta.OutputTokens}, feeds, 0)
 	switch verdict.Outcome {
 	case allow.NoFunds:
 		return refuseAllowance
--- a/internal/place/scheduler.go
+++ b/internal/place/scheduler.go
@@ -55,14 +55,14 @@
 	waiting  int
 
 	// Lengths tells what the requests of a lane come to, of what they ask for.
-	Lengths *allow.Habits
+	Lengths *allow.LaneLengths
 }
 
 // NewScheduler makes the scheduler of a router in the zone.
 //
 //	scheduler := place.NewScheduler("north", place.NewPrefixMemory(1<<18))
 func NewScheduler(zone string, prefixes *PrefixMemory) *Scheduler {
-	return &Scheduler{zone: zone, prefixes: prefixes, wake: make(chan struct{}, 1), Lengths: allow.NewHabits()}
+	return &Scheduler{zone: zone, prefixes: prefixes, wake: make(chan struct{}, 1), Lengths: allow.NewLaneLengths()}
 }
 
 // Wake has the scheduler look again: a runner may have room.
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -10,12 +10,12 @@
 
 	"github.com/zeromicro/go-zero/rest"
 
+	"yarrowridge/internal/clientapi"
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/operator"
-	"yarrowridge/internal/origin"
 	"yarrowridge/internal/place"
 	"yarrowridge/internal/relay"
 	"yarrowridge/internal/request"
@@ -68,11 +68,11 @@
 	Runners     *runner.Pool
 	Scheduler   *place.Scheduler
 	QuotaShares *share.Purses
-	Claims      *origin.Claims
+	Claims      *clientapi.Claims
 	Streams     *node.Streams
 	Log         *request.Log
 	Metrics     *metrics.Metrics
-	Clients     *origin.Front
+	Clients     *clientapi.Server
 	ctx         env.Ctx
 	sender      *runner.Sender
 }
@@ -91,11 +91,11 @@
 	})
 	r.QuotaShares = share.NewPurses(ctx.Part("share"), share.Ways{Move: quotaMover(r.Hub), Nodes: func() int { return len(r.Hub.Nodes()) },
 		Short: r.Hub.Short, Rules: quotaRules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
-	r.Claims = origin.NewClaims(ctx.Part("claim"), r.Hub)
+	r.Claims = clientapi.NewClaims(ctx.Part("claim"), r.Hub)
 	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
-	r.Clients = &origin.Front{Ctx: ctx.Part("origin"), Hub: r.Hub, Yard: r.Runners, Desk: r.Scheduler, Send: r.sender,
-		Meter: r.Metrics, Log: r.Log, Purses: r.QuotaShares, Again: origin.NewSecond(r.Metrics), Claims: r.Claims, Streams: r.Streams}
-	r.Streams.Heir = r.Clients.Inherit
+	r.Clients = &clientapi.Server{Ctx: ctx.Part("origin"), Hub: r.Hub, Runners: r.Runners, Scheduler: r.Scheduler, Sender: r.sender,
+		Metrics: r.Metrics, Log: r.Log, QuotaShares: r.QuotaShares, Retries: clientapi.NewRetryBudget(r.Metrics), Claims: r.Claims, Streams: r.Streams}
+	r.Streams.Heir = r.Clients.TakeOver
 	return r
 }
 
@@ -118,7 +118,7 @@
 		return err
 	}
 	defer tr.Close()
-	r.Clients.Trail = tr
+	r.Clients.Tracer = tr
 	listener, err := ctx.Net.Listen(process.Set.Or("listen", "addr"))
 	if err != nil {
 		return err
@@ -177,7 +177,7 @@
 			ctx.Log.Warn("Drain ended before its queries did.", "trouble", err.Error())
 		}
 	}
-	for r.Claims.Open()+r.Clients.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
+	for r.Claims.Settling()+r.Clients.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
 	}
 	r.Hub.Leave()
 	r.sender.Close()
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -98,7 +98,7 @@
 	since   time.Time
 	area    float64    // fill times seconds
 	buckets [12]bucket // by the fill's power of two
-	lengths allow.Habit
+	lengths allow.LengthRatio
 }
 
 type bucket struct{ runs, tokens, seconds, fills float64 }
--- a/internal/sim/load_test.go
+++ b/internal/sim/load_test.go
@@ -41,7 +41,7 @@
 			}
 			first, again := 0, 0
 			for _, r := range w.full {
-				f, a := r.r.Clients.Again.Counts("model")
+				f, a := r.r.Clients.Retries.Counts("model")
 				first, again = first+f, again+a
 			}
 			if most := 0.2*float64(first) + 20; float64(again) > most {
