--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -39,8 +39,8 @@
 			out.Have, changed = p.Give(who, in.Turn, in.Units)
 		} else {
 			was := p.Held[who].Units
-			out.Have, changed = p.Draw(who, in.Turn, in.Units, units)
-			if out.Have-was < in.Units {
+			out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(units-p.Out())), units)
+			if in.Units > 0 && out.Have == was {
 				s.mu.Lock()
 				s.short[in.Tenant] = time.Now()
 				s.mu.Unlock()
@@ -58,27 +58,20 @@
 	return out, nil
 }
 
+// drawPart is the part of the free units that one draw may take: after a restart all routers draw at once, and
+// the first must not leave the others without any.
+const drawPart = 8
+
+// drawMost is the most that one draw gets of what is free.
+func drawMost(free int) int { return (free + drawPart - 1) / drawPart }
+
 // retire sets a holder's units cooling: its process is surely gone.
 func (s *Server) retire(ctx context.Context, who string) error {
 	return s.Submit(ctx, func(tx *Tx) error {
-		return s.pots(tx, func(tenant string, p *share.Pot) bool { return s.retireIn(tx, tenant, p, who) })
+		return s.pots(tx, func(_ string, p *share.Pot) bool { return p.Retire(who) })
 	})
 }
 
-// retireIn sets one holder's units of one tenant cooling. Where a quota has no window, what its holders
-// spent counts no longer than they live, and the units are free at once. Only the run loop calls it.
-func (s *Server) retireIn(tx *Tx, tenant string, p *share.Pot, who string) bool {
-	if !p.Retire(who) {
-		return false
-	}
-	if cur, err := tx.sheet(); err == nil {
-		if doc := s.parsed(cur); doc != nil && doc.Windows[tenant] == 0 {
-			p.Thaw(who)
-		}
-	}
-	return true
-}
-
 func (s *Server) pots(tx *Tx, do func(ten string, p *share.Pot) bool) error {
 	var tens []string
 	tx.st.Each("share/", func(k string, _ []byte) { tens = append(tens, strings.TrimPrefix(k, "share/")) })
@@ -99,17 +92,20 @@
 // holderPlace is the part of a holder's name that all runs of a node at one address share.
 func holderPlace(n Node) string { return n.Name + "@" + n.Addr }
 
+// flightTime covers the way of the last requests that a process sent before its end.
+const flightTime = 50 * time.Millisecond
+
 // replaceHolder sets the units of earlier runs at a node's address cooling. They ended before the new run
 // began, so their last spends are at least as old as the new run.
 func (s *Server) replaceHolder(n Node, age time.Duration) {
 	place, me := holderPlace(n), Holder(n)
-	ended := time.Now().Add(-age)
+	ended := time.Now().Add(flightTime - share.Margin - age)
 	s.later(func(tx *Tx) error {
 		return s.pots(tx, func(ten string, p *share.Pot) bool {
 			changed := false
 			for who := range p.Held {
 				if at, _, _ := strings.Cut(who, "/"); at == place && who != me {
-					changed = s.retireIn(tx, ten, p, who) || changed
+					changed = p.Retire(who) || changed
 				}
 			}
 			for who := range p.Cool {
@@ -149,6 +145,7 @@
 		return now.Sub(at) > span
 	}
 	var thaw, out []holding
+	s.cooling = false
 	s.st.Load().Each("share/", func(k string, raw []byte) {
 		var p share.Pot
 		if _, err := p.UnmarshalMsg(raw); err != nil {
@@ -156,6 +153,7 @@
 		}
 		tenant := strings.TrimPrefix(k, "share/")
 		for who := range p.Cool {
+			s.cooling = true
 			if aged(coolKey(tenant, who), windows[tenant]+share.Margin) {
 				thaw = append(thaw, holding{tenant, who})
 			}
@@ -186,7 +184,7 @@
 				changed = h.tenant == tenant && p.Thaw(h.who) || changed
 			}
 			for _, h := range out {
-				changed = h.tenant == tenant && s.retireIn(tx, tenant, p, h.who) || changed
+				changed = h.tenant == tenant && p.Retire(h.who) || changed
 			}
 			return changed
 		})
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -110,6 +110,7 @@
 	claims  map[string]time.Time // since when this run knows each claim, and each part of the keys that ran
 	swept   time.Time
 	swept10 time.Time            // of the claims
+	cooling bool                 // units of some quota cool
 	greeted time.Time            // when silent places were last told the view
 	mute    map[string]time.Time // places from which nobody beats: since when
 	ran     ran
@@ -539,7 +540,7 @@
 	}
 	s.ran.load(s.st.Load())
 	s.mu.Lock()
-	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.began, time.Now())
+	s.runners.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.began, time.Now(), s.storedRunners())
 	s.ready, s.sheet, s.since = true, sheet, time.Now()
 	s.mu.Unlock()
 	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backups", addrs(v, v.Backups()), "sequence", sheet.Seq)
