--- a/internal/clientapi/route.go
+++ b/internal/clientapi/route.go
@@ -17,7 +17,7 @@
 	key, ok := strings.CutPrefix(x.incoming.Header.Get("Authorization"), "Bearer ")
 	if ok {
 		x.keyHash = layout.HashKey(strings.TrimSpace(key))
-		x.tenantIndex, ok = x.config.Hashed(x.keyHash)
+		x.tenantIndex, ok = x.config.TenantByHash(x.keyHash)
 	}
 	if !ok {
 		return &Rejection{Status: 401, Code: "unknown-key", Message: "A known key is expected, as Authorization: Bearer KEY."}
@@ -29,7 +29,7 @@
 
 // route finds the lane and the pool that the request belongs to, and reads its body.
 func (x *exchange) route() error {
-	route, known := x.config.Map(x.incoming.Method, x.incoming.URL.Path, x.incoming.Header.Get)
+	route, known := x.config.FindRoute(x.incoming.Method, x.incoming.URL.Path, x.incoming.Header.Get)
 	switch {
 	case route == nil && known:
 		return &Rejection{Status: 405, Code: "no-mapping", Message: "The path is known, but not with this method and these headers."}
@@ -60,7 +60,7 @@
 // under: its key, its route, its lane's doors. The pool's selector counts as it is now.
 func (x *exchange) checkConfig() error {
 	config := x.server.Hub.Layout()
-	if config.Seq == x.config.Seq {
+	if config.Version == x.config.Version {
 		return nil
 	}
 	pool := x.pool.Name
@@ -79,12 +79,12 @@
 
 // applyConfig takes tenant, lane and pool anew from a config, by the key's hash and the route. The lane has
 // to stay the one it was, if there was one.
-func (x *exchange) applyConfig(config *layout.Layout) *Rejection {
+func (x *exchange) applyConfig(config *layout.Config) *Rejection {
 	tenant, ok := x.findTenant(config)
 	if !ok {
 		return rejectKey
 	}
-	route, _ := config.Map(x.incoming.Method, x.incoming.URL.Path, x.incoming.Header.Get)
+	route, _ := config.FindRoute(x.incoming.Method, x.incoming.URL.Path, x.incoming.Header.Get)
 	if route == nil || !config.Lanes[route.Lane].Admits(tenant) || x.lane != nil && config.Lanes[route.Lane].Name != x.lane.Name {
 		return rejectConfigChanged
 	}
@@ -95,7 +95,7 @@
 
 // findTenant finds the request's tenant in a config by its key. ok is false where the key is another's by now,
 // or nobody's.
-func (x *exchange) findTenant(config *layout.Layout) (tenant int, ok bool) {
-	tenant, ok = config.Hashed(x.keyHash)
+func (x *exchange) findTenant(config *layout.Config) (tenant int, ok bool) {
+	tenant, ok = config.TenantByHash(x.keyHash)
 	return tenant, ok && config.Tenants[tenant].Name == x.request.Tenant
 }
--- a/internal/clientapi/server.go
+++ b/internal/clientapi/server.go
@@ -84,7 +84,7 @@
 	request      *request.Request
 	writer       http.ResponseWriter
 	incoming     *http.Request
-	config       *layout.Layout
+	config       *layout.Config
 	tenantIndex  int
 	tenant       *layout.Tenant
 	lane         *layout.Lane
--- a/internal/core/layoutcodec.go
+++ b/internal/core/layoutcodec.go
@@ -39,4 +39,4 @@
 }
 
 // MaxBytes is the size of the largest layout.
-func (layoutCodec) MaxBytes() int { return layout.Most }
+func (layoutCodec) MaxBytes() int { return layout.MaxBytes }
--- /dev/null
+++ b/internal/layout/config.go
@@ -0,0 +1,159 @@
+// Package layout reads and checks the operators' config: pools, lanes, routes, tenants and limits.
+// A document with an error in it is never made into a Config.
+package layout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+)
+
+// MaxBytes is the largest document taken, in bytes.
+const MaxBytes = 1 << 20
+
+// RanMost is how many once-only keys that ran are kept unless the config says otherwise: three days at
+// 60 a second.
+const RanMost = 16_000_000
+
+// FieldError is one thing wrong with a config, named by its path.
+type FieldError struct {
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// Quota is N units in any rolling window. A request costs one unit, or with Tokens set, one unit
+// for each started Tokens of output it may ask for.
+type Quota struct {
+	Units  int
+	Window time.Duration
+	Tokens int
+}
+
+// Tenant is one payer, known by the hashes of its keys.
+type Tenant struct {
+	Name   string
+	Funded bool
+	Quota  Quota // Units 0: no quota
+}
+
+// Lane is a kind of traffic.
+type Lane struct {
+	Name     string
+	Rank     int // lower goes first
+	Patience time.Duration
+	Silence  time.Duration // a runner that sends nothing for so long has lost the request
+	Once     bool          // may run only once
+	Repeat   bool          // the run behind a lost stream may be made a second time
+	Plain    bool          // ordinary application: no prompt, no allowance
+	Tenants  map[int]bool
+	All      bool // every tenant
+}
+
+// Pool is a group of runners gathered by label.
+type Pool struct {
+	Name    string
+	Select  Selector
+	Service int
+}
+
+// Service bounds second tries to one service of the fleet.
+type Service struct {
+	Name  string
+	Share float64 // second tries over first tries in ten seconds
+	Spare int     // and this many besides, for the whole fleet
+}
+
+// Route leads a request to its lane and pool.
+type Route struct {
+	Method  string
+	Path    string
+	Prefix  bool // Path ended in *
+	Headers map[string]string
+	Lane    int
+	Pool    int
+}
+
+// Allowance holds the free output allowance's figures.
+type Allowance struct {
+	Ceiling, Floor int
+	Full, Low      time.Duration // wait up to which the ceiling holds; from which the floor does
+	Rate           float64       // tokens a second assumed of a runner with no completed stream
+}
+
+// Limits bound what one request or the queues may take.
+type Limits struct {
+	Body, Tokens, Queue int
+	BodyTime            time.Duration // within which a body has to come
+	Open                int           // requests under way on one router, in whatever state
+	Keep                time.Duration // how long once-only keys are kept with what became of them
+	RanKeep             time.Duration // how long it is kept that a key ran
+	RanMost             int           // how many such keys are kept at the most
+}
+
+// Config is a checked config, its names mapped to dense indices.
+type Config struct {
+	Version      uint64
+	Raw          []byte
+	Tenants      []Tenant
+	Lanes        []Lane
+	Pools        []Pool
+	Services     []Service
+	Routes       []Route
+	Allowance    Allowance
+	Limits       Limits
+	tenantByHash map[string]int
+}
+
+// HashKey is how a key is written in a config: the hex SHA-256 of its text.
+//
+//	"keys": ["<layout.HashKey("s3cret")>"]
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TenantByKey finds the tenant that a key belongs to.
+//
+//	tenant, ok := config.TenantByKey("s3cret")
+func (c *Config) TenantByKey(key string) (int, bool) {
+	return c.TenantByHash(HashKey(key))
+}
+
+// TenantByHash finds the tenant by the hash of a key, for those who hold only that.
+//
+//	tenant, ok := config.TenantByHash(layout.HashKey("s3cret"))
+func (c *Config) TenantByHash(hash string) (int, bool) {
+	i, ok := c.tenantByHash[hash]
+	return i, ok
+}
+
+// FindRoute finds the first route for a request: method, path and headers. known tells whether the path
+// is mapped at all, by any method.
+//
+//	route, known := config.FindRoute("POST", "/v1/completions", req.Header.Get)
+func (c *Config) FindRoute(method, path string, head func(string) string) (route *Route, known bool) {
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if route.Prefix && !strings.HasPrefix(path, route.Path) || !route.Prefix && path != route.Path {
+			continue
+		}
+		known = true
+		if route.Method != method {
+			continue
+		}
+		ok := true
+		for name, v := range route.Headers {
+			ok = ok && head(name) == v
+		}
+		if ok {
+			return route, true
+		}
+	}
+	return nil, known
+}
+
+// Admits tells whether a lane is open to a tenant.
+//
+//	if !lane.Admits(tenant) { ... }
+func (l *Lane) Admits(tenant int) bool { return l.All || l.Tenants[tenant] }
--- a/internal/layout/layout_test.go
+++ b/internal/layout/config_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// Every trouble is told at once, each by its path.
+// Every an error is told at once, each by its path.
 func TestTroubles(t *testing.T) {
 	for raw, paths := range map[string]string{
 		`{`:                   "",
@@ -55,23 +55,23 @@
 		var text []string
 		want := true
 		for range rapid.IntRange(1, 4).Draw(t, "terms") {
-			k, v, u := rapid.SampledFrom(words).Draw(t, "key"), rapid.SampledFrom(words).Draw(t, "v"), rapid.SampledFrom(words).Draw(t, "u")
-			have, has := tags[k]
+			name, v, u := rapid.SampledFrom(words).Draw(t, "key"), rapid.SampledFrom(words).Draw(t, "v"), rapid.SampledFrom(words).Draw(t, "u")
+			have, has := tags[name]
 			var s string
 			var ok bool
 			switch rapid.IntRange(0, 5).Draw(t, "op") {
 			case 0:
-				s, ok = k+"="+v, has && have == v
+				s, ok = name+"="+v, has && have == v
 			case 1:
-				s, ok = k+" != "+v, !has || have != v
+				s, ok = name+" != "+v, !has || have != v
 			case 2:
-				s, ok = k+" in ("+v+", "+u+")", has && (have == v || have == u)
+				s, ok = name+" in ("+v+", "+u+")", has && (have == v || have == u)
 			case 3:
-				s, ok = k+" notin ("+v+","+u+")", !has || have != v && have != u
+				s, ok = name+" notin ("+v+","+u+")", !has || have != v && have != u
 			case 4:
-				s, ok = k, has
+				s, ok = name, has
 			case 5:
-				s, ok = "!"+k, !has
+				s, ok = "!"+name, !has
 			}
 			text, want = append(text, s), want && ok
 		}
@@ -101,7 +101,7 @@
 	}
 }
 
-// Whatever bytes an operator puts, a layout is read whole or told wrong, never both, never a panic.
+// Whatever bytes an operator puts, a config is read whole or told wrong, never both, never a panic.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"services":{"s":{}},"pools":{"p":{"select":"a=b","service":"s"}},"lanes":{"l":{"tenants":["*"]}},"mappings":[{"path":"/x","lane":"l","pool":"p"}]}`))
 	f.Add([]byte(`{"mappings":{"a":[]},"tenants":{"t":{"keys":{}}}}`))
--- a/internal/layout/merge.go
+++ b/internal/layout/merge.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 )
 
-// Merge applies a JSON merge patch (RFC 7386) to a layout's text.
+// Merge applies a JSON merge patch (RFC 7386) to a config's text.
 //
 //	next, err := layout.Merge(raw, []byte(`{"lanes":{"old":null}}`))
 func Merge(raw, patch []byte) ([]byte, error) {
@@ -18,30 +18,30 @@
 	if err := decode(patch, &change); err != nil {
 		return nil, err
 	}
-	return json.Marshal(merge(base, change))
+	return json.Marshal(mergeValues(base, change))
 }
 
 func decode(raw []byte, to *any) error {
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.UseNumber()
-	return d.Decode(to)
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	return decoder.Decode(to)
 }
 
-func merge(base, change any) any {
+func mergeValues(base, change any) any {
 	c, ok := change.(map[string]any)
 	if !ok {
 		return change
 	}
-	b, ok := base.(map[string]any)
+	target, ok := base.(map[string]any)
 	if !ok {
-		b = map[string]any{}
+		target = map[string]any{}
 	}
-	for k, v := range c {
+	for name, v := range c {
 		if v == nil {
-			delete(b, k)
+			delete(target, name)
 		} else {
-			b[k] = merge(b[k], v)
+			target[name] = mergeValues(target[name], v)
 		}
 	}
-	return b
+	return target
 }
--- a/internal/layout/select.go
+++ b/internal/layout/selector.go
@@ -7,9 +7,9 @@
 
 // Term is one condition of a selector.
 type Term struct {
-	Key  string
-	Op   string // "=", "!=", "in", "notin", "has", "not"
-	Vals []string
+	Key    string
+	Op     string // "=", "!=", "in", "notin", "has", "not"
+	Values []string
 }
 
 // Selector is a list of conditions that must all hold.
@@ -21,16 +21,16 @@
 //	sel, bad := layout.ParseSelector("model=lumen, hall notin (west)")
 func ParseSelector(s string) (Selector, string) {
 	var out Selector
-	for _, part := range cut(s) {
+	for _, part := range splitTerms(s) {
 		part = strings.TrimSpace(part)
 		if part == "" {
 			return nil, "an empty term between commas"
 		}
-		t, bad := term(part)
+		term, bad := parseTerm(part)
 		if bad != "" {
 			return nil, bad
 		}
-		out = append(out, t)
+		out = append(out, term)
 	}
 	if len(out) == 0 {
 		return nil, "at least one term expected"
@@ -38,8 +38,8 @@
 	return out, ""
 }
 
-// cut splits at commas outside brackets.
-func cut(s string) []string {
+// splitTerms splits at commas outside brackets.
+func splitTerms(s string) []string {
 	var out []string
 	deep, from := 0, 0
 	for i, c := range s {
@@ -61,12 +61,12 @@
 	return append(out, s[from:])
 }
 
-func term(s string) (Term, string) {
+func parseTerm(s string) (Term, string) {
 	if key, val, ok := strings.Cut(s, "!="); ok {
-		return word(Term{Op: "!=", Key: strings.TrimSpace(key), Vals: []string{strings.TrimSpace(val)}}, s)
+		return checkWords(Term{Op: "!=", Key: strings.TrimSpace(key), Values: []string{strings.TrimSpace(val)}}, s)
 	}
 	if key, val, ok := strings.Cut(s, "="); ok {
-		return word(Term{Op: "=", Key: strings.TrimSpace(key), Vals: []string{strings.TrimSpace(val)}}, s)
+		return checkWords(Term{Op: "=", Key: strings.TrimSpace(key), Values: []string{strings.TrimSpace(val)}}, s)
 	}
 	if key, rest, ok := strings.Cut(s, "("); ok {
 		f := strings.Fields(key)
@@ -74,39 +74,39 @@
 		if len(f) != 2 || (f[1] != "in" && f[1] != "notin") || !end {
 			return Term{}, "term " + s + ": key in (a,b) or key notin (a,b) expected"
 		}
-		t := Term{Key: f[0], Op: f[1]}
+		term := Term{Key: f[0], Op: f[1]}
 		for _, v := range strings.Split(rest, ",") {
-			t.Vals = append(t.Vals, strings.TrimSpace(v))
+			term.Values = append(term.Values, strings.TrimSpace(v))
 		}
-		return word(t, s)
+		return checkWords(term, s)
 	}
 	if key, ok := strings.CutPrefix(s, "!"); ok {
-		return word(Term{Op: "not", Key: strings.TrimSpace(key)}, s)
+		return checkWords(Term{Op: "not", Key: strings.TrimSpace(key)}, s)
 	}
-	return word(Term{Op: "has", Key: s}, s)
+	return checkWords(Term{Op: "has", Key: s}, s)
 }
 
-func word(t Term, s string) (Term, string) {
-	for _, w := range append([]string{t.Key}, t.Vals...) {
+func checkWords(term Term, s string) (Term, string) {
+	for _, w := range append([]string{term.Key}, term.Values...) {
 		if w == "" || strings.ContainsAny(w, " \t\r\n()!=,") {
 			return Term{}, "term " + s + ": plain words for key and values expected"
 		}
 	}
-	return t, ""
+	return term, ""
 }
 
 // Match tells whether a label set satisfies every term.
 //
 //	if sel.Match(map[string]string{"model": "lumen"}) { ... }
 func (s Selector) Match(tags map[string]string) bool {
-	for _, t := range s {
-		v, has := tags[t.Key]
+	for _, term := range s {
+		v, has := tags[term.Key]
 		ok := false
-		switch t.Op {
+		switch term.Op {
 		case "=", "in":
-			ok = has && slices.Contains(t.Vals, v)
+			ok = has && slices.Contains(term.Values, v)
 		case "!=", "notin":
-			ok = !has || !slices.Contains(t.Vals, v)
+			ok = !has || !slices.Contains(term.Values, v)
 		case "has":
 			ok = has
 		case "not":
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -63,7 +63,7 @@
 type configuration struct {
 	sequence uint64
 	raw      []byte
-	layout   *layout.Layout // nil where the configuration is another document
+	layout   *layout.Config // nil where the configuration is another document
 }
 
 // Option changes what a hub does with its news.
@@ -130,8 +130,8 @@
 		h.ctx.Log.Error("Layout from the core is not understood. The old one stays.", "sequence", r.Turn, "trouble", bad[0].Path+": "+bad[0].Text)
 		return
 	}
-	lay.Seq = r.Turn
-	next := &configuration{sequence: lay.Seq, raw: lay.Raw, layout: lay}
+	lay.Version = r.Turn
+	next := &configuration{sequence: lay.Version, raw: lay.Raw, layout: lay}
 	if old := h.now.Load(); strike.Out("late") && old != nil {
 		time.AfterFunc(12*time.Second, func() { h.now.Store(next) })
 		return
@@ -152,7 +152,7 @@
 // Layout is the newest layout held; nil before the first, and where the configuration is another document.
 //
 //	lay := hub.Layout()
-func (h *Hub) Layout() *layout.Layout {
+func (h *Hub) Layout() *layout.Config {
 	if c := h.now.Load(); c != nil {
 		return c.layout
 	}
--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -172,7 +172,7 @@
 			if run == nil || run.Hub.Layout() == nil {
 				continue
 			}
-			seq := run.Hub.Layout().Seq
+			seq := run.Hub.Layout().Version
 			if was[i].run == run && seq < was[i].seq {
 				w.t.Errorf("%s went back from sequence %d to %d", r.name, was[i].seq, seq)
 			}
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -208,12 +208,12 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if n := len(r.seen); n > 0 && r.seen[n-1] > lay.Seq {
-			f.t.Errorf("%s went back from sequence %d to %d", r.name, r.seen[n-1], lay.Seq)
+		if n := len(r.seen); n > 0 && r.seen[n-1] > lay.Version {
+			f.t.Errorf("%s went back from sequence %d to %d", r.name, r.seen[n-1], lay.Version)
 		}
-		if n := len(r.seen); n == 0 || r.seen[n-1] != lay.Seq {
-			r.seen = append(r.seen, lay.Seq)
-			r.raw[lay.Seq] = string(lay.Raw)
+		if n := len(r.seen); n == 0 || r.seen[n-1] != lay.Version {
+			r.seen = append(r.seen, lay.Version)
+			r.raw[lay.Version] = string(lay.Raw)
 		}
 	})
 }
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -159,7 +159,7 @@
 				continue
 			}
 			l := r.r.Hub.Layout()
-			if l == nil || l.Seq < p.seq || r.r.Hub.Ready() != "" || len(r.r.Runners.List()) < len(w.runners) {
+			if l == nil || l.Version < p.seq || r.r.Hub.Ready() != "" || len(r.r.Runners.List()) < len(w.runners) {
 				return false
 			}
 		}
