--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -159,7 +159,7 @@
 				continue
 			}
 			l := r.r.Hub.Layout()
-			if l == nil || l.Seq < p.seq || r.r.Hub.Ready() != "" || len(r.r.Yard.List()) < len(w.runners) {
+			if l == nil || l.Version < p.seq || r.r.Hub.Ready() != "" || len(r.r.Runners.List()) < len(w.runners) {
 				return false
 			}
 		}
@@ -183,7 +183,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	beats := http.HandlerFunc((&runner.Face{Hub: run.Hub, KeyHash: func() string { return "" }}).Beat)
+	beats := http.HandlerFunc((&runner.API{Hub: run.Hub, KeyHash: func() string { return "" }}).Heartbeat)
 	lb, err := n.Listen(r.face)
 	if err != nil {
 		w.t.Fatal(err)
@@ -306,7 +306,7 @@
 	body, err := io.ReadAll(r.Body)
 	n, _ := strconv.ParseUint(r.Header.Get("X-N"), 10, 64)
 	s.w.diary.mu.Lock()
-	s.w.diary.all = append(s.w.diary.all, seen{n, r.Header.Get(runner.QueryHead), r.Header.Get(runner.TenantHead), s.name, time.Now(), s.addr})
+	s.w.diary.all = append(s.w.diary.all, seen{n, r.Header.Get(runner.RequestHeader), r.Header.Get(runner.TenantHeader), s.name, time.Now(), s.addr})
 	s.w.diary.mu.Unlock()
 	if err != nil {
 		return
@@ -393,7 +393,7 @@
 			differ := s.differ
 			s.mu.Unlock()
 			if differ > 0 && i+1 >= differ {
-				mark = fmt.Sprintf(`,"run":%q`, r.Header.Get(runner.QueryHead))
+				mark = fmt.Sprintf(`,"run":%q`, r.Header.Get(runner.RequestHeader))
 			}
 			if i == steps-1 && !s.bare {
 				mark += `,"last":true`
@@ -474,10 +474,10 @@
 				panic(e)
 			}
 		}()
-		run.Front.ServeHTTP(rec, req)
+		run.Clients.ServeHTTP(rec, req)
 	}()
 	g.took = time.Since(g.begun)
-	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.QueryHead)
+	g.status, g.body, g.retry, g.id = rec.Code, rec.Body.Bytes(), rec.Header().Get("Retry-After"), rec.Header().Get(runner.RequestHeader)
 	if g.torn && len(g.body) == 0 {
 		g.status = 0
 	}
@@ -538,12 +538,12 @@
 		}
 		time.Sleep(3 * time.Second)
 		for _, r := range w.full {
-			e := r.r.Yard.List()[0]
+			e := r.r.Runners.List()[0]
 			if n, _ := e.Load(); n != 6 {
 				t.Errorf("%s counts %d streams on the runner, there are 6", r.name, n)
 			}
 			// Whole answers settle at their end, so all that was asked is still ahead.
-			if q, _ := e.Owed(); q != 600 {
+			if q, _ := e.QueuedTokens(); q != 600 {
 				t.Errorf("%s counts %g tokens ahead, there are 600", r.name, q)
 			}
 		}
@@ -559,14 +559,14 @@
 		w.crashFull(r)
 		r.born = 7 // the clock says 1970
 		w.startFull(r)
-		w.within(5*time.Second, "it is ready", func() bool { return r.r.Hub.Ready() == "" && len(r.r.Yard.List()) == 1 })
+		w.within(5*time.Second, "it is ready", func() bool { return r.r.Hub.Ready() == "" && len(r.r.Runners.List()) == 1 })
 		time.Sleep(7 * time.Second)
 		for i := range 4 {
 			go w.send(w.ctx, r, ask{n: uint64(i + 1), tenant: "metered", path: "/ask", body: prompt(100)})
 		}
 		time.Sleep(3 * time.Second)
 		for _, o := range w.full {
-			if n, _ := o.r.Yard.List()[0].Load(); n != 4 {
+			if n, _ := o.r.Runners.List()[0].Load(); n != 4 {
 				t.Errorf("%s counts %d streams on the runner, there are 4", o.name, n)
 			}
 		}
