--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -21,7 +21,7 @@
 )
 
 // longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
+var longAgo = time.Now() // of the start of the process: past whenever it is used
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
