--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -46,7 +46,7 @@
 	aim := r.route.TargetLatency
 	rule := layout.Allowance{Ceiling: ceiling, Floor: ceiling / allowanceFloorPart, Full: aim, Low: allowanceLowWaits * aim, Rate: assumedRate}
 	feeds := r.gateway.Balancer.Feeds(r.service.Name, r.meta.Model)
-	verdict := allow.Decide(rule, allow.Ask{Tokens: r.meta.OutputTokens}, feeds, 0)
+	verdict := allow.Decide(rule, allow.Demand{Tokens: r.meta.OutputTokens}, feeds, 0)
 	switch verdict.Outcome {
 	case allow.NoFunds:
 		return refuseAllowance
