Core's client: a silent primary is given 300 ms before the fleet is asked for another

Cause: a call to a primary on a machine gone dark waited up to 1.5 s for it, and callers of the control address give up after 0.9 s: each call in turn spent all its time there, and the client never asked for the new primary. Ruled out: a shorter wait for each call (a slow disk would be taken for a dead machine); the search runs beside the call, and the call ends only where it may be repeated and another primary was found.

--- a/internal/core/client.go
+++ b/internal/core/client.go
@@ -129,13 +129,7 @@
 	for {
 		v := c.View()
 		if to := v.Addr(v.Prime); to != "" {
-			// A frozen primary must not eat the whole time: a second and a half, then look anew.
-			one, end := context.WithTimeout(ctx, 1500*time.Millisecond)
-			if !again {
-				one, end = context.WithCancel(ctx)
-			}
-			err := c.cal.Call(one, to, kind, in, out)
-			end()
+			err := c.callPrimary(ctx, to, kind, in, out, again)
 			switch {
 			case err == nil:
 				return nil
@@ -149,6 +143,9 @@
 				last = err
 			}
 		}
+		if next := c.View(); ctx.Err() == nil && next.Addr(next.Prime) != v.Addr(v.Prime) {
+			continue // another primary was found meanwhile
+		}
 		if ctx.Err() != nil || !c.look(ctx) {
 			break
 		}
@@ -159,6 +156,36 @@
 	return last
 }
 
+// How long a primary is waited for that says nothing: the fleet is asked whether there is another one long
+// before the usual caller gives up, so that not each call in turn spends all its time on a machine gone dark.
+const (
+	primarySilence = 300 * time.Millisecond
+	primaryMost    = 1500 * time.Millisecond // a frozen primary must not eat the whole time of a longer call
+)
+
+// callPrimary makes one call to the primary that we know. Where it may be repeated, it ends once another
+// primary is found.
+func (c *Client) callPrimary(ctx context.Context, to, kind string, in msgp.Marshaler, out msgp.Unmarshaler, again bool) error {
+	one, end := context.WithCancel(ctx)
+	if again {
+		one, end = context.WithTimeout(ctx, primaryMost)
+	}
+	defer end()
+	search := time.AfterFunc(primarySilence, func() {
+		if next := c.lookView(one); again && next.Addr(next.Prime) != to {
+			end()
+		}
+	})
+	defer search.Stop()
+	return c.cal.Call(one, to, kind, in, out)
+}
+
+// lookView asks the fleet for its view, and gives the newest one known.
+func (c *Client) lookView(ctx context.Context) view.View {
+	c.look(ctx)
+	return c.View()
+}
+
 // Doubt tells whether a call that ended in err may yet take effect.
 //
 //	if core.Doubt(err) { ... }
