Gateway: a request that may have run is never answered as unrun

Cause: a repeatable request lost at one runner and turned away by the next got 503 with Retry-After, which promises that it has not run and never will. Ruled out: a change of the state chart, whose mark of the last runner's promise is right for what may be sent next.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,6 +171,7 @@
 // lost judges an attempt whose answer is lost.
 func (r *request) lost(chosen *balance.Attempt, err error) (outcomeKind, error) {
 	r.tried[chosen.Runner().Index] = true
+	r.ran = true
 	switch {
 	case r.client.Context().Err() != nil:
 		chosen.Abandon()
@@ -218,6 +219,7 @@
 	if head.Status >= http.StatusInternalServerError {
 		chosen.Failed()
 		r.tried[chosen.Runner().Index] = true
+		r.ran = true
 		if r.mayRepeat(mayHaveRun) {
 			return repeat, nil
 		}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,15 @@
 // Error gives the code.
 func (r *Refusal) Error() string { return r.Code }
 
+// promises tells whether the answer says that the request has not run and never will.
+func (r *Refusal) promises() bool {
+	switch r.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // The refusals whose text does not depend on the request.
 var (
 	refuseNotReady   = &Refusal{Status: http.StatusServiceUnavailable, Code: "not-ready", Text: "This router is not ready.", RetryAfter: 200 * time.Millisecond}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,7 +32,8 @@
 	spent    bool      // and was spent
 	begun    bool      // a byte of an answer was written
 	tried    map[int]bool
-	sends    int // attempts that may have reached a runner
+	sends    int  // attempts that may have reached a runner
+	ran      bool // one of them may have run it, and its answer is lost
 }
 
 // run takes the request its whole way. The error is a *Refusal where an answer of ours is due.
@@ -56,7 +57,15 @@
 		}
 	}
 	defer r.release()
-	return r.serve()
+	return r.honest(r.serve())
+}
+
+// honest keeps an answer from promising that the request has not run where it may have.
+func (r *request) honest(err error) error {
+	if refusal, ours := err.(*Refusal); ours && r.ran && refusal.promises() {
+		return failLost
+	}
+	return err
 }
 
 // How long a request that comes while the router starts waits for the configuration: a late answer is worth
