--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -17,26 +17,26 @@
 )
 
 // Items are the settings of a core.
-var Items = []env.Item{
-	{Name: "name", Kind: env.Text, Must: true, Help: "name of this process"},
-	{Name: "hall", Kind: env.Text, Must: true, Help: "hall it stands in"},
-	{Name: "addr", Kind: env.Addr, Must: true, Help: "ip:port where other processes reach it"},
+var Items = []env.Setting{
+	{Name: "name", Kind: env.Text, Required: true, Help: "name of this process"},
+	{Name: "hall", Kind: env.Text, Required: true, Help: "hall it stands in"},
+	{Name: "addr", Kind: env.Addr, Required: true, Help: "ip:port where other processes reach it"},
 	{Name: "listen", Kind: env.Addr, Help: "ip:port to bind for other processes, where that is not addr"},
 	{Name: "from", Kind: env.IP, Help: "ip number to dial other processes and runners from; none: the system's choice"},
 	{Name: "operator", Kind: env.Addr, Help: "ip:port of the operators' listener"},
-	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
+	{Name: "operator-key-hash", Kind: env.Hash, Reloadable: true, Help: "hex SHA-256 of the operators' key"},
 	{Name: "seeds", Kind: env.List, Help: "addresses of three other processes of the fleet"},
 	{Name: "founders", Kind: env.List, Help: "addresses of all cores that found the fleet, this one among them; an odd number"},
-	{Name: "bootstrap", Kind: env.Text, Def: "false", Help: "true: without founders, the seeds found the fleet; the same seeds on all cores then"},
-	{Name: "losses", Kind: env.Text, Def: "1", Help: "how many disks may be lost at once: so many backups hold each write; 1 to 4"},
-	{Name: "max-members", Kind: env.Text, Def: "9", Help: "the most cores that vote, 3 to 15; more wait until one is lost"},
-	{Name: "data", Kind: env.Dir, Must: true, Help: "data folder"},
-	{Name: "lost", Kind: env.Span, Def: "10s", Help: "silence after which a lost member is replaced by a waiting core"},
-	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
+	{Name: "bootstrap", Kind: env.Text, Default: "false", Help: "true: without founders, the seeds found the fleet; the same seeds on all cores then"},
+	{Name: "losses", Kind: env.Text, Default: "1", Help: "how many disks may be lost at once: so many backups hold each write; 1 to 4"},
+	{Name: "max-members", Kind: env.Text, Default: "9", Help: "the most cores that vote, 3 to 15; more wait until one is lost"},
+	{Name: "data", Kind: env.Dir, Required: true, Help: "data folder"},
+	{Name: "lost", Kind: env.Span, Default: "10s", Help: "silence after which a lost member is replaced by a waiting core"},
+	{Name: "log", Kind: env.Level, Reloadable: true, Default: "info", Help: "debug, info, warn or error"},
 }
 
 // check holds the settings against one another.
-func check(set env.Set) env.Trouble {
+func check(set env.Set) env.Problems {
 	bad := founders(set)
 	for _, n := range []struct {
 		name        string
@@ -61,15 +61,15 @@
 }
 
 // founders checks that the list of founders can found anything.
-func founders(set env.Set) env.Trouble {
+func founders(set env.Set) env.Problems {
 	all := set.Addrs("founders")
 	if len(all) == 0 {
 		if len(set.Addrs("seeds")) == 0 {
-			return env.Trouble{`setting "seeds": value "": addresses of living processes expected, since no founders are set`}
+			return env.Problems{`setting "seeds": value "": addresses of living processes expected, since no founders are set`}
 		}
 		return nil
 	}
-	var bad env.Trouble
+	var bad env.Problems
 	if n := len(all); n < 3 || n%2 == 0 {
 		bad = append(bad, fmt.Sprintf("setting \"founders\": %d addresses: an odd number of at least three expected", n))
 	}
@@ -90,72 +90,72 @@
 //
 //	os.Exit(control.Main(os.Args[1:], os.Stderr))
 func Main(args []string, out io.Writer) int {
-	p, code := env.Start("core", Items, args, out, check)
+	process, code := env.Start("core", Items, args, out, check)
 	if code >= 0 {
 		return code
 	}
-	defer p.End()
-	if err := run(p); err != nil {
+	defer process.End()
+	if err := run(process); err != nil {
 		fmt.Fprintf(out, "core: %s\n", err)
-		return env.ExitTrouble
+		return env.ExitError
 	}
 	return env.ExitOk
 }
 
-func run(p *env.Proc) error {
-	disk, err := store.OpenFolder(p.Set["data"])
+func run(process *env.Proc) error {
+	disk, err := store.OpenFolder(process.Set["data"])
 	if err != nil {
 		return err
 	}
-	lock, err := store.Lock(p.Set["data"])
+	lock, err := store.Lock(process.Set["data"])
 	if err != nil {
 		return err
 	}
 	defer lock.Close()
-	seeds := p.Set.Addrs("seeds")
-	srv, err := core.Open(p.Ctx.Part("core"), core.Set{
-		Addr: p.Set["addr"], Founders: p.Set.Addrs("founders"), Seeds: seeds, Lost: p.Set.Span("lost"),
-		Bootstrap: p.Set["bootstrap"] == "true", Losses: number(p.Set, "losses"), MaxMembers: number(p.Set, "max-members")}, disk)
+	seeds := process.Set.Addrs("seeds")
+	server, err := core.Open(process.Ctx.Part("core"), core.Set{
+		Addr: process.Set["addr"], Founders: process.Set.Addrs("founders"), Seeds: seeds, Lost: process.Set.Span("lost"),
+		Bootstrap: process.Set["bootstrap"] == "true", Losses: number(process.Set, "losses"), MaxMembers: number(process.Set, "max-members")}, disk)
 	if err != nil {
 		return err
 	}
-	l, err := p.Ctx.Net.Listen(p.Set.Or("listen", "addr"))
+	listener, err := process.Ctx.Net.Listen(process.Set.Or("listen", "addr"))
 	if err != nil {
 		return err
 	}
-	go wire.Serve(p.Ctx, l, srv.Hand)
-	cal := wire.NewCaller(p.Ctx.Net)
-	defer cal.Close()
-	if at := p.Set["operator"]; at != "" {
-		face := &operator.API{Ctx: p.Ctx.Part("operator"), KeyHash: func() string { return p.Now("operator-key-hash") },
-			Core:  core.NewClient(p.Ctx, cal, append([]string{p.Set["addr"]}, seeds...)),
-			Ready: srv.Why,
-			Views: map[string]func() any{"/v1/standing": func() any { return srv.Peek() }}}
-		h, err := face.Handler()
+	go wire.Serve(process.Ctx, listener, server.Hand)
+	caller := wire.NewCaller(process.Ctx.Net)
+	defer caller.Close()
+	if at := process.Set["operator"]; at != "" {
+		api := &operator.API{Ctx: process.Ctx.Part("operator"), KeyHash: func() string { return process.Now("operator-key-hash") },
+			Core:  core.NewClient(process.Ctx, caller, append([]string{process.Set["addr"]}, seeds...)),
+			Ready: server.Why,
+			Views: map[string]func() any{"/v1/standing": func() any { return server.Peek() }}}
+		handler, err := api.Handler()
 		if err != nil {
 			return err
 		}
-		s, err := web.Listen(at, h)
+		operators, err := web.Listen(at, handler)
 		if err != nil {
 			return err
 		}
-		go s.Run()
+		go operators.Run()
 		defer func() {
-			ctx, end := context.WithTimeout(context.Background(), time.Second)
-			defer end()
-			s.Drain(ctx)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			operators.Drain(ctx)
 		}()
 	}
 	done := make(chan struct{})
 	go func() {
-		srv.Run()
+		server.Run()
 		close(done)
 	}()
-	p.Ctx.Log.Info("Core is up.", "addr", p.Set["addr"], "hall", p.Ctx.Hall)
-	<-p.Stop
-	p.Ctx.Log.Info("Core stops.")
-	srv.Yield()
-	p.End()
+	process.Ctx.Log.Info("Core is up.", "addr", process.Set["addr"], "hall", process.Ctx.Zone)
+	<-process.Stop
+	process.Ctx.Log.Info("Core stops.")
+	server.Yield()
+	process.End()
 	<-done
 	return nil
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -29,7 +29,7 @@
 }
 
 // RunNode runs a core until it is told to stop.
-func RunNode(p *env.Proc, settings NodeSettings) error {
+func RunNode(process *env.Proc, settings NodeSettings) error {
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(settings.MemoryLimit * 6 / 10)
 	}
@@ -37,19 +37,19 @@
 	if err != nil {
 		return err
 	}
-	server, err := core.Open(p.Ctx.Part("core"), core.Set{Addr: settings.Internal, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap,
+	server, err := core.Open(process.Ctx.Part("core"), core.Set{Addr: settings.Internal, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap,
 		Losses: settings.Losses, Lost: settings.Lost, Codec: settings.Codec}, disk)
 	if err != nil {
 		return err
 	}
-	internal, err := p.Ctx.Net.Listen(settings.Internal)
+	internal, err := process.Ctx.Net.Listen(settings.Internal)
 	if err != nil {
 		return eris.Wrap(err, "core: internal listener")
 	}
-	go wire.Serve(p.Ctx, internal, server.Hand)
-	caller := wire.NewCaller(p.Ctx.Net)
+	go wire.Serve(process.Ctx, internal, server.Hand)
+	caller := wire.NewCaller(process.Ctx.Net)
 	defer caller.Close()
-	handler, err := settings.Handler(core.NewClient(p.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...)))
+	handler, err := settings.Handler(core.NewClient(process.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...)))
 	if err != nil {
 		return err
 	}
@@ -63,11 +63,11 @@
 		server.Run()
 		close(done)
 	}()
-	p.Ctx.Log.Info("Core is up.", "internal", settings.Internal, "control", settings.Control, "zone", p.Ctx.Hall)
-	<-p.Stop
-	p.Ctx.Log.Info("Core stops.")
+	process.Ctx.Log.Info("Core is up.", "internal", settings.Internal, "control", settings.Control, "zone", process.Ctx.Zone)
+	<-process.Stop
+	process.Ctx.Log.Info("Core stops.")
 	server.Yield()
-	p.End()
+	process.End()
 	<-done
 	return nil
 }
--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -151,7 +151,7 @@
 
 // choose picks members that answer as new backups, halls that hold no copy yet first.
 func (s *Server) choose(v view.View, me string, ls *lease.Lease, count int) []string {
-	used := map[string]bool{s.ctx.Hall: true}
+	used := map[string]bool{s.ctx.Zone: true}
 	for _, id := range v.Backups() {
 		used[v.Hall(id)] = true
 	}
@@ -181,7 +181,7 @@
 	if !calm {
 		return ""
 	}
-	used, worst := map[string]bool{s.ctx.Hall: true}, ""
+	used, worst := map[string]bool{s.ctx.Zone: true}, ""
 	for _, id := range v.Backups() {
 		if used[v.Hall(id)] {
 			worst = id
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -46,7 +46,7 @@
 		if ran > 0 {
 			day(b, disk, ran)
 		}
-		ec := env.Ctx{Context: ctx, Name: addrs[i], Hall: fmt.Sprint(i), Born: rand.Uint64(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
+		ec := env.Ctx{Context: ctx, Name: addrs[i], Zone: fmt.Sprint(i), Born: rand.Uint64(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
 		s, err := Open(ec, Set{Addr: addrs[i], Founders: addrs, Seeds: addrs}, disk)
 		if err != nil {
 			b.Fatal(err)
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -43,7 +43,7 @@
 func (s *Server) vote(kind string, body []byte) (msgp.Marshaler, error) {
 	switch kind {
 	case "view.ask":
-		return s.vot.Told(s.set.Addr, s.ctx.Hall), nil
+		return s.vot.Told(s.set.Addr, s.ctx.Zone), nil
 	case "view.prep":
 		return wire.On(body, s.vot.Prep)
 	case "view.pick":
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -80,7 +80,7 @@
 		return
 	}
 	ctx, end := context.WithTimeout(s.ctx, step)
-	err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr, Hall: s.ctx.Hall}}, nil)
+	err := s.call(ctx, v.Addr(v.Prime), "core.join", &Join{Who: view.Member{Id: s.vot.Id(), Addr: s.set.Addr, Hall: s.ctx.Zone}}, nil)
 	end()
 	if err == nil {
 		s.pause(joinPause)
--- a/internal/drill/main.go
+++ b/internal/drill/main.go
@@ -37,7 +37,7 @@
 func rehearse(args []string, out io.Writer, more []string) int {
 	if len(args) == 0 {
 		fmt.Fprint(out, usage)
-		return env.ExitSet
+		return env.ExitUsage
 	}
 	logx.Disable() // httpc logs every call
 	fs := flag.NewFlagSet("drill "+args[0], flag.ContinueOnError)
@@ -52,12 +52,12 @@
 	many := fs.Int("events", 8, "how many events a day has")
 	slack := fs.Duration("slack", 3*time.Second, "what a slow machine is given beyond a promise's time")
 	if err := fs.Parse(args[1:]); err != nil {
-		return env.ExitSet
+		return env.ExitUsage
 	}
 	mix, err := MixOf(*name)
 	if err != nil || *scale <= 0 || *span <= 0 || fs.NArg() > 0 {
 		fmt.Fprintf(out, "drill: -mix %s -scale %g -for %s: a known mix, a scale and a time above zero, and nothing after the flags are expected\n", *name, *scale, *span)
-		return env.ExitSet
+		return env.ExitUsage
 	}
 	if args[0] == "layout" {
 		out.Write(mix.Raw())
@@ -76,12 +76,12 @@
 			for _, e := range closings {
 				fmt.Fprintf(out, "  closing-%s: %s\n", e.name, e.what)
 			}
-			return env.ExitSet
+			return env.ExitUsage
 		}
 	}
 	if args[0] != "fleet" && args[0] != "load" && args[0] != "hall" && args[0] != "day" {
 		fmt.Fprintf(out, "drill: %q is not a command\n\n%s", args[0], usage)
-		return env.ExitSet
+		return env.ExitUsage
 	}
 	fresh := *dir == ""
 	if fresh {
@@ -91,7 +91,7 @@
 	}
 	if err != nil {
 		fmt.Fprintf(out, "drill: -dir: %s\n", err)
-		return env.ExitTrouble
+		return env.ExitError
 	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
@@ -122,7 +122,7 @@
 	}
 	if err != nil {
 		fmt.Fprintf(out, "drill: %s; logs are under %s\n", err, *dir)
-		return env.ExitTrouble
+		return env.ExitError
 	}
 	tidy := func() int {
 		if fresh {
@@ -183,7 +183,7 @@
 		fmt.Fprintf(out, "  the day was cut short: %s\n", err)
 	}
 	fmt.Fprintf(out, "logs are under %s\n", dir)
-	return env.ExitTrouble
+	return env.ExitError
 }
 
 // hall kills every process of one hall, runners too, and starts them again later.
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -24,7 +24,7 @@
 type Ctx struct {
 	context.Context
 	Name string       // this process's name
-	Hall string       // the hall it stands in
+	Zone string       // the zone it stands in
 	Born uint64       // this run of the process; a restart has another, drawn at random
 	Log  *slog.Logger // already prefixed for the part
 	Net  wire.Net     // how to dial and listen
@@ -38,24 +38,24 @@
 	return c
 }
 
-// Loop is the run loop of every part: it takes work from box and beats each tick until ctx ends.
-// A nil box only beats; a tick of zero only takes work.
+// Loop is the run loop of every part: it takes work from box and calls beat at each tick until ctx ends.
+// A nil box only ticks; a tick of zero only takes work.
 //
 //	env.Loop(ctx, box, time.Second, func(w work) { ... }, func() { ... })
 func Loop[M any](ctx context.Context, box <-chan M, tick time.Duration, on func(M), beat func()) {
-	var c <-chan time.Time
+	var ticks <-chan time.Time
 	if tick > 0 {
-		t := time.NewTicker(tick)
-		defer t.Stop()
-		c = t.C
+		ticker := time.NewTicker(tick)
+		defer ticker.Stop()
+		ticks = ticker.C
 	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-box:
-			on(m)
-		case <-c:
+		case work := <-box:
+			on(work)
+		case <-ticks:
 			beat()
 		}
 	}
@@ -64,13 +64,13 @@
 // Wait blocks for d or until ctx ends; it tells whether the time ran out in full.
 //
 //	if !env.Wait(ctx, time.Second) { return }
-func Wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
+func Wait(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-t.C:
+	case <-timer.C:
 		return true
 	}
 }
@@ -90,14 +90,14 @@
 	IP                // an ip number
 )
 
-// Item describes one setting: what the flag, the key in the file and the check are called.
-type Item struct {
-	Name string
-	Kind Kind
-	Def  string
-	Must bool // has to be set
-	Live bool // may be reloaded
-	Help string
+// Setting describes one setting: what the flag, the key in the file and the check are called.
+type Setting struct {
+	Name       string
+	Kind       Kind
+	Default    string
+	Required   bool // has to be set
+	Reloadable bool // may be reloaded
+	Help       string
 }
 
 // Set is what was settled: every setting by name.
@@ -117,8 +117,8 @@
 //
 //	d := set.Span("drain")
 func (s Set) Span(name string) time.Duration {
-	d, _ := time.ParseDuration(s[name])
-	return d
+	duration, _ := time.ParseDuration(s[name])
+	return duration
 }
 
 // Or reads a setting, or another where it is not set.
@@ -131,16 +131,16 @@
 	return s[other]
 }
 
-// Trouble is a list of plain sentences about settings that do not hold.
-type Trouble []string
+// Problems is a list of plain sentences about settings that do not hold.
+type Problems []string
 
 // Error joins them, a line each.
 //
 //	env.Trouble{"a", "b"}.Error()
-func (t Trouble) Error() string { return strings.Join(t, "\n") }
+func (t Problems) Error() string { return strings.Join(t, "\n") }
 
-// Ask is what the command line asked for beyond settings.
-type Ask struct {
+// Command is what the command line asked for beyond settings.
+type Command struct {
 	Check, Version bool
 	File           string
 }
@@ -148,139 +148,139 @@
 // Read settles the settings from args and, where -env names one, a JSON file. Flags win.
 //
 //	set, ask, err := env.Read("core", items, os.Args[1:])
-func Read(prog string, items []Item, args []string) (Set, Ask, error) {
-	var ask Ask
-	fs := flag.NewFlagSet(prog, flag.ContinueOnError)
-	fs.StringVar(&ask.File, "env", "", "settings file (JSON); flags win over it")
-	fs.BoolVar(&ask.Check, "check", false, "check the settings and exit")
-	fs.BoolVar(&ask.Version, "version", false, "print the version and exit")
-	val := map[string]*string{}
-	for _, it := range items {
-		val[it.Name] = fs.String(it.Name, it.Def, it.Help)
+func Read(prog string, items []Setting, args []string) (Set, Command, error) {
+	var command Command
+	flagSet := flag.NewFlagSet(prog, flag.ContinueOnError)
+	flagSet.StringVar(&command.File, "env", "", "settings file (JSON); flags win over it")
+	flagSet.BoolVar(&command.Check, "check", false, "check the settings and exit")
+	flagSet.BoolVar(&command.Version, "version", false, "print the version and exit")
+	values := map[string]*string{}
+	for _, setting := range items {
+		values[setting.Name] = flagSet.String(setting.Name, setting.Default, setting.Help)
 	}
-	if err := fs.Parse(args); err != nil {
-		return nil, ask, err
+	if err := flagSet.Parse(args); err != nil {
+		return nil, command, err
 	}
-	if ask.Version {
-		return Set{}, ask, nil
+	if command.Version {
+		return Set{}, command, nil
 	}
-	if fs.NArg() > 0 {
-		return nil, ask, Trouble{fmt.Sprintf("argument %q: nothing expected after the flags", fs.Arg(0))}
+	if flagSet.NArg() > 0 {
+		return nil, command, Problems{fmt.Sprintf("argument %q: nothing expected after the flags", flagSet.Arg(0))}
 	}
 	set := Set{}
-	for _, it := range items {
-		set[it.Name] = *val[it.Name]
+	for _, setting := range items {
+		set[setting.Name] = *values[setting.Name]
 	}
-	var bad Trouble
-	if ask.File != "" {
-		raw, err := os.ReadFile(ask.File)
+	var problems Problems
+	if command.File != "" {
+		raw, err := os.ReadFile(command.File)
 		if err != nil {
-			return nil, ask, eris.Wrapf(err, "settings file %s", ask.File)
+			return nil, command, eris.Wrapf(err, "settings file %s", command.File)
 		}
 		flags := map[string]bool{}
-		fs.Visit(func(f *flag.Flag) { flags[f.Name] = true })
+		flagSet.Visit(func(f *flag.Flag) { flags[f.Name] = true })
 		got, t := parse(items, raw)
-		bad = append(bad, t...)
-		for k, v := range got {
+		problems = append(problems, t...)
+		for k, value := range got {
 			if !flags[k] {
-				set[k] = v
+				set[k] = value
 			}
 		}
 	}
-	bad = append(bad, Check(items, set)...)
-	if len(bad) > 0 {
-		return nil, ask, bad
+	problems = append(problems, Check(items, set)...)
+	if len(problems) > 0 {
+		return nil, command, problems
 	}
-	return set, ask, nil
+	return set, command, nil
 }
 
-func parse(items []Item, raw []byte) (Set, Trouble) {
+func parse(items []Setting, raw []byte) (Set, Problems) {
 	if !gjson.ValidBytes(raw) {
-		return nil, Trouble{"settings file: valid JSON expected"}
+		return nil, Problems{"settings file: valid JSON expected"}
 	}
 	doc := gjson.ParseBytes(raw)
 	if !doc.IsObject() {
-		return nil, Trouble{"settings file: a JSON object expected"}
+		return nil, Problems{"settings file: a JSON object expected"}
 	}
-	know := map[string]Item{}
-	for _, it := range items {
-		know[it.Name] = it
+	know := map[string]Setting{}
+	for _, setting := range items {
+		know[setting.Name] = setting
 	}
-	set, bad := Set{}, Trouble{}
+	set, problems := Set{}, Problems{}
 	doc.ForEach(func(k, v gjson.Result) bool {
-		it, ok := know[k.String()]
+		setting, ok := know[k.String()]
 		switch {
 		case !ok:
-			bad = append(bad, fmt.Sprintf("setting %q: unknown", k.String()))
-		case it.Kind == List && v.IsArray():
+			problems = append(problems, fmt.Sprintf("setting %q: unknown", k.String()))
+		case setting.Kind == List && v.IsArray():
 			var all []string
 			for _, e := range v.Array() {
 				all = append(all, e.String())
 			}
-			set[it.Name] = strings.Join(all, ",")
+			set[setting.Name] = strings.Join(all, ",")
 		case v.Type == gjson.String:
-			set[it.Name] = v.String()
+			set[setting.Name] = v.String()
 		default:
-			bad = append(bad, fmt.Sprintf("setting %q: value %s: a string%s expected", it.Name, v.Raw, map[bool]string{true: " or a list of strings"}[it.Kind == List]))
+			problems = append(problems, fmt.Sprintf("setting %q: value %s: a string%s expected", setting.Name, v.Raw, map[bool]string{true: " or a list of strings"}[setting.Kind == List]))
 		}
 		return true
 	})
-	return set, bad
+	return set, problems
 }
 
 // Check tells everything that is wrong with a set, by name, value and what was expected.
 //
 //	if bad := env.Check(items, set); len(bad) > 0 { ... }
-func Check(items []Item, set Set) Trouble {
-	var bad Trouble
-	say := func(name, val, want string) {
-		bad = append(bad, fmt.Sprintf("setting %q: value %q: %s expected", name, val, want))
+func Check(items []Setting, set Set) Problems {
+	var problems Problems
+	say := func(name, value, want string) {
+		problems = append(problems, fmt.Sprintf("setting %q: value %q: %s expected", name, value, want))
 	}
-	for _, it := range items {
-		v := set[it.Name]
-		if v == "" {
-			if it.Must {
-				say(it.Name, v, "a value")
+	for _, setting := range items {
+		value := set[setting.Name]
+		if value == "" {
+			if setting.Required {
+				say(setting.Name, value, "a value")
 			}
 			continue
 		}
-		switch it.Kind {
+		switch setting.Kind {
 		case Addr:
-			if _, err := netip.ParseAddrPort(v); err != nil {
-				say(it.Name, v, "ip:port")
+			if _, err := netip.ParseAddrPort(value); err != nil {
+				say(setting.Name, value, "ip:port")
 			}
 		case IP:
-			if _, err := netip.ParseAddr(v); err != nil {
-				say(it.Name, v, "an ip number")
+			if _, err := netip.ParseAddr(value); err != nil {
+				say(setting.Name, value, "an ip number")
 			}
 		case List:
-			for _, a := range strings.Split(v, ",") {
+			for _, a := range strings.Split(value, ",") {
 				if _, err := netip.ParseAddrPort(a); err != nil {
-					say(it.Name, a, "ip:port in each place")
+					say(setting.Name, a, "ip:port in each place")
 				}
 			}
 		case Span:
-			if d, err := time.ParseDuration(v); err != nil || d <= 0 {
-				say(it.Name, v, "a duration above zero, such as 2s")
+			if duration, err := time.ParseDuration(value); err != nil || duration <= 0 {
+				say(setting.Name, value, "a duration above zero, such as 2s")
 			}
 		case Dir:
-			if st, err := os.Stat(v); err == nil && !st.IsDir() {
-				say(it.Name, v, "a folder")
+			if st, err := os.Stat(value); err == nil && !st.IsDir() {
+				say(setting.Name, value, "a folder")
 			}
 		case Hash:
-			if b, err := hex.DecodeString(v); err != nil || len(b) != 32 {
-				say(it.Name, v, "64 hex digits, a SHA-256,")
+			if b, err := hex.DecodeString(value); err != nil || len(b) != 32 {
+				say(setting.Name, value, "64 hex digits, a SHA-256,")
 			}
 		case Level:
-			if v != "debug" && v != "info" && v != "warn" && v != "error" {
-				say(it.Name, v, "debug, info, warn or error")
+			if value != "debug" && value != "info" && value != "warn" && value != "error" {
+				say(setting.Name, value, "debug, info, warn or error")
 			}
 		case Text:
-			if strings.ContainsAny(v, " \t\r\n\"") {
-				say(it.Name, v, "a word without spaces or quotes")
+			if strings.ContainsAny(value, " \t\r\n\"") {
+				say(setting.Name, value, "a word without spaces or quotes")
 			}
 		}
 	}
-	sort.Strings(bad)
-	return bad
+	sort.Strings(problems)
+	return problems
 }
--- a/internal/env/log.go
+++ b/internal/env/log.go
@@ -8,8 +8,8 @@
 	"sync"
 )
 
-// line writes short log lines: time, level, a prefix for the part, the sentence, then pairs.
-type line struct {
+// lineHandler writes short log lines: time, level, a prefix for the part, the sentence, then pairs.
+type lineHandler struct {
 	mu   *sync.Mutex
 	out  io.Writer
 	low  slog.Leveler
@@ -20,19 +20,19 @@
 // NewLog makes the logger of a process. Every part's lines start with the part's name.
 //
 //	log := env.NewLog(os.Stderr, slog.LevelInfo)
-func NewLog(out io.Writer, low slog.Leveler) *slog.Logger {
-	return slog.New(&line{mu: &sync.Mutex{}, out: out, low: low, part: "main"})
+func NewLog(out io.Writer, level slog.Leveler) *slog.Logger {
+	return slog.New(&lineHandler{mu: &sync.Mutex{}, out: out, low: level, part: "main"})
 }
 
-func (l *line) Enabled(_ context.Context, lev slog.Level) bool { return lev >= l.low.Level() }
+func (l *lineHandler) Enabled(_ context.Context, lev slog.Level) bool { return lev >= l.low.Level() }
 
-func (l *line) Handle(_ context.Context, r slog.Record) error {
+func (l *lineHandler) Handle(_ context.Context, r slog.Record) error {
 	var b strings.Builder
 	b.WriteString(r.Time.UTC().Format("2006-01-02T15:04:05.000Z "))
 	b.WriteString(r.Level.String())
 	b.WriteString(" " + l.part + ": " + r.Message + l.rest)
 	r.Attrs(func(a slog.Attr) bool {
-		b.WriteString(pair(a))
+		b.WriteString(formatAttr(a))
 		return true
 	})
 	b.WriteByte('\n')
@@ -42,25 +42,25 @@
 	return err
 }
 
-func pair(a slog.Attr) string {
-	v := a.Value.String()
-	if strings.ContainsAny(v, " \n\"") {
-		v = strings.ReplaceAll(v, "\n", " | ")
-		v = "\"" + strings.ReplaceAll(v, "\"", "'") + "\""
+func formatAttr(a slog.Attr) string {
+	value := a.Value.String()
+	if strings.ContainsAny(value, " \n\"") {
+		value = strings.ReplaceAll(value, "\n", " | ")
+		value = "\"" + strings.ReplaceAll(value, "\"", "'") + "\""
 	}
-	return " " + a.Key + "=" + v
+	return " " + a.Key + "=" + value
 }
 
-func (l *line) WithAttrs(all []slog.Attr) slog.Handler {
+func (l *lineHandler) WithAttrs(all []slog.Attr) slog.Handler {
 	c := *l
 	for _, a := range all {
 		if a.Key == "part" {
 			c.part = a.Value.String()
 		} else {
-			c.rest += pair(a)
+			c.rest += formatAttr(a)
 		}
 	}
 	return &c
 }
 
-func (l *line) WithGroup(string) slog.Handler { return l }
+func (l *lineHandler) WithGroup(string) slog.Handler { return l }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,46 +13,46 @@
 // Lease is the holder's side. Each grant counts from when it was asked for, on the holder's own
 // monotonic clock, and is cut by a margin for drift between clocks.
 type Lease struct {
-	mu   sync.Mutex
-	term time.Duration
-	by   map[string]time.Time
-	seen map[string]time.Time
+	mu           sync.Mutex
+	term         time.Duration
+	grantedUntil map[string]time.Time
+	answeredAt   map[string]time.Time
 }
 
 // New makes a lease whose grants run for term, less a tenth for drift.
 //
 //	l := lease.New(2 * time.Second)
 func New(term time.Duration) *Lease {
-	return &Lease{term: term - term/10, by: map[string]time.Time{}, seen: map[string]time.Time{}}
+	return &Lease{term: term - term/10, grantedUntil: map[string]time.Time{}, answeredAt: map[string]time.Time{}}
 }
 
 // Grant notes a voter's yes to a question asked at the time given.
 //
 //	l.Grant("a1", asked)
-func (l *Lease) Grant(who string, asked time.Time) {
+func (l *Lease) Grant(voter string, asked time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if end := asked.Add(l.term); end.After(l.by[who]) {
-		l.by[who] = end
+	if end := asked.Add(l.term); end.After(l.grantedUntil[voter]) {
+		l.grantedUntil[voter] = end
 	}
 }
 
 // Saw notes that a voter answered at all.
 //
 //	l.Saw("a1")
-func (l *Lease) Saw(who string) {
+func (l *Lease) Saw(voter string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seen[who] = time.Now()
+	l.answeredAt[voter] = time.Now()
 }
 
 // Gone tells how long ago a voter last answered; since is used for one never heard.
 //
 //	if l.Gone("a1", start) > 2*time.Second { ... }
-func (l *Lease) Gone(who string, since time.Time) time.Duration {
+func (l *Lease) Gone(voter string, since time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.seen[who]
+	t := l.answeredAt[voter]
 	if t.Before(since) {
 		t = since
 	}
@@ -66,9 +66,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	got := map[string]bool{}
-	for who, at := range l.seen {
+	for voter, at := range l.answeredAt {
 		if time.Since(at) < span {
-			got[who] = true
+			got[voter] = true
 		}
 	}
 	return most(got)
@@ -82,7 +82,7 @@
 	defer l.mu.Unlock()
 	n := New(0)
 	n.term = l.term
-	maps.Copy(n.seen, l.seen)
+	maps.Copy(n.answeredAt, l.answeredAt)
 	return n
 }
 
@@ -94,9 +94,9 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	got := map[string]bool{}
-	for who, end := range l.by {
+	for voter, end := range l.grantedUntil {
 		if now.Before(end) {
-			got[who] = true
+			got[voter] = true
 		}
 	}
 	return most(got) || strike.Out("lease")
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -188,7 +188,7 @@
 //
 //	n := hub.Me()
 func (h *Hub) Me() core.Node {
-	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
+	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Zone, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
 	n.Seq = h.Sequence()
 	n.Ready = h.Ready() == ""
 	return n
@@ -495,7 +495,7 @@
 		}
 	}
 	for _, n := range nodes {
-		if n.Hall == h.ctx.Hall && n.Name != h.ctx.Name {
+		if n.Hall == h.ctx.Zone && n.Name != h.ctx.Name {
 			h.mendWith(ctx, n.Addr)
 		}
 	}
@@ -506,7 +506,7 @@
 	h.mu.Lock()
 	h.asked = true
 	if len(h.nodes) == 0 {
-		h.seat(append(nodes, core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Born: h.ctx.Born}))
+		h.seat(append(nodes, core.Node{Name: h.ctx.Name, Hall: h.ctx.Zone, Addr: h.addr, Born: h.ctx.Born}))
 	}
 	h.mu.Unlock()
 }
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -60,7 +60,7 @@
 
 // NewGateway puts a gateway's parts together.
 func NewGateway(ctx env.Ctx, settings GatewaySettings) *Gateway {
-	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Hall)}
+	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Zone)}
 	g.Pool = upstream.New(upstream.Options{})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
@@ -179,7 +179,7 @@
 	}
 	go wire.Serve(ctx, internal, g.Hub.Hand)
 	g.Start()
-	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Hall)
+	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Zone)
 	server, err := gateway.Listen(settings.Data, g.Front, startLimits)
 	if err != nil {
 		return err
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -28,22 +28,22 @@
 )
 
 // Items are the settings of a router.
-var Items = []env.Item{
-	{Name: "name", Kind: env.Text, Must: true, Help: "name of this process, its own in the fleet"},
-	{Name: "hall", Kind: env.Text, Must: true, Help: "hall it stands in"},
-	{Name: "addr", Kind: env.Addr, Must: true, Help: "ip:port where other processes reach it"},
-	{Name: "origin", Kind: env.Addr, Must: true, Help: "ip:port of the origins' listener"},
-	{Name: "runner", Kind: env.Addr, Must: true, Help: "ip:port of the runners' listener"},
+var Items = []env.Setting{
+	{Name: "name", Kind: env.Text, Required: true, Help: "name of this process, its own in the fleet"},
+	{Name: "hall", Kind: env.Text, Required: true, Help: "hall it stands in"},
+	{Name: "addr", Kind: env.Addr, Required: true, Help: "ip:port where other processes reach it"},
+	{Name: "origin", Kind: env.Addr, Required: true, Help: "ip:port of the origins' listener"},
+	{Name: "runner", Kind: env.Addr, Required: true, Help: "ip:port of the runners' listener"},
 	{Name: "listen", Kind: env.Addr, Help: "ip:port to bind for other processes, where that is not addr"},
 	{Name: "from", Kind: env.IP, Help: "ip number to dial other processes and runners from; none: the system's choice"},
 	{Name: "operator", Kind: env.Addr, Help: "ip:port of the operators' listener"},
-	{Name: "operator-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the operators' key"},
-	{Name: "runner-key-hash", Kind: env.Hash, Live: true, Help: "hex SHA-256 of the runners' key; none: beats need no key"},
-	{Name: "seeds", Kind: env.List, Must: true, Help: "addresses of three other processes of the fleet"},
+	{Name: "operator-key-hash", Kind: env.Hash, Reloadable: true, Help: "hex SHA-256 of the operators' key"},
+	{Name: "runner-key-hash", Kind: env.Hash, Reloadable: true, Help: "hex SHA-256 of the runners' key; none: beats need no key"},
+	{Name: "seeds", Kind: env.List, Required: true, Help: "addresses of three other processes of the fleet"},
 	{Name: "drain", Kind: env.Span, Help: "the most that a stop waits for queries under way; none: as long as they take"},
-	{Name: "notice", Kind: env.Span, Def: "500ms", Help: "how long a stop goes on serving all after /ready has turned"},
+	{Name: "notice", Kind: env.Span, Default: "500ms", Help: "how long a stop goes on serving all after /ready has turned"},
 	{Name: "trace", Kind: env.Text, Help: "file to which each query's trace is appended; none: no traces"},
-	{Name: "log", Kind: env.Level, Live: true, Def: "info", Help: "debug, info, warn or error"},
+	{Name: "log", Kind: env.Level, Reloadable: true, Default: "info", Help: "debug, info, warn or error"},
 }
 
 // Main runs a router and returns its exit code.
@@ -57,7 +57,7 @@
 	defer process.End()
 	if err := run(process); err != nil {
 		fmt.Fprintf(out, "router: %s\n", err)
-		return env.ExitTrouble
+		return env.ExitError
 	}
 	return env.ExitOk
 }
@@ -77,13 +77,13 @@
 	sender      *runner.Sender
 }
 
-// New puts a router together. face is where origins reach it, dial how it reaches runners (nil: TCP).
+// New puts a router together. clientAddr is where clients reach it, dial how it reaches runners (nil: TCP).
 //
 //	r := router.New(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, nil)
-func New(ctx env.Ctx, addr, face string, seeds []string, dial runner.Dial) *Router {
-	r := &Router{ctx: ctx, Scheduler: place.NewScheduler(ctx.Hall, place.NewPrefixMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
+func New(ctx env.Ctx, addr, clientAddr string, seeds []string, dial runner.Dial) *Router {
+	r := &Router{ctx: ctx, Scheduler: place.NewScheduler(ctx.Zone, place.NewPrefixMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
 	r.Runners = runner.NewPool(ctx.Name, r.Scheduler.Wake)
-	r.Hub = node.NewHub(ctx.Part("node"), addr, face, seeds, r.Runners.Apply)
+	r.Hub = node.NewHub(ctx.Part("node"), addr, clientAddr, seeds, r.Runners.Apply)
 	r.Metrics = metrics.New(map[string]func() float64{
 		"yarrowridge_queued":          func() float64 { n, _ := r.Scheduler.Waiting(); return float64(n) },
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().Seq) },
@@ -110,88 +110,103 @@
 	go env.Loop(r.ctx, nil, 250*time.Millisecond, func(struct{}) {}, r.workSpreader())
 }
 
+// run serves until the process is told to stop.
 func run(process *env.Proc) error {
 	ctx := process.Ctx
-	r := New(ctx, process.Set["addr"], process.Set["origin"], process.Set.Addrs("seeds"), runner.DialFrom(process.Set["from"]))
-	tr, err := tracing.Open(process.Set["trace"], ctx.Name)
+	router := New(ctx, process.Set["addr"], process.Set["origin"], process.Set.Addrs("seeds"), runner.DialFrom(process.Set["from"]))
+	tracer, err := tracing.Open(process.Set["trace"], ctx.Name)
 	if err != nil {
 		return err
 	}
-	defer tr.Close()
-	r.Clients.Tracer = tr
+	defer tracer.Close()
+	router.Clients.Tracer = tracer
 	listener, err := ctx.Net.Listen(process.Set.Or("listen", "addr"))
 	if err != nil {
 		return err
 	}
-	oh, err := web.Handler([]rest.Route{
+	servers, err := router.listen(process)
+	if err != nil {
+		return err
+	}
+	go wire.Serve(ctx, listener, router.Hub.Hand)
+	router.Start()
+	ctx.Log.Info("Router is up.", "addr", process.Set["addr"], "origin", process.Set["origin"], "hall", ctx.Zone)
+
+	<-process.Stop
+	if !strike.Out("drain") {
+		router.drain(process, servers)
+	}
+	return nil
+}
+
+// listen serves the APIs of clients, runners and operators, as far as they have an address.
+func (r *Router) listen(process *env.Proc) ([]*web.Server, error) {
+	clients, err := web.Handler([]rest.Route{
 		{Method: "GET", Path: "/alive", Handler: func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\"alive\":true}\n") }},
 		{Method: "GET", Path: "/ready", Handler: operator.Ready(r.Hub.Ready)},
 	}, r.Clients)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	rh, err := (&runner.API{Hub: r.Hub, KeyHash: func() string { return process.Now("runner-key-hash") }}).Handler()
+	runners, err := (&runner.API{Hub: r.Hub, KeyHash: func() string { return process.Now("runner-key-hash") }}).Handler()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	ph, err := (&operator.API{Ctx: ctx.Part("operator"), Core: r.Hub.Core, KeyHash: func() string { return process.Now("operator-key-hash") },
+	operators, err := (&operator.API{Ctx: r.ctx.Part("operator"), Core: r.Hub.Core, KeyHash: func() string { return process.Now("operator-key-hash") },
 		Ready: r.Hub.Ready, Metrics: r.Metrics.Handler(), Views: r.views()}).Handler()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	var faces []*web.Server
-	for _, f := range []struct {
-		at string
-		h  http.Handler
-	}{{process.Set["origin"], oh}, {process.Set["runner"], rh}, {process.Set["operator"], ph}} {
-		if f.at == "" {
+	var servers []*web.Server
+	for _, api := range []struct {
+		addr    string
+		handler http.Handler
+	}{{process.Set["origin"], clients}, {process.Set["runner"], runners}, {process.Set["operator"], operators}} {
+		if api.addr == "" {
 			continue
 		}
-		s, err := web.Listen(f.at, f.h)
+		server, err := web.Listen(api.addr, api.handler)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		go s.Run()
-		faces = append(faces, s)
+		go server.Run()
+		servers = append(servers, server)
 	}
-	go wire.Serve(ctx, listener, r.Hub.Hand)
-	r.Start()
-	ctx.Log.Info("Router is up.", "addr", process.Set["addr"], "origin", process.Set["origin"], "hall", ctx.Hall)
+	return servers, nil
+}
 
-	<-process.Stop
-	if strike.Out("drain") {
-		return nil
-	}
+// drain leaves the fleet and finishes the requests under way.
+func (r *Router) drain(process *env.Proc, servers []*web.Server) {
+	ctx := process.Ctx
 	ctx.Log.Info("Router leaves. Queries under way are finished.")
 	r.Hub.Quit()
 	env.Wait(ctx, process.Set.Span("notice"))
 	// What was read is finished however long it takes; the platform's kill is the bound, unless an
 	// operator has set one below it.
-	in, end := ctx.Context, context.CancelFunc(func() {})
-	if d := process.Set.Span("drain"); d > 0 {
-		in, end = context.WithTimeout(ctx, d)
+	within, cancel := ctx.Context, context.CancelFunc(func() {})
+	if limit := process.Set.Span("drain"); limit > 0 {
+		within, cancel = context.WithTimeout(ctx, limit)
 	}
-	defer end()
-	for _, s := range faces {
-		if err := s.Drain(in); err != nil {
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Drain(within); err != nil {
 			ctx.Log.Warn("Drain ended before its queries did.", "trouble", err.Error())
 		}
 	}
-	for r.Claims.Settling()+r.Clients.Open() > 0 && env.Wait(in, 20*time.Millisecond) {
+	for r.Claims.Settling()+r.Clients.Open() > 0 && env.Wait(within, 20*time.Millisecond) {
 	}
 	r.Hub.Leave()
 	r.sender.Close()
-	return nil
 }
 
-// quotaRules gives the quotas of the layout in force. A tenant whose quota was struck has none left to draw.
+// quotaRules gives the quotas of the config in force. A tenant whose quota was struck has none left to draw.
 func quotaRules(hub *node.Hub) func() []share.Rule {
 	return func() []share.Rule {
 		var out []share.Rule
-		if lay := hub.Layout(); lay != nil {
-			for _, t := range lay.Tenants {
-				if t.Quota.Units > 0 {
-					out = append(out, share.Rule{Tenant: t.Name, Units: t.Quota.Units, Window: t.Quota.Window})
+		if config := hub.Layout(); config != nil {
+			for _, tenant := range config.Tenants {
+				if tenant.Quota.Units > 0 {
+					out = append(out, share.Rule{Tenant: tenant.Name, Units: tenant.Quota.Units, Window: tenant.Quota.Window})
 				}
 			}
 		}
@@ -201,9 +216,9 @@
 
 // quotaMover carries a draw or a give to the core.
 func quotaMover(hub *node.Hub) share.Mover {
-	return func(ctx context.Context, ten string, turn uint64, units int, give bool) (int, int, error) {
+	return func(ctx context.Context, tenant string, turn uint64, units int, give bool) (int, int, error) {
 		var out core.Moved
-		err := hub.Core.Call(ctx, "core.move", &core.Move{Tenant: ten, Holder: core.Holder(hub.Me()), Turn: turn, Units: units, Give: give}, &out, true)
+		err := hub.Core.Call(ctx, "core.move", &core.Move{Tenant: tenant, Holder: core.Holder(hub.Me()), Turn: turn, Units: units, Give: give}, &out, true)
 		return out.Have, out.Under, err
 	}
 }
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -146,7 +146,7 @@
 	n, crash := f.w.Net(c.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	c.crash = func() { end(); crash() }
-	ec := env.Ctx{Context: ctx, Name: c.addr, Hall: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
+	ec := env.Ctx{Context: ctx, Name: c.addr, Zone: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
 	var srv *core.Server
 	var err error
 	set := core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost, Codec: f.codec}
@@ -184,7 +184,7 @@
 	n, crash := f.w.Net(r.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	r.crash = func() { end(); crash() }
-	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
+	ec := env.Ctx{Context: ctx, Name: r.name, Zone: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
 	var options []node.Option
 	if f.options != nil {
 		options = f.options(r)
--- a/internal/sim/router_test.go
+++ b/internal/sim/router_test.go
@@ -175,7 +175,7 @@
 	if r.born > 0 {
 		born = r.born
 	}
-	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: born, Log: w.log.With("at", r.name), Net: n}
+	ec := env.Ctx{Context: ctx, Name: r.name, Zone: r.hall, Born: born, Log: w.log.With("at", r.name), Net: n}
 	run := router.New(ec, r.addr, r.face, []string{w.founder[0], w.founder[1], "10.0.1.1:1"}, func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return n.Dial(ctx, addr)
 	})
--- a/internal/store/disk.go
+++ b/internal/store/disk.go
@@ -62,15 +62,15 @@
 		return nil
 	}
 	side := filepath.Join(d.Path, name+".aside")
-	f, err := d.fs.create(side)
+	file, err := d.fs.create(side)
 	if err != nil {
 		return eris.Wrapf(err, "store: write %s", name)
 	}
-	_, err = f.Write(data)
+	_, err = file.Write(data)
 	if err == nil {
-		err = f.Sync()
+		err = file.Sync()
 	}
-	if e := f.Close(); err == nil {
+	if e := file.Close(); err == nil {
 		err = e
 	}
 	if err != nil {
@@ -108,7 +108,7 @@
 	return all, eris.Wrap(err, "store: list folder")
 }
 
-// Remove drops a file; one that is gone already is no trouble.
+// Remove drops a file; one that is gone already is no error.
 //
 //	err := d.Remove("v-3")
 func (d Folder) Remove(name string) error {
--- a/internal/store/power_test.go
+++ b/internal/store/power_test.go
@@ -113,8 +113,8 @@
 }
 
 func (v *volatile) list(string) (out []string, err error) {
-	for n := range v.names {
-		out = append(out, strings.TrimPrefix(n, "d/"))
+	for name := range v.names {
+		out = append(out, strings.TrimPrefix(name, "d/"))
 	}
 	slices.Sort(out)
 	return out, nil
@@ -177,11 +177,11 @@
 				case 9:
 					err = s.Rebase()
 				case 14: // from another primary, who never heard of the last three: they were not acknowledged
-					b := s.Whole()
-					b.Seq -= 3
+					batch := s.Whole()
+					batch.Seq -= 3
 					lost = []int{12, 13, 14}
-					b.Puts = slices.DeleteFunc(b.Puts, func(p Put) bool { return p.Key == "k12" || p.Key == "k13" || p.Key == "k14" })
-					err = s.Add(b)
+					batch.Puts = slices.DeleteFunc(batch.Puts, func(change Put) bool { return change.Key == "k12" || change.Key == "k13" || change.Key == "k14" })
+					err = s.Add(batch)
 				}
 				if err != nil {
 					return err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,4 +1,4 @@
-// Package store keeps versions on disk: one file a version, each holding the changes that were
+// Package store keeps versions of a key-value state on disk: one file a version, each holding the changes that were
 // synced together, with a base version now and then so that old files can go.
 package store
 
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 	"log/slog"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -45,15 +46,15 @@
 // Tidy sets aside what a broken write left behind, and says so.
 //
 //	err := store.Tidy(d, log)
-func Tidy(d Disk, log *slog.Logger) error {
-	all, err := d.List()
+func Tidy(disk Disk, log *slog.Logger) error {
+	all, err := disk.List()
 	if err != nil {
 		return err
 	}
-	for _, n := range all {
-		if strings.HasSuffix(n, ".aside") {
-			log.Warn("Unfinished file removed.", "file", n)
-			if err := d.Remove(n); err != nil {
+	for _, name := range all {
+		if strings.HasSuffix(name, ".aside") {
+			log.Warn("Unfinished file removed.", "file", name)
+			if err := disk.Remove(name); err != nil {
 				return err
 			}
 		}
@@ -63,117 +64,140 @@
 
 // Store is the state held on one disk.
 type Store struct {
-	disk  Disk
-	mu    sync.RWMutex
-	seq   uint64
-	all   map[string][]byte
-	fold  uint64 // the newest version that lies in a fold or base
-	size  int    // bytes put since the base
-	whole int    // bytes of the base
-	loose []Put  // put since the fold
-	sync  env.Gate
-	shut  bool
+	disk          Disk
+	mu            sync.RWMutex
+	version       uint64
+	values        map[string][]byte
+	foldedUpTo    uint64 // the newest version that lies in a fold or base
+	sizeSinceBase int    // bytes put since the base
+	baseSize      int    // bytes of the base
+	unfolded      []Put  // put since the fold
+	writing       env.Gate
+	closed        bool
 }
 
-func name(seq uint64) string { return fmt.Sprintf("v-%016x", seq) }
+// fileName names the file of a version.
+func fileName(version uint64) string { return fmt.Sprintf("v-%016x", version) }
 
 // Open reads all versions. ErrBroken is returned where a sealed version is damaged or missing:
 // the caller must then count this disk as blank.
 //
-//	s, err := store.Open(d, log)
-func Open(d Disk, log *slog.Logger) (*Store, error) {
-	s := &Store{sync: env.NewGate(), disk: d, all: map[string][]byte{}}
-	names, err := d.List()
+//	s, err := store.Open(disk, log)
+func Open(disk Disk, log *slog.Logger) (*Store, error) {
+	s := &Store{writing: env.NewGate(), disk: disk, values: map[string][]byte{}}
+	names, err := finishBases(disk)
 	if err != nil {
 		return nil, err
 	}
-	for _, n := range names {
-		var seq uint64
-		if _, err := fmt.Sscanf(n, baseHead+"v-%016x", &seq); err == nil && n == baseHead+name(seq) {
-			if err := settle(d, seq); err != nil {
+	batches, err := readBatches(disk, names, log)
+	if err != nil {
+		return nil, err
+	}
+	for _, batch := range withoutReplaced(batches) {
+		first := batch.From
+		if first == 0 {
+			first = batch.Seq
+		}
+		if !batch.Base && first != s.version+1 {
+			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.version+1)
+		}
+		s.apply(batch)
+	}
+	return s, nil
+}
+
+// finishBases puts bases in their places whose writer was cut short, and lists the files.
+func finishBases(disk Disk) ([]string, error) {
+	names, err := disk.List()
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		var version uint64
+		if _, err := fmt.Sscanf(name, basePrefix+"v-%016x", &version); err == nil && name == basePrefix+fileName(version) {
+			if err := settleBase(disk, version); err != nil {
 				return nil, err
 			}
-			names, err = d.List()
+			names, err = disk.List()
 			if err != nil {
 				return nil, err
 			}
 		}
 	}
-	var got []Batch
-	for _, n := range names {
-		if !strings.HasPrefix(n, "v-") || strings.HasSuffix(n, ".aside") {
+	return names, nil
+}
+
+// readBatches reads the versions among the files, in their order.
+func readBatches(disk Disk, names []string, log *slog.Logger) ([]Batch, error) {
+	var batches []Batch
+	for _, name := range names {
+		if !strings.HasPrefix(name, "v-") || strings.HasSuffix(name, ".aside") {
 			continue
 		}
-		file, err := d.Read(n)
+		file, err := disk.Read(name)
 		if err != nil {
 			return nil, err
 		}
 		raw, ok := Unseal(file)
-		var b Batch
+		var batch Batch
 		if ok {
-			_, err = b.UnmarshalMsg(raw)
+			_, err = batch.UnmarshalMsg(raw)
 		}
-		if !ok || err != nil || name(b.Seq) != n {
-			log.Error("Version is damaged.", "file", n)
-			return nil, eris.Wrap(ErrBroken, n)
+		if !ok || err != nil || fileName(batch.Seq) != name {
+			log.Error("Version is damaged.", "file", name)
+			return nil, eris.Wrap(ErrBroken, name)
 		}
-		got = append(got, b)
+		batches = append(batches, batch)
 	}
-	sort.Slice(got, func(i, j int) bool { return got[i].Seq < got[j].Seq })
-	from := -1
-	for i, b := range got {
-		if b.Base {
+	sort.Slice(batches, func(i, j int) bool { return batches[i].Seq < batches[j].Seq })
+	return batches, nil
+}
+
+// withoutReplaced leaves out what the last base, or a fold, stands for. Where the removal of such versions
+// was cut short, some still lie there.
+func withoutReplaced(batches []Batch) []Batch {
+	from := 0
+	for i, batch := range batches {
+		if batch.Base {
 			from = i
 		}
 	}
-	got = got[max(from, 0):]
-	// A fold stands for the versions before it. Where their removal was cut short, some still lie there.
-	var need []Batch
-	for i := len(got) - 1; i >= 0; i-- {
-		b := got[i]
-		if n := len(need); n > 0 && need[n-1].From > 0 && b.Seq >= need[n-1].From && !b.Base {
+	var needed []Batch // the newest first
+	for _, batch := range slices.Backward(batches[from:]) {
+		if n := len(needed); n > 0 && needed[n-1].From > 0 && batch.Seq >= needed[n-1].From && !batch.Base {
 			continue
 		}
-		need = append(need, b)
+		needed = append(needed, batch)
 	}
-	for i := len(need) - 1; i >= 0; i-- {
-		b := need[i]
-		first := b.From
-		if first == 0 {
-			first = b.Seq
-		}
-		if !b.Base && first != s.seq+1 {
-			return nil, eris.Wrapf(ErrBroken, "version %d missing", s.seq+1)
-		}
-		s.take(b)
-	}
-	return s, nil
+	slices.Reverse(needed)
+	return needed
 }
 
-func (s *Store) take(b Batch) {
+// apply takes a batch into the state.
+func (s *Store) apply(batch Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.Base {
-		s.all = map[string][]byte{}
-		s.size = 0
+	if batch.Base {
+		s.values = map[string][]byte{}
+		s.sizeSinceBase = 0
 	}
-	if b.Base || b.From > 0 {
-		s.fold, s.loose = b.Seq, nil
+	if batch.Base || batch.From > 0 {
+		s.foldedUpTo, s.unfolded = batch.Seq, nil
 	} else {
-		s.loose = append(s.loose, b.Puts...)
+		s.unfolded = append(s.unfolded, batch.Puts...)
 	}
-	for _, p := range b.Puts {
-		s.size += len(p.Key) + len(p.Val)
-		if p.Gone {
-			delete(s.all, p.Key)
+	for _, change := range batch.Puts {
+		s.sizeSinceBase += len(change.Key) + len(change.Val)
+		if change.Gone {
+			delete(s.values, change.Key)
 		} else {
-			s.all[p.Key] = p.Val
+			s.values[change.Key] = change.Val
 		}
 	}
-	if b.Base {
-		s.whole, s.size = s.size, 0
+	if batch.Base {
+		s.baseSize, s.sizeSinceBase = s.sizeSinceBase, 0
 	}
-	s.seq = b.Seq
+	s.version = batch.Seq
 }
 
 // Seq is the newest version held.
@@ -182,7 +206,7 @@
 func (s *Store) Seq() uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.seq
+	return s.version
 }
 
 // Get reads a key.
@@ -191,7 +215,7 @@
 func (s *Store) Get(key string) ([]byte, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	v, ok := s.all[key]
+	v, ok := s.values[key]
 	return v, ok
 }
 
@@ -201,7 +225,7 @@
 func (s *Store) Each(head string, do func(string, []byte)) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for k, v := range s.all {
+	for k, v := range s.values {
 		if strings.HasPrefix(k, head) {
 			do(k, v)
 		}
@@ -214,12 +238,12 @@
 func (s *Store) Whole() Batch {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	b := Batch{Seq: s.seq, Base: true}
-	for k, v := range s.all {
-		b.Puts = append(b.Puts, Put{Key: k, Val: v})
+	batch := Batch{Seq: s.version, Base: true}
+	for k, v := range s.values {
+		batch.Puts = append(batch.Puts, Put{Key: k, Val: v})
 	}
-	sort.Slice(b.Puts, func(i, j int) bool { return b.Puts[i].Key < b.Puts[j].Key })
-	return b
+	sort.Slice(batch.Puts, func(i, j int) bool { return batch.Puts[i].Key < batch.Puts[j].Key })
+	return batch
 }
 
 // Add writes and syncs one batch, then takes it. A batch must follow the one before,
@@ -227,66 +251,67 @@
 // the caller must stop leading.
 //
 //	err := s.Add(store.Batch{Seq: s.Seq() + 1, Puts: puts})
-func (s *Store) Add(b Batch) error {
-	s.sync.Lock()
-	defer s.sync.Unlock()
-	if s.shut {
+func (s *Store) Add(batch Batch) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if s.closed {
 		return eris.New("store: closed")
 	}
-	if !b.Base && b.Seq != s.Seq()+1 {
-		return eris.Wrapf(ErrGap, "have %d, got %d", s.Seq(), b.Seq)
+	if !batch.Base && batch.Seq != s.Seq()+1 {
+		return eris.Wrapf(ErrGap, "have %d, got %d", s.Seq(), batch.Seq)
 	}
-	raw, err := b.MarshalMsg(nil)
+	raw, err := batch.MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
-	if !b.Base {
-		if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
+	if !batch.Base {
+		if err := s.disk.Write(fileName(batch.Seq), Seal(raw)); err != nil {
 			return err
 		}
-		s.take(b)
+		s.apply(batch)
 		return nil
 	}
 	// A base replaces all. It lies whole beside what it replaces before any of that goes: a fold may
 	// hold what was acknowledged together with what never was.
-	if err := s.disk.Write(baseHead+name(b.Seq), Seal(raw)); err != nil {
+	if err := s.disk.Write(basePrefix+fileName(batch.Seq), Seal(raw)); err != nil {
 		return err
 	}
-	if err := settle(s.disk, b.Seq); err != nil {
+	if err := settleBase(s.disk, batch.Seq); err != nil {
 		return err
 	}
-	s.take(b)
-	return drop(s.disk, func(n string) bool { return n < name(b.Seq) })
+	s.apply(batch)
+	return removeVersions(s.disk, func(name string) bool { return name < fileName(batch.Seq) })
 }
 
-// baseHead begins the name of a base that has not taken its place yet.
-const baseHead = "base-"
+// basePrefix begins the name of a base that has not taken its place yet.
+const basePrefix = "base-"
 
-// settle puts a base in its place. Versions above it belong to a history that was never acknowledged.
-func settle(d Disk, seq uint64) error {
-	if err := drop(d, func(n string) bool { return n > name(seq) }); err != nil {
+// settleBase puts a base in its place. Versions above it belong to a history that was never acknowledged.
+func settleBase(disk Disk, version uint64) error {
+	if err := removeVersions(disk, func(name string) bool { return name > fileName(version) }); err != nil {
 		return err
 	}
-	return d.Rename(baseHead+name(seq), name(seq))
+	return disk.Rename(basePrefix+fileName(version), fileName(version))
 }
 
-// Close waits for a write that is under way and bounces all later ones.
+// Close waits for a write that is under way and rejects all later ones.
 //
 //	s.Close()
 func (s *Store) Close() {
-	s.sync.Lock()
-	defer s.sync.Unlock()
-	s.shut = true
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.closed = true
 }
 
-func drop(d Disk, which func(string) bool) error {
-	all, err := d.List()
+// removeVersions removes the files of some versions.
+func removeVersions(disk Disk, which func(string) bool) error {
+	all, err := disk.List()
 	if err != nil {
 		return err
 	}
-	for _, n := range all {
-		if strings.HasPrefix(n, "v-") && which(n) {
-			if err := d.Remove(n); err != nil {
+	for _, name := range all {
+		if strings.HasPrefix(name, "v-") && which(name) {
+			if err := disk.Remove(name); err != nil {
 				return err
 			}
 		}
@@ -301,7 +326,7 @@
 //	err := s.Tidy()
 func (s *Store) Tidy() error {
 	s.mu.RLock()
-	base, fold := s.size > max(8<<20, s.whole), s.seq-s.fold >= foldAt
+	base, fold := s.sizeSinceBase > max(8<<20, s.baseSize), s.version-s.foldedUpTo >= foldEvery
 	s.mu.RUnlock()
 	switch {
 	case base:
@@ -312,7 +337,7 @@
 	return nil
 }
 
-const foldAt = 512
+const foldEvery = 512
 
 // Rebase writes the state as a base in place of the newest version and drops what is older.
 //
@@ -323,23 +348,23 @@
 //
 //	err := s.Fold()
 func (s *Store) Fold() error {
-	s.sync.Lock()
-	defer s.sync.Unlock()
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	s.mu.RLock()
-	b := Batch{Seq: s.seq, From: s.fold + 1, Puts: s.loose}
+	batch := Batch{Seq: s.version, From: s.foldedUpTo + 1, Puts: s.unfolded}
 	s.mu.RUnlock()
-	if s.shut || b.From >= b.Seq {
+	if s.closed || batch.From >= batch.Seq {
 		return nil
 	}
-	raw, err := b.MarshalMsg(nil)
+	raw, err := batch.MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
-	if err := s.disk.Write(name(b.Seq), Seal(raw)); err != nil {
+	if err := s.disk.Write(fileName(batch.Seq), Seal(raw)); err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.fold, s.loose = b.Seq, nil
+	s.foldedUpTo, s.unfolded = batch.Seq, nil
 	s.mu.Unlock()
-	return drop(s.disk, func(n string) bool { return n >= name(b.From) && n < name(b.Seq) })
+	return removeVersions(s.disk, func(name string) bool { return name >= fileName(batch.From) && name < fileName(batch.Seq) })
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -33,32 +33,32 @@
 			return s
 		}
 		s := open()
-		model, seq := map[string]string{}, uint64(0)
+		model, version := map[string]string{}, uint64(0)
 		keys := []string{"a", "b", "c/1", "c/2"}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1, 2:
-				b := store.Batch{Seq: seq + 1}
+				batch := store.Batch{Seq: version + 1}
 				next := maps.Clone(model)
 				for range rapid.IntRange(1, 3).Draw(t, "puts") {
 					k, v := rapid.SampledFrom(keys).Draw(t, "key"), rapid.StringN(0, 8, 8).Draw(t, "val")
 					if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
-						b.Puts = append(b.Puts, store.Put{Key: k, Gone: true})
+						batch.Puts = append(batch.Puts, store.Put{Key: k, Gone: true})
 						delete(next, k)
 					} else {
-						b.Puts = append(b.Puts, store.Put{Key: k, Val: []byte(v)})
+						batch.Puts = append(batch.Puts, store.Put{Key: k, Val: []byte(v)})
 						next[k] = v
 					}
 				}
-				if err := s.Add(b); err != nil {
+				if err := s.Add(batch); err != nil {
 					t.Fatal(err)
 				}
-				model, seq = next, seq+1
+				model, version = next, version+1
 			case 3:
 				if rapid.Bool().Draw(t, "foreign") { // a copy of another's state replaces all
-					seq++
+					version++
 					model = map[string]string{"c/1": "copied"}
-					if err := s.Add(store.Batch{Seq: seq, Base: true, Puts: []store.Put{{Key: "c/1", Val: []byte("copied")}}}); err != nil {
+					if err := s.Add(store.Batch{Seq: version, Base: true, Puts: []store.Put{{Key: "c/1", Val: []byte("copied")}}}); err != nil {
 						t.Fatal(err)
 					}
 				} else if rapid.Bool().Draw(t, "base") {
@@ -70,13 +70,13 @@
 				}
 			case 4:
 				disk.Full(true)
-				if s.Add(store.Batch{Seq: seq + 1, Puts: []store.Put{{Key: "a", Val: []byte("lost")}}}) == nil {
+				if s.Add(store.Batch{Seq: version + 1, Puts: []store.Put{{Key: "a", Val: []byte("lost")}}}) == nil {
 					t.Fatal("a full disk took a batch")
 				}
 				disk.Full(false)
 				s = open() // after a refused write the disk is read anew, as core does
 			case 5:
-				if !errors.Is(s.Add(store.Batch{Seq: seq + 2}), store.ErrGap) {
+				if !errors.Is(s.Add(store.Batch{Seq: version + 2}), store.ErrGap) {
 					t.Fatal("a gap was taken")
 				}
 			case 6:
@@ -91,8 +91,8 @@
 				disk.Keep(false)
 				s = open()
 			}
-			if s.Seq() != seq {
-				t.Fatalf("sequence %d, %d expected", s.Seq(), seq)
+			if s.Seq() != version {
+				t.Fatalf("sequence %d, %d expected", s.Seq(), version)
 			}
 			got := map[string]string{}
 			s.Each("", func(k string, v []byte) { got[k] = string(v) })
@@ -183,9 +183,9 @@
 	val := make([]byte, 200)
 	put, files := 0, 0
 	for i := range 60000 {
-		p := store.Put{Key: fmt.Sprintf("claim/tenant/%d", i), Val: val}
-		put += len(p.Key) + len(p.Val)
-		if err := s.Add(store.Batch{Seq: uint64(i + 1), Puts: []store.Put{p}}); err != nil {
+		change := store.Put{Key: fmt.Sprintf("claim/tenant/%d", i), Val: val}
+		put += len(change.Key) + len(change.Val)
+		if err := s.Add(store.Batch{Seq: uint64(i + 1), Puts: []store.Put{change}}); err != nil {
 			t.Fatal(err)
 		}
 		if err := s.Tidy(); err != nil {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,7 +35,7 @@
 	return ""
 }
 
-// Hall finds the hall a member stands in.
+// Hall finds the zone a member stands in.
 //
 //	if v.Hall(v.Back) == v.Hall(v.Prime) { ... }
 func (v View) Hall(id string) string {
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -43,17 +43,17 @@
 			if err := http.NewResponseController(w).Flush(); err != nil {
 				t.Errorf("flush: %v", err)
 			}
-			<-r.Context().Done() // the origin reads the head while we still stand here
+			<-r.Context().Done() // the client reads the head while we still stand here
 		}
 	})
-	h, err := Handler([]rest.Route{
+	handler, err := Handler([]rest.Route{
 		{Method: "POST", Path: "/body", Handler: probe},
 		{Method: "POST", Path: "/abort", Handler: probe},
 		{Method: "POST", Path: "/flush", Handler: probe}}, probe)
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := httptest.NewServer(h)
+	srv := httptest.NewServer(handler)
 	defer srv.Close()
 	post := func(ctx context.Context, path string, body []byte, enc string) (*http.Response, error) {
 		req, _ := http.NewRequestWithContext(ctx, "POST", srv.URL+path, bytes.NewReader(body))
