--- a/internal/control/main.go
+++ b/internal/control/main.go
@@ -130,7 +130,9 @@
 		api := &operator.API{Ctx: process.Ctx.Part("operator"), KeyHash: func() string { return process.Now("operator-key-hash") },
 			Core:  core.NewClient(process.Ctx, caller, append([]string{process.Set["addr"]}, seeds...)),
 			Ready: server.Why,
-			Views: map[string]func() any{"/v1/standing": func() any { return server.Peek() }}}
+			Views: map[string]func() any{
+				"/v1/standing": func() any { return server.Peek() },
+				"/v1/traffic":  func() any { return wire.TrafficByKind() }}}
 		handler, err := api.Handler()
 		if err != nil {
 			return err
--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -162,6 +162,12 @@
 		}
 	}
 	sort.Slice(free, func(i, j int) bool { return free[i].Id < free[j].Id })
+	return spread(free, used, count)
+}
+
+// spread picks members, those of halls not used yet first.
+func spread(from []view.Member, used map[string]bool, count int) []string {
+	free := slices.Clone(from)
 	var out []string
 	for len(out) < count && len(free) > 0 {
 		best := max(0, slices.IndexFunc(free, func(m view.Member) bool { return !used[m.Hall] }))
@@ -280,7 +286,7 @@
 // holdAt has every backup of the view hold a batch, and tells which did not.
 func (s *Server) holdAt(v view.View, b store.Batch) []string {
 	return each(v.Backups(), func(id string) bool {
-		ctx, end := context.WithTimeout(s.ctx, diskWait)
+		ctx, end := context.WithTimeout(s.ctx, holdWait)
 		defer end()
 		var out Held
 		err := s.call(ctx, v.Addr(id), "core.hold", &Hold{View: v, From: v.Prime, Batch: b}, &out)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -6,50 +6,87 @@
 	"time"
 
 	"yarrowridge/internal/share"
+	"yarrowridge/internal/store"
 )
 
-func (t *Tx) pot(ten string) (share.Pot, error) {
-	var p share.Pot
-	raw, ok := t.Get("share/" + ten)
+// potCache keeps the decoded pots of tenants: each has an entry for every router, and is read and written with
+// every move. Only the run loop touches it.
+type potCache map[string]*cachedPot
+
+// cachedPot is a pot and the bytes that it was decoded from or encoded to. It is good for as long as the
+// store, or the batch under way, has these very bytes.
+type cachedPot struct {
+	raw []byte
+	pot share.Pot
+}
+
+// get gives a tenant's pot as the batch under way has it. One that is changed must be put.
+func (c potCache) get(tx *Tx, tenant string) (*share.Pot, error) {
+	raw, ok := tx.Get(potKey(tenant))
 	if !ok {
-		return p, nil
+		return &share.Pot{}, nil
+	}
+	if known := c[tenant]; known != nil && len(raw) > 0 && len(raw) == len(known.raw) && &raw[0] == &known.raw[0] {
+		return &known.pot, nil
+	}
+	fresh := &cachedPot{raw: raw}
+	if _, err := fresh.pot.UnmarshalMsg(raw); err != nil {
+		return nil, err
+	}
+	c[tenant] = fresh
+	return &fresh.pot, nil
+}
+
+// put puts a changed pot.
+func (c potCache) put(tx *Tx, tenant string, pot *share.Pot) error {
+	delete(c, tenant)
+	raw, err := pot.MarshalMsg(nil)
+	if err != nil {
+		return err
 	}
-	_, err := p.UnmarshalMsg(raw)
-	return p, err
+	tx.add(store.Put{Key: potKey(tenant), Val: raw})
+	c[tenant] = &cachedPot{raw: raw, pot: *pot}
+	return nil
+}
+
+func potKey(tenant string) string { return potHead + tenant }
+
+const potHead = "share/"
+
+// potTenants lists the tenants that have a pot in the committed state.
+func potTenants(tx *Tx) []string {
+	var tenants []string
+	tx.st.Each(potHead, func(key string, _ []byte) { tenants = append(tenants, strings.TrimPrefix(key, potHead)) })
+	return tenants
 }
 
+// move draws or gives units of one tenant.
 func (s *Server) move(ctx context.Context, in *Move) (*Moved, error) {
-	out := &Moved{}
+	all, err := s.moveAll(ctx, &Moves{Holder: in.Holder, List: []Move{*in}})
+	if err != nil {
+		return nil, err
+	}
+	return &all.List[0], nil
+}
+
+// moveAll makes all moves of one holder in one write.
+func (s *Server) moveAll(ctx context.Context, in *Moves) (*MovedAll, error) {
+	out := &MovedAll{}
 	err := s.Submit(ctx, func(tx *Tx) error {
+		out.List = make([]Moved, len(in.List))
 		cur, err := tx.sheet()
 		if err != nil {
 			return err
 		}
-		units := 0
-		if doc := s.parsed(cur); doc != nil {
-			units = doc.Quotas[in.Tenant]
+		var doc Document
+		if known := s.parsed(cur); known != nil {
+			doc = *known
 		}
-		p, err := tx.pot(in.Tenant)
-		if err != nil {
-			return err
-		}
-		who := in.Holder
-		var changed bool
-		if in.Give {
-			out.Have, changed = p.Give(who, in.Turn, in.Units)
-		} else {
-			was := p.Held[who].Units
-			out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(units-p.Out())), units)
-			if in.Units > 0 && out.Have == was {
-				s.mu.Lock()
-				s.short[in.Tenant] = time.Now()
-				s.mu.Unlock()
+		for i := range in.List {
+			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], &doc); err != nil {
+				return err
 			}
 		}
-		out.Under = max(units, p.Out())
-		if changed {
-			return tx.Put("share/"+in.Tenant, &p)
-		}
 		return nil
 	})
 	if err != nil {
@@ -58,6 +95,44 @@
 	return out, nil
 }
 
+// moveIn makes one move. Only the run loop calls it.
+func (s *Server) moveIn(tx *Tx, who string, in *Move, doc *Document) (out Moved, err error) {
+	p, err := s.pot.get(tx, in.Tenant)
+	if err != nil {
+		return out, err
+	}
+	quota := doc.Quotas[in.Tenant]
+	var changed bool
+	if in.Give {
+		out.Have, changed = p.Give(who, in.Turn, in.Units)
+	} else {
+		was := p.Held[who].Units
+		most := quota + min(doc.Tolerances[in.Tenant], p.Cooling())
+		out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(most-p.Out())), most)
+		if in.Units > 0 {
+			s.noteShort(in.Tenant, out.Have == was, quota, most-p.Out())
+		}
+	}
+	out.Under = max(quota, p.Out())
+	if changed {
+		err = s.pot.put(tx, in.Tenant, p)
+	}
+	return out, err
+}
+
+// lowPart is the part of a small quota from which on idle units are wanted back: there are more routers than
+// units, and each that has some idle keeps them from many others.
+const lowPart = 2
+
+// noteShort notes that idle units of a tenant are wanted back: since a draw got none, or soon may get none.
+func (s *Server) noteShort(tenant string, none bool, quota, free int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if none || share.IsSmall(quota, len(s.nodes)) && free < quota/lowPart {
+		s.short[tenant] = time.Now()
+	}
+}
+
 // drawPart is the part of the free units that one draw may take: after a restart all routers draw at once, and
 // the first must not leave the others without any.
 const drawPart = 8
@@ -73,15 +148,13 @@
 }
 
 func (s *Server) pots(tx *Tx, do func(ten string, p *share.Pot) bool) error {
-	var tens []string
-	tx.st.Each("share/", func(k string, _ []byte) { tens = append(tens, strings.TrimPrefix(k, "share/")) })
-	for _, t := range tens {
-		p, err := tx.pot(t)
+	for _, t := range potTenants(tx) {
+		p, err := s.pot.get(tx, t)
 		if err != nil {
 			return err
 		}
-		if do(t, &p) {
-			if err := tx.Put("share/"+t, &p); err != nil {
+		if do(t, p) {
+			if err := s.pot.put(tx, t, p); err != nil {
 				return err
 			}
 		}
@@ -146,12 +219,12 @@
 	}
 	var thaw, out []holding
 	s.cooling = false
-	s.st.Load().Each("share/", func(k string, raw []byte) {
-		var p share.Pot
-		if _, err := p.UnmarshalMsg(raw); err != nil {
-			return
+	tx := &Tx{st: s.st.Load()}
+	for _, tenant := range potTenants(tx) {
+		p, err := s.pot.get(tx, tenant)
+		if err != nil {
+			continue
 		}
-		tenant := strings.TrimPrefix(k, "share/")
 		for who := range p.Cool {
 			s.cooling = true
 			if aged(coolKey(tenant, who), windows[tenant]+share.Margin) {
@@ -168,7 +241,7 @@
 				out = append(out, holding{tenant, who})
 			}
 		}
-	})
+	}
 	for key := range s.aged {
 		if !seen[key] {
 			delete(s.aged, key)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,7 +35,7 @@
 		SecondTries: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_tries_total", Help: "Second tries, by service and whether they were let through."}, []string{"service", "let"}),
 		SecondRuns:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "yarrowridge_second_runs_total", Help: "Second runs of lost streams, by lane and code."}, []string{"lane", "code"}),
 	}
-	m.registry.MustRegister(m.Requests, m.Allowance, m.Wait, m.Dispatch, m.FirstTries, m.SecondTries, m.SecondRuns)
+	m.registry.MustRegister(m.Requests, m.Allowance, m.Wait, m.Dispatch, m.FirstTries, m.SecondTries, m.SecondRuns, wireTraffic{})
 	for name, read := range gauge {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: "See docs/metrics.md."}, read))
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -43,8 +43,11 @@
 	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
+	told     uint64                                  // the sequence that the core last named; only the beat touches it
 	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
 	runners  *registry.Registry                      // nil: none is kept
+	tally    func() []core.RunnerTally               // nil: none is told
+	failing  func([]core.FailingRunner)
 
 	mu    sync.Mutex
 	roll  uint64
@@ -84,6 +87,14 @@
 	return func(h *Hub) { h.runners = reg }
 }
 
+// Health has the hub tell the core how attempts at runners ended since the last beat, and pass on which
+// runners fail for all routers together.
+//
+//	hub := node.NewHub(ctx, addr, face, seeds, hook, node.Health(balancer.Tally, balancer.Failing))
+func Health(tally func() []core.RunnerTally, failing func([]core.FailingRunner)) Option {
+	return func(h *Hub) { h.tally, h.failing = tally, failing }
+}
+
 // NewHub makes a hub. hook sees every record of news that is taken, besides the configuration and the
 // registered runners.
 //
@@ -341,12 +352,21 @@
 //
 //	hub.Run()
 func (h *Hub) Run() {
-	go env.Loop(h.ctx, nil, beatEvery, func(struct{}) {}, h.beat)
-	go env.Loop(h.ctx, nil, mendEvery, func(struct{}) {}, h.mend)
+	go h.every(beatEvery, h.beat)
+	go h.every(mendEvery, h.mend)
 	env.Loop(h.ctx, h.box, 0, h.hand, nil)
 	h.cal.Close()
 }
 
+// every does something again and again. The first time is at random, so that nodes that started together do
+// not all call the core at one moment.
+func (h *Hub) every(span time.Duration, do func()) {
+	if env.Wait(h.ctx, rand.N(span)) {
+		do()
+		env.Loop(h.ctx, nil, span, func(struct{}) {}, do)
+	}
+}
+
 // hand sends news on, with all that has piled up behind it.
 func (h *Hub) hand(t relay.Tell) {
 	for _, n := range h.Near() {
@@ -416,10 +436,16 @@
 	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
 	defer end()
 	var out core.Told
-	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds())}
+	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds()), ViewEpoch: h.Core.View().Epoch}
 	if h.runners != nil {
 		in.RunnersWanted = true
 		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
+		if in.RunnersVersion == 0 {
+			in.RunnersDigest = h.runners.Digest()
+		}
+	}
+	if h.tally != nil {
+		in.Tallies = h.tally()
 	}
 	if err := h.Core.Call(ctx, "core.beat", &in, &out, true); err != nil {
 		if wire.Is(err, core.NameTaken) {
@@ -446,8 +472,15 @@
 	if h.runners != nil {
 		h.runners.Apply(&out)
 	}
-	// One that was not understood is not fetched again and again.
-	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
+	if h.failing != nil {
+		h.failing(out.Failing)
+	}
+	// One that was not understood is not fetched again and again. A new one is on its way by the relays: it is
+	// fetched only if it was missing for a whole beat, else a large part of the fleet would ask the primary at once.
+	rec, _, _ := h.Board.Get(relay.LayoutKey)
+	overdue := h.Sequence() == 0 || rec.Turn < h.told
+	h.told = out.Seq
+	if h.Sequence() < out.Seq && rec.Turn < out.Seq && overdue {
 		var sheet core.Sheet
 		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
 			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/balance"
+	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/gateway"
 	"yarrowridge/internal/node"
@@ -24,11 +26,11 @@
 
 // GatewaySettings are what a router that carries opaque requests is told about its place.
 type GatewaySettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Data        string        // ip:port of the clients' listener
-	Readiness   string        // ip:port of the readiness listener; "": none
-	Seeds       []string      // ip:port of some cores
-	QuotaWindow time.Duration // over which tenants' limits are judged
+	Internal    string            // ip:port where other processes reach it
+	Data        string            // ip:port of the clients' listener
+	Readiness   string            // ip:port of the readiness listener; "": none
+	Seeds       []string          // ip:port of some cores
+	Quota       routing.QuotaRule // how tenants' rates are judged
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
 	Grace       time.Duration // from the stop signal to the kill
@@ -36,6 +38,17 @@
 	Dialect     gateway.Dialect
 	Parse       func(raw []byte) (*routing.Table, []routing.Flaw)
 	Ready       func(why func() string) (http.Handler, error) // answers readiness probes
+
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // reaches runners; nil: TCP
+	Listen func(address string) (net.Listener, error)                  // for clients and probes; nil: TCP
+}
+
+// listen binds an address for clients or probes.
+func (s GatewaySettings) listen(address string) (net.Listener, error) {
+	if s.Listen != nil {
+		return s.Listen(address)
+	}
+	return net.Listen("tcp", address)
 }
 
 // Gateway is the parts of a router that carries opaque requests, put together.
@@ -61,17 +74,35 @@
 // NewGateway puts a gateway's parts together.
 func NewGateway(ctx env.Ctx, settings GatewaySettings) *Gateway {
 	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Zone)}
-	g.Pool = upstream.New(upstream.Options{})
+	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
-		node.Document(g.take), node.Runners(g.Registry))
-	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: quotaMover(g.Hub), Nodes: func() int { return len(g.Hub.Nodes()) },
+		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
+	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
 		Pool: g.Pool, Quotas: quotas{g.Purses}, Retries: settings.Retries, Part: g.part, Log: ctx.Part("gateway").Log})
 	return g
 }
 
+// tally tells the core what became of attempts at runners since the last beat.
+func (g *Gateway) tally() []core.RunnerTally {
+	var out []core.RunnerTally
+	for id, tally := range g.Balancer.Tally() {
+		out = append(out, core.RunnerTally{ID: id, Tries: tally.Tries, Fails: tally.Fails})
+	}
+	return out
+}
+
+// failing tells the balancer which runners fail for all routers together.
+func (g *Gateway) failing(list []core.FailingRunner) {
+	shares := make(map[string]float64, len(list))
+	for _, runner := range list {
+		shares[runner.ID] = runner.Share
+	}
+	g.Balancer.Failing(shares)
+}
+
 // take puts a newer configuration in force.
 func (g *Gateway) take(sequence uint64, raw []byte) error {
 	table, flaws := g.settings.Parse(raw)
@@ -79,6 +110,7 @@
 		return eris.Wrapf(flaws[0], "router: configuration %d", sequence)
 	}
 	g.table.Store(table)
+	g.Purses.Wake()
 	return nil
 }
 
@@ -122,7 +154,8 @@
 	var rules []share.Rule
 	for _, tenant := range table.Tenants {
 		if tenant.Rate > 0 {
-			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: tenant.Units(g.settings.QuotaWindow), Window: g.settings.QuotaWindow})
+			quota := g.settings.Quota.For(&tenant)
+			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: quota.Requests, Window: quota.Period})
 		}
 	}
 	return rules
@@ -171,19 +204,20 @@
 		if err != nil {
 			return err
 		}
-		readiness, err := web.Listen(settings.Readiness, handler)
+		listener, err := settings.listen(settings.Readiness)
 		if err != nil {
-			return err
+			return eris.Wrap(err, "router: readiness listener")
 		}
-		go readiness.Run()
+		go web.NewServer(listener, handler).Run()
 	}
 	go wire.Serve(ctx, internal, g.Hub.Hand)
 	g.Start()
 	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Zone)
-	server, err := gateway.Listen(settings.Data, g.Front, startLimits)
+	data, err := settings.listen(settings.Data)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "router: clients' listener")
 	}
+	server := gateway.NewServer(data, g.Front, startLimits)
 	go server.Run()
 	<-p.Stop
 	g.stop(ctx, server)
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -66,11 +67,11 @@
 // How long a request waits for units: for the core's first word about the tenant, or for a draw.
 const (
 	firstWait = 300 * time.Millisecond
-	drawWait  = 60 * time.Millisecond
+	drawWait  = 35 * time.Millisecond
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
-// core.
+// core; where the context has a deadline, it waits until then for a core that does not answer.
 //
 //	ok, again := ps.Keep(ctx, "counter", 1)
 func (ps *Purses) Keep(ctx context.Context, tenant string, n int) (bool, time.Duration) {
@@ -83,20 +84,25 @@
 	}
 	var timer *time.Timer
 	for {
-		changed, dry := p.Changed()
+		changed, _ := p.Changed()
 		ok, again := p.Keep(n)
-		if ok || dry {
-			return ok, again
+		if ok {
+			return true, 0
 		}
-		ps.draw(tenant, p)
 		if timer == nil {
 			timer = time.NewTimer(wait)
 			defer timer.Stop()
+			p.Await(n)
+			defer p.Await(-n)
 		}
+		ps.draw(tenant, p)
 		select {
 		case <-changed:
+		case <-time.After(dryFor / 2):
 		case <-timer.C:
-			return false, again
+			if _, bounded := ctx.Deadline(); !bounded || !p.Busy() {
+				return false, again
+			}
 		case <-ctx.Done():
 			return false, again
 		}
@@ -135,11 +141,21 @@
 	return out
 }
 
+// roundEvery is how often units are drawn and given.
+const roundEvery = 500 * time.Millisecond
+
 // Run draws and gives until the context ends.
 //
 //	go ps.Run()
 func (ps *Purses) Run() {
-	env.Loop(ps.ctx, ps.bell, 500*time.Millisecond, func(struct{}) { ps.round() }, ps.round)
+	select { // nodes that started together do not ask the core together
+	case <-time.After(rand.N(roundEvery)):
+	case <-ps.bell:
+	case <-ps.ctx.Done():
+		return
+	}
+	ps.round()
+	env.Loop(ps.ctx, ps.bell, roundEvery, func(struct{}) { ps.round() }, ps.round)
 }
 
 func (ps *Purses) round() {
@@ -158,7 +174,7 @@
 		if ps.draw(t, p) {
 			continue
 		}
-		if turn, n, ok := p.Spare(short[t]); ok {
+		if turn, n, ok := p.Spare(short[t], ps.ways.Nodes()); ok {
 			go ps.carry(t, p, turn, n, true)
 		}
 	}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -74,14 +74,21 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "web: listen on %s", addr)
 	}
-	// Nothing of the request before on the same connection bounds the writing of this answer.
+	return NewServer(listener, handler), nil
+}
+
+// NewServer serves a handler on a listener.
+//
+//	go web.NewServer(listener, handler).Run()
+func NewServer(listener net.Listener, handler http.Handler) *Server {
+	// Nothing of the request before on the same connection bounds the writing of this response.
 	fresh := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
 		controller.SetWriteDeadline(time.Time{})
 		handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), controllerKey{}, controller)))
 	})
 	return &Server{listener, &http.Server{Handler: fresh, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second,
-		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}, nil
+		MaxHeaderBytes: 64 << 10, ErrorLog: log.New(io.Discard, "", 0)}}
 }
 
 // Run serves until Drain.
