--- a/internal/clientapi/claims.go
+++ b/internal/clientapi/claims.go
@@ -37,7 +37,7 @@
 // Settling counts settlements that the core has not answered yet.
 //
 //	for claims.Settling() > 0 { ... }
-func (c *Claims) Settling() int { return int(c.settling.Load()) }
+func (claims *Claims) Settling() int { return int(claims.settling.Load()) }
 
 // claim is one durable claim of a key, held while its request runs.
 type claim struct {
@@ -48,20 +48,20 @@
 }
 
 // settle tells the core what became of a claim, for as long as that takes.
-func (c *Claims) settle(claim *claim, free bool) {
+func (claims *Claims) settle(claim *claim, free bool) {
 	if claim.settled {
 		return
 	}
 	claim.settled = true
-	c.settling.Add(1)
+	claims.settling.Add(1)
 	in := core.Settle{Key: claim.key, Free: free, Claim: claim.record}
 	go func() {
-		defer c.settling.Add(-1)
+		defer claims.settling.Add(-1)
 		for {
-			ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
-			err := c.hub.Core.Call(ctx, "core.settle", &in, nil, true)
+			ctx, cancel := context.WithTimeout(claims.ctx, 5*time.Second)
+			err := claims.hub.Core.Call(ctx, "core.settle", &in, nil, true)
 			cancel()
-			if err == nil || !env.Wait(c.ctx, 200*time.Millisecond) {
+			if err == nil || !env.Wait(claims.ctx, 200*time.Millisecond) {
 				return
 			}
 		}
--- a/internal/clientapi/retries.go
+++ b/internal/clientapi/retries.go
@@ -28,8 +28,8 @@
 // NewRetryBudget makes the budget.
 //
 //	budget := clientapi.NewRetryBudget(m)
-func NewRetryBudget(m *metrics.Metrics) *RetryBudget {
-	return &RetryBudget{byService: map[string]*tryCounts{}, metrics: m}
+func NewRetryBudget(counters *metrics.Metrics) *RetryBudget {
+	return &RetryBudget{byService: map[string]*tryCounts{}, metrics: counters}
 }
 
 // countSpan is the span that Counts looks back.
--- a/internal/layout/config_test.go
+++ b/internal/layout/config_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// Every an error is told at once, each by its path.
+// Every error is told at once, each by its path.
 func TestTroubles(t *testing.T) {
 	for raw, paths := range map[string]string{
 		`{`:                   "",
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -20,9 +20,9 @@
 // pick alike; own zone first among equals. It returns -1 where no runner has room.
 //
 //	i := place.Choose(keys, all, memory.Match(keys))
-func Choose(keys []uint64, all []Candidate, depth map[int]int) int {
+func Choose(keys []uint64, candidates []Candidate, depth map[int]int) int {
 	sum, n := 0, 0
-	for _, candidate := range all {
+	for _, candidate := range candidates {
 		if candidate.Room > 0 && candidate.Load >= candidate.Room {
 			continue
 		}
@@ -53,11 +53,11 @@
 		}
 		return a.Index < b.Index
 	}
-	for i, candidate := range all {
+	for i, candidate := range candidates {
 		if candidate.Room > 0 && candidate.Load >= candidate.Room || candidate.Load >= high {
 			continue
 		}
-		if best < 0 || better(candidate, all[best]) {
+		if best < 0 || better(candidate, candidates[best]) {
 			best = i
 		}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -33,8 +33,8 @@
 			ctx, end := context.WithCancel(t.Context())
 			defer end()
 			s := NewScheduler("east", NewPrefixMemory(100))
-			y, e := one(1, s.Wake)
-			seat := e.Acquire(1, 0)
+			y, instance := one(1, s.Wake)
+			seat := instance.Acquire(1, 0)
 			if seat == nil {
 				rt.Fatal("the runner takes no query")
 			}
@@ -109,9 +109,9 @@
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
 		s := NewScheduler("east", NewPrefixMemory(100))
-		y, e := one(1, s.Wake)
+		y, instance := one(1, s.Wake)
 		go s.Run(ctx)
-		seat := e.Acquire(1, 0)
+		seat := instance.Acquire(1, 0)
 		if seat == nil {
 			t.Fatal("the runner takes no query")
 		}
@@ -150,7 +150,7 @@
 		if n, sum := s.Waiting(); n != 0 || len(sum) != 0 {
 			t.Errorf("%d wait, tokens %v", n, sum)
 		}
-		if n, _ := e.Load(); n != 1 {
+		if n, _ := instance.Load(); n != 1 {
 			t.Errorf("%d are seated, 1 expected", n)
 		}
 	})
@@ -172,21 +172,21 @@
 	if d := m.Match(PrefixHashes(2, text)); len(d) != 0 {
 		t.Errorf("another tenant matched %v", d)
 	}
-	all := []Candidate{{Index: 0, Addr: "a", Room: 100}, {Index: 1, Addr: "b", Room: 100}, {Index: 2, Addr: "c", SameZone: true, Room: 100}}
-	if i := Choose(keys, all, m.Match(keys)); i != 1 {
+	candidates := []Candidate{{Index: 0, Addr: "a", Room: 100}, {Index: 1, Addr: "b", Room: 100}, {Index: 2, Addr: "c", SameZone: true, Room: 100}}
+	if i := Choose(keys, candidates, m.Match(keys)); i != 1 {
 		t.Errorf("nominated %d, the longest prefix is at 1", i)
 	}
-	all[1].Load = 50
-	if i := Choose(keys, all, m.Match(keys)); i != 0 {
+	candidates[1].Load = 50
+	if i := Choose(keys, candidates, m.Match(keys)); i != 0 {
 		t.Errorf("nominated %d, the next prefix within the bound is at 0", i)
 	}
-	if i := Choose(PrefixHashes(3, text), all, nil); i != 2 {
+	if i := Choose(PrefixHashes(3, text), candidates, nil); i != 2 {
 		t.Errorf("nominated %d, the own hall's is 2", i)
 	}
-	for i := range all {
-		all[i].Load = 100
+	for i := range candidates {
+		candidates[i].Load = 100
 	}
-	if i := Choose(keys, all, nil); i != -1 {
+	if i := Choose(keys, candidates, nil); i != -1 {
 		t.Errorf("nominated %d where nobody has room", i)
 	}
 }
@@ -222,20 +222,20 @@
 		}
 		keys := PrefixHashes(0, strings.Repeat(fmt.Sprintf("sheet %3d; ", doc), 250)+fmt.Sprint(now))
 		runner := pick(keys, load)
-		miss := 0
+		misses := 0
 		for _, key := range keys {
 			all++
 			if cache[runner][key] {
 				hit++
 			} else {
-				miss++
+				misses++
 				cache[runner][key] = true
 			}
 		}
 		note(keys, runner)
 		took[runner]++
 		load[runner]++
-		ends = append(ends, end{now + 12 + miss*2 + load[runner], runner})
+		ends = append(ends, end{now + 12 + misses*2 + load[runner], runner})
 	}
 	most := 0
 	for _, k := range took {
@@ -269,11 +269,11 @@
 	}
 	prefixes := NewPrefixMemory(1 << 14)
 	ours := func(keys []uint64, load []int) int {
-		var all []Candidate
+		var candidates []Candidate
 		for i := range load {
-			all = append(all, Candidate{Index: i, Addr: addr(i), Load: load[i], Room: 1000})
+			candidates = append(candidates, Candidate{Index: i, Addr: addr(i), Load: load[i], Room: 1000})
 		}
-		return Choose(keys, all, prefixes.Match(keys))
+		return Choose(keys, candidates, prefixes.Match(keys))
 	}
 	hl, tl := play(least, none, n)
 	hr, tr := play(plain, none, n)
--- a/internal/place/scheduler.go
+++ b/internal/place/scheduler.go
@@ -143,11 +143,11 @@
 	defer timer.Stop()
 	var err error
 	select {
-	case e := <-waiter.granted:
-		if e == nil {
+	case slot := <-waiter.granted:
+		if slot == nil {
 			return nil, waiter.err
 		}
-		return e, nil
+		return slot, nil
 	case <-timer.C:
 		err = ErrPatience
 	case <-ctx.Done():
@@ -160,16 +160,16 @@
 		return nil, err
 	}
 	s.mu.Unlock()
-	e := <-waiter.granted
-	if e == nil {
+	slot := <-waiter.granted
+	if slot == nil {
 		return nil, waiter.err
 	}
 	if err == ErrGone {
-		e.Release(false)
+		slot.Release(false)
 		s.Wake()
 		return nil, ErrGone
 	}
-	return e, nil
+	return slot, nil
 }
 
 func (s *Scheduler) queueFor(rank int, kind string) *queue {
@@ -259,7 +259,7 @@
 	// just come free would go to a lower rank than the one that was turned away.
 	full := map[int]bool{}
 	for _, queue := range append([]*queue(nil), s.queues...) {
-		for miss := 0; len(queue.turns) > 0 && miss < len(queue.turns); {
+		for misses := 0; len(queue.turns) > 0 && misses < len(queue.turns); {
 			tenant := queue.turns[0]
 			waiter := queue.byTenant[tenant][0]
 			if waiter.Check != nil {
@@ -268,50 +268,51 @@
 					s.remove(waiter)
 					waiter.err = err
 					close(waiter.granted)
-					miss = 0
+					misses = 0
 					continue
 				}
 			}
-			e := s.tryAcquire(waiter, full)
-			if e == nil {
-				miss++
+			slot := s.tryAcquire(waiter, full)
+			if slot == nil {
+				misses++
 				queue.turns = append(queue.turns[1:], tenant)
 				continue
 			}
-			miss = 0
+			misses = 0
 			queue.turns = append(queue.turns[1:], tenant)
 			s.remove(waiter)
-			waiter.granted <- e
+			waiter.granted <- slot
 		}
 	}
 }
 
+// tryAcquire takes a slot on the runner chosen for a waiter, if any has room. full has those without.
 func (s *Scheduler) tryAcquire(waiter *Waiter, full map[int]bool) *runner.Slot {
-	var all []Candidate
-	for _, e := range waiter.Eligible() {
-		if waiter.Excluded[e.Index] || full[e.Index] {
+	var candidates []Candidate
+	for _, instance := range waiter.Eligible() {
+		if waiter.Excluded[instance.Index] || full[instance.Index] {
 			continue
 		}
-		if e.Health() != "" || !e.HasRoom() {
-			full[e.Index] = true
+		if instance.Health() != "" || !instance.HasRoom() {
+			full[instance.Index] = true
 			continue
 		}
-		n, room := e.Load()
-		all = append(all, Candidate{Instance: e, Index: e.Index, Addr: e.Addr, SameZone: e.Zone() == s.zone, Load: n, Room: room})
+		n, room := instance.Load()
+		candidates = append(candidates, Candidate{Instance: instance, Index: instance.Index, Addr: instance.Addr, SameZone: instance.Zone() == s.zone, Load: n, Room: room})
 	}
 	depth := s.prefixes.Match(waiter.PrefixHashes)
-	for len(all) > 0 {
-		i := Choose(waiter.PrefixHashes, all, depth)
+	for len(candidates) > 0 {
+		i := Choose(waiter.PrefixHashes, candidates, depth)
 		if i < 0 {
 			return nil
 		}
-		e := all[i].Instance
-		if slot := e.Acquire(waiter.Tokens, waiter.SilentFor); slot != nil {
-			s.prefixes.Note(waiter.PrefixHashes, e.Index)
+		instance := candidates[i].Instance
+		if slot := instance.Acquire(waiter.Tokens, waiter.SilentFor); slot != nil {
+			s.prefixes.Note(waiter.PrefixHashes, instance.Index)
 			return slot
 		}
-		full[e.Index] = true
-		all = append(all[:i], all[i+1:]...)
+		full[instance.Index] = true
+		candidates = append(candidates[:i], candidates[i+1:]...)
 	}
 	return nil
 }
--- a/internal/runner/pool.go
+++ b/internal/runner/pool.go
@@ -57,6 +57,7 @@
 	wake     func()
 }
 
+// remoteWork is what another router last told of its work.
 type remoteWork struct {
 	work node.Work
 	at   time.Time
@@ -64,7 +65,7 @@
 
 // NewPool makes the empty pool of a router; wake is called when a runner may have become free.
 //
-//	y := runner.NewPool("north1", scheduler.Wake)
+//	pool := runner.NewPool("north1", scheduler.Wake)
 func NewPool(me string, wake func()) *Pool {
 	return &Pool{self: me, byAddr: map[string]*Instance{}, work: map[string]remoteWork{}, lastBusy: map[[2]string]time.Time{}, wake: wake}
 }
@@ -283,13 +284,13 @@
 // Serves tells whether the runner is of the kind asked for, whatever its health.
 //
 //	if instance.Serves(pool, "lumen", 512) { ... }
-func (instance *Instance) Serves(sel layout.Selector, model string, tokens int) bool {
+func (instance *Instance) Serves(selector layout.Selector, model string, tokens int) bool {
 	instance.mu.Lock()
 	defer instance.mu.Unlock()
 	if model != "" && instance.report.Labels["model"] != model {
 		return false
 	}
-	return (instance.report.MaxTokens == 0 || tokens <= instance.report.MaxTokens) && sel.Match(instance.report.Labels)
+	return (instance.report.MaxTokens == 0 || tokens <= instance.report.MaxTokens) && selector.Match(instance.report.Labels)
 }
 
 // Load is how many streams are on the runner by all accounts, and how many it takes.
@@ -375,7 +376,7 @@
 	return n < room && (len(instance.slots) < part || 2*n < room)
 }
 
-// MarkFailed notes an error of the runner's making: it gets no new requests for a while, longer each time.
+// MarkFailed notes that a request failed by the runner's fault: it gets no new requests for a while, longer each time.
 //
 //	instance.MarkFailed()
 func (instance *Instance) MarkFailed() {
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -19,11 +19,11 @@
 	due      time.Time // by when it should have sent something
 }
 
-// Acquire takes a place on the runner for one request, if it may have one now; nil if not. quiet is how long
+// Acquire takes a place on the runner for one request, if it may have one now; nil if not. silentFor is how long
 // its response takes before anything of it is sent: zero for one that comes piece by piece.
 //
 //	if slot := instance.Acquire(512, 0); slot != nil { defer slot.Release(true) }
-func (instance *Instance) Acquire(tokens int, quiet time.Duration) *Slot {
+func (instance *Instance) Acquire(tokens int, silentFor time.Duration) *Slot {
 	instance.mu.Lock()
 	defer instance.mu.Unlock()
 	now := time.Now()
@@ -37,14 +37,14 @@
 		instance.progressAt = now
 	}
 	instance.speed.advance(now, instance.streams())
-	slot := &Slot{Instance: instance, takenAt: now, area: instance.speed.area, promised: tokens, due: now.Add(StuckAfter + quiet)}
+	slot := &Slot{Instance: instance, takenAt: now, area: instance.speed.area, promised: tokens, due: now.Add(StuckAfter + silentFor)}
 	instance.slots = append(instance.slots, slot)
 	return slot
 }
 
 // AddTokens notes output that has come.
 //
-//	s.AddTokens(1)
+//	slot.AddTokens(1)
 func (slot *Slot) AddTokens(n int) {
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
@@ -52,10 +52,10 @@
 	slot.progressAt = time.Now()
 }
 
-// Release ends a request's place; ok says whether the runner answered in full. came is the output there was.
+// Release ends a request's place; ok says whether the runner answered in full. received is the output there was.
 //
-//	came := slot.Release(true)
-func (slot *Slot) Release(ok bool) (came int) {
+//	received := slot.Release(true)
+func (slot *Slot) Release(ok bool) (received int) {
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
 	now := time.Now()
