--- a/internal/drill/scale.go
+++ b/internal/drill/scale.go
@@ -86,7 +86,7 @@
 	flags, err := readScaleFlags(args, out)
 	if err != nil {
 		fmt.Fprintf(out, "drill scale: %s\n", err)
-		return env.ExitSet
+		return env.ExitUsage
 	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
@@ -98,7 +98,7 @@
 		if err != nil {
 			scale.Print(out, results) // what was measured before counts
 			fmt.Fprintf(out, "drill scale: %s\n", err)
-			return env.ExitTrouble
+			return env.ExitError
 		}
 		results = append(results, result)
 	}
@@ -106,7 +106,7 @@
 	if flags.plot != "" {
 		if err := scale.Plot(flags.plot, results); err != nil {
 			fmt.Fprintf(out, "drill scale: %s\n", err)
-			return env.ExitTrouble
+			return env.ExitError
 		}
 	}
 	return env.ExitOk
--- a/internal/drill/scale_test.go
+++ b/internal/drill/scale_test.go
@@ -45,7 +45,7 @@
 func TestScaleFlags(t *testing.T) {
 	for _, line := range []string{"-routers 30,0", "-routers many", "-routers 30 -runners 1,2", "-for 0s", "-draw-tenants 9 -tenants 8", "more"} {
 		var out strings.Builder
-		if code := Main(append([]string{"scale"}, strings.Fields(line)...), &out); code != env.ExitSet || !strings.Contains(out.String(), "expected") {
+		if code := Main(append([]string{"scale"}, strings.Fields(line)...), &out); code != env.ExitUsage || !strings.Contains(out.String(), "expected") {
 			t.Errorf("%s: code %d, %s", line, code, out.String())
 		}
 	}
