--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -78,12 +78,12 @@
 		if err != nil {
 			return err
 		}
-		quotas := map[string]int{}
-		if doc := s.parsed(cur); doc != nil {
-			quotas = doc.Quotas
+		doc := s.parsed(cur)
+		if doc == nil {
+			doc = &Document{}
 		}
 		for i := range in.List {
-			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], quotas[in.List[i].Tenant]); err != nil {
+			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], doc); err != nil {
 				return err
 			}
 		}
@@ -95,20 +95,22 @@
 	return out, nil
 }
 
-// moveIn makes one move. Only the run loop calls it.
-func (s *Server) moveIn(tx *Tx, who string, in *Move, quota int) (out Moved, err error) {
+// moveIn makes one move under a document's quotas. Only the run loop calls it.
+func (s *Server) moveIn(tx *Tx, who string, in *Move, doc *Document) (out Moved, err error) {
 	p, err := s.pot.get(tx, in.Tenant)
 	if err != nil {
 		return out, err
 	}
+	quota := doc.Quotas[in.Tenant]
 	var changed bool
 	if in.Give {
 		out.Have, changed = p.Give(who, in.Turn, in.Units)
 	} else {
 		was := p.Held[who].Units
-		out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(quota-p.Out())), quota)
+		most := quota + min(doc.Tolerances[in.Tenant], p.Cooling())
+		out.Have, changed = p.Draw(who, in.Turn, min(in.Units, drawMost(most-p.Out())), most)
 		if in.Units > 0 {
-			s.noteShort(in.Tenant, out.Have == was, quota, quota-p.Out())
+			s.noteShort(in.Tenant, out.Have == was, quota, most-p.Out())
 		}
 	}
 	out.Under = max(quota, p.Out())
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -279,20 +279,40 @@
 // roundingSlack keeps a sum of fractions that comes to a whole number from being rounded to the one below.
 const roundingSlack = 1e-9
 
-// QuotaRule says how tenants' limits are judged.
+// quotaPeriods is into how many periods the window of a quota is cut. A third of the requests in each third
+// of the window keeps the whole window's limit, and what a router that died may have spent is known to be
+// past after a third of the time.
+const quotaPeriods = 3
+
+// QuotaRule tells how tenants' rates are judged.
 type QuotaRule struct {
-	Window    time.Duration
-	Overshoot float64 // share by which a limit may be exceeded in a window
-	Allowance float64 // requests on top of that
+	Window    time.Duration // any window sees at most rate x window + burst requests
+	Overshoot float64       // part of that by which a window may exceed it
+	Allowance float64       // and requests on top
+}
+
+// Quota is how many requests of a tenant any period may see.
+type Quota struct {
+	Requests  int
+	Period    time.Duration
+	Tolerance int // requests on top, while it is not known what a router that died has spent
 }
 
-// toleratedPart is how much of what a limit may be exceeded by is handed out: routers that share a small
-// limit hold some of it idle. The rest covers requests that reach their runners late.
-const toleratedPart = 0.5
+// Parts of the overshoot that are made use of. The standing one is handed out at all times: routers that share a
+// small quota hold some of it idle. The other is so little that two losses within one window keep the limit.
+const (
+	toleranceStanding = 0.3
+	toleranceUse      = 0.3
+)
 
-// Units is how many requests of the tenant any window may see.
-func (t *Tenant) Units(rule QuotaRule) int {
-	limit := t.Rate*rule.Window.Seconds() + t.Burst
-	tolerated := limit*rule.Overshoot + rule.Allowance
-	return max(1, int(limit+toleratedPart*tolerated+roundingSlack))
+// For gives a tenant's quota. Its rate must be set.
+func (q QuotaRule) For(t *Tenant) Quota {
+	whole := t.Rate*q.Window.Seconds() + t.Burst + roundingSlack
+	tolerated := whole*q.Overshoot + q.Allowance
+	tolerance := int(toleranceUse * tolerated)
+	whole += toleranceStanding * tolerated
+	if whole < quotaPeriods*2 {
+		return Quota{Requests: max(1, int(whole)), Period: q.Window, Tolerance: tolerance}
+	}
+	return Quota{Requests: int(whole / quotaPeriods), Period: q.Window / quotaPeriods, Tolerance: tolerance}
 }
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -195,9 +195,9 @@
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
 	idlePart    = 2                      // one that spends nothing keeps half of an equal part at most
 	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
-	reserveMin  = 1                      // and this, where an equal part is large enough
+	reserveMin  = 2                      // and this, where an equal part is large enough
 	giveEvery   = time.Second            // idle units go back at most so often
-	dryFor      = 100 * time.Millisecond // the core is not asked again for so long once it had too little
+	dryFor      = 30 * time.Millisecond  // the core is not asked again for so long once it had too little
 )
 
 // reserve is how many free units should be at hand. Where the equal parts of all nodes are smaller than a
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -67,7 +67,7 @@
 // How long a request waits for units: for the core's first word about the tenant, or for a draw.
 const (
 	firstWait = 300 * time.Millisecond
-	drawWait  = 60 * time.Millisecond
+	drawWait  = 35 * time.Millisecond
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
@@ -82,12 +82,16 @@
 	default:
 		wait = firstWait
 	}
+	_, bounded := ctx.Deadline()
 	var timer *time.Timer
-	for {
+	for expired := false; ; {
 		changed, dry := p.Changed()
 		ok, again := p.Keep(n)
-		if ok || dry {
-			return ok, again
+		if ok {
+			return true, 0
+		}
+		if expired && !(bounded && p.Busy()) || ctx.Err() != nil {
+			return false, again
 		}
 		if timer == nil {
 			timer = time.NewTimer(wait)
@@ -95,15 +99,15 @@
 			p.Await(n)
 			defer p.Await(-n)
 		}
-		ps.draw(tenant, p)
+		if !dry {
+			ps.draw(tenant, p)
+		}
 		select {
 		case <-changed:
+		case <-time.After(dryFor / 2):
 		case <-timer.C:
-			if _, bounded := ctx.Deadline(); !bounded || !p.Busy() {
-				return false, again
-			}
+			expired = true
 		case <-ctx.Done():
-			return false, again
 		}
 	}
 }
