--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -19,9 +19,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "n"
-	o = append(o, 0x88, 0xa1, 0x6e)
+	o = append(o, 0x8a, 0xa1, 0x6e)
 	o, err = z.Node.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Node")
@@ -45,6 +45,12 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.RunnersVersion)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.RunnersDigest)
+	// string "ve"
+	o = append(o, 0xa2, 0x76, 0x65)
+	o = msgp.AppendUint64(o, z.ViewEpoch)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Tallies)))
@@ -127,6 +133,18 @@
 				err = msgp.WrapError(err, "RunnersVersion")
 				return
 			}
+		case "d":
+			z.RunnersDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnersDigest")
+				return
+			}
+		case "ve":
+			z.ViewEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ViewEpoch")
+				return
+			}
 		case "t":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -203,7 +221,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Tallies {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Tallies[za0001].ID) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -78,12 +78,12 @@
 		if err != nil {
 			return err
 		}
-		doc := s.parsed(cur)
-		if doc == nil {
-			doc = &Document{}
+		var doc Document
+		if known := s.parsed(cur); known != nil {
+			doc = *known
 		}
 		for i := range in.List {
-			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], doc); err != nil {
+			if out.List[i], err = s.moveIn(tx, in.Holder, &in.List[i], &doc); err != nil {
 				return err
 			}
 		}
@@ -95,7 +95,7 @@
 	return out, nil
 }
 
-// moveIn makes one move under a document's quotas. Only the run loop calls it.
+// moveIn makes one move. Only the run loop calls it.
 func (s *Server) moveIn(tx *Tx, who string, in *Move, doc *Document) (out Moved, err error) {
 	p, err := s.pot.get(tx, in.Tenant)
 	if err != nil {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -298,19 +298,14 @@
 	Tolerance int // requests on top, while it is not known what a router that died has spent
 }
 
-// Parts of the overshoot that are made use of. The standing one is handed out at all times: routers that share a
-// small quota hold some of it idle. The other is so little that two losses within one window keep the limit.
-const (
-	toleranceStanding = 0.3
-	toleranceUse      = 0.3
-)
+// toleranceUse is the part of the overshoot that is made use of: so little that two losses within one window
+// keep it.
+const toleranceUse = 0.45
 
 // For gives a tenant's quota. Its rate must be set.
 func (q QuotaRule) For(t *Tenant) Quota {
 	whole := t.Rate*q.Window.Seconds() + t.Burst + roundingSlack
-	tolerated := whole*q.Overshoot + q.Allowance
-	tolerance := int(toleranceUse * tolerated)
-	whole += toleranceStanding * tolerated
+	tolerance := int(toleranceUse * (whole*q.Overshoot + q.Allowance))
 	if whole < quotaPeriods*2 {
 		return Quota{Requests: max(1, int(whole)), Period: q.Window, Tolerance: tolerance}
 	}
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -85,7 +85,7 @@
 	_, bounded := ctx.Deadline()
 	var timer *time.Timer
 	for expired := false; ; {
-		changed, dry := p.Changed()
+		changed, _ := p.Changed()
 		ok, again := p.Keep(n)
 		if ok {
 			return true, 0
@@ -99,9 +99,7 @@
 			p.Await(n)
 			defer p.Await(-n)
 		}
-		if !dry {
-			ps.draw(tenant, p)
-		}
+		ps.draw(tenant, p)
 		select {
 		case <-changed:
 		case <-time.After(dryFor / 2):
@@ -151,9 +149,13 @@
 //
 //	go ps.Run()
 func (ps *Purses) Run() {
-	if !env.Wait(ps.ctx, rand.N(roundEvery)) { // nodes that started together do not ask the core together
+	select { // nodes that started together do not ask the core together
+	case <-time.After(rand.N(roundEvery)):
+	case <-ps.bell:
+	case <-ps.ctx.Done():
 		return
 	}
+	ps.round()
 	env.Loop(ps.ctx, ps.bell, roundEvery, func(struct{}) { ps.round() }, ps.round)
 }
 
