--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"yarrowridge/internal/share"
@@ -168,26 +169,73 @@
 // flightTime covers the way of the last requests that a process sent before its end.
 const flightTime = 50 * time.Millisecond
 
-// replaceHolder sets the units of earlier runs at a node's address cooling. They ended before the new run
-// began, so their last spends are at least as old as the new run.
+// replacedRuns gathers the places whose earlier runs have ended. After a restart of the whole fleet there are
+// as many as routers, and each would have all pots written anew.
+type replacedRuns struct {
+	mu   sync.Mutex
+	runs map[string]replacedRun // by place
+}
+
+// replacedRun is the run that took a place, and when the ones before it had ended at the latest.
+type replacedRun struct {
+	holder string
+	ended  time.Time
+}
+
+// replacedGather is how long places are gathered.
+const replacedGather = 20 * time.Millisecond
+
+// add notes a place's new run, and tells whether it is the first since the last take.
+func (r *replacedRuns) add(place string, run replacedRun) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = map[string]replacedRun{}
+	}
+	r.runs[place] = run
+	return len(r.runs) == 1
+}
+
+// take gives what was gathered.
+func (r *replacedRuns) take() map[string]replacedRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs
+	r.runs = nil
+	return runs
+}
+
+// replaceHolder sets the units of earlier runs at a node's address cooling, with those of others that start
+// at the same time. They ended before the new run began, so their last spends are at least as old as the new
+// run.
 func (s *Server) replaceHolder(n Node, age time.Duration) {
-	place, me := holderPlace(n), Holder(n)
-	ended := time.Now().Add(flightTime - share.Margin - age)
-	s.later(func(tx *Tx) error {
-		return s.pots(tx, func(ten string, p *share.Pot) bool {
-			changed := false
-			for who := range p.Held {
-				if at, _, _ := strings.Cut(who, "/"); at == place && who != me {
-					changed = p.Retire(who) || changed
-				}
+	run := replacedRun{holder: Holder(n), ended: time.Now().Add(flightTime - share.Margin - age)}
+	if s.replaced.add(holderPlace(n), run) {
+		time.AfterFunc(replacedGather, func() { s.later(s.coolReplaced) })
+	}
+}
+
+// coolReplaced sets the units of all runs that were replaced cooling. Only the run loop calls it.
+func (s *Server) coolReplaced(tx *Tx) error {
+	runs := s.replaced.take()
+	earlier := func(who string) (replacedRun, bool) {
+		place, _, _ := strings.Cut(who, "/")
+		run, known := runs[place]
+		return run, known && who != run.holder
+	}
+	return s.pots(tx, func(tenant string, p *share.Pot) bool {
+		changed := false
+		for who := range p.Held {
+			if _, is := earlier(who); is {
+				changed = p.Retire(who) || changed
 			}
-			for who := range p.Cool {
-				if at, _, _ := strings.Cut(who, "/"); at == place && who != me {
-					s.coolSince(ten, who, ended)
-				}
+		}
+		for who := range p.Cool {
+			if run, is := earlier(who); is {
+				s.coolSince(tenant, who, run.ended)
 			}
-			return changed
-		})
+		}
+		return changed
 	})
 }
 
--- a/internal/core/quota_test.go
+++ b/internal/core/quota_test.go
@@ -9,8 +9,9 @@
 	"yarrowridge/internal/store"
 )
 
-// A pot is decoded once, and one that a failed job or a failed batch changed is read anew.
-func TestPotsAreReadAnewAfterAFailure(t *testing.T) {
+// quotaServer is a core with an empty store, as far as quotas need one.
+func quotaServer(t *testing.T) (*Server, *store.Store) {
+	t.Helper()
 	disk, err := store.OpenFolder(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -19,8 +20,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{pot: potCache{}, short: map[string]time.Time{}}
+	s := &Server{pot: potCache{}, short: map[string]time.Time{}, aged: map[string]time.Time{}}
 	s.st.Store(st)
+	return s, st
+}
+
+// A pot is decoded once, and one that a failed job or a failed batch changed is read anew.
+func TestPotsAreReadAnewAfterAFailure(t *testing.T) {
+	s, st := quotaServer(t)
 	begin := func() *Tx { return &Tx{st: st, over: map[string]*store.Put{}} }
 	draw := func(tx *Tx, turn uint64) int {
 		out, err := s.moveIn(tx, "a", &Move{Tenant: "t", Turn: turn, Units: 1}, &Document{Quotas: map[string]int{"t": 100}})
@@ -61,3 +68,37 @@
 		t.Errorf("pot %+v, %v", p, err)
 	}
 }
+
+// After a restart of a whole fleet the units of all earlier runs cool with one write of each pot.
+func TestAllReplacedRunsCoolTogether(t *testing.T) {
+	s, st := quotaServer(t)
+	tx := &Tx{st: st, over: map[string]*store.Put{}}
+	pot := &share.Pot{Held: map[string]share.Hold{"a@1/1": {Units: 2, Turn: 1}, "b@2/1": {Units: 3, Turn: 1}, "c@3/1": {Units: 4, Turn: 1}}}
+	if err := s.pot.put(tx, "t", pot); err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Add(store.Batch{Seq: 1, Puts: tx.last()}); err != nil {
+		t.Fatal(err)
+	}
+	tx = &Tx{st: st, over: map[string]*store.Put{}}
+	ended := time.Now().Add(-time.Second)
+	if !s.replaced.add("a@1", replacedRun{"a@1/2", ended}) || s.replaced.add("b@2", replacedRun{"b@2/2", ended}) {
+		t.Error("the first place alone starts the gathering")
+	}
+	if err := s.coolReplaced(tx); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(tx.puts); n != 1 {
+		t.Errorf("%d puts, 1 expected", n)
+	}
+	got, err := s.pot.get(tx, "t")
+	if err != nil || got.Cooling() != 5 || got.Held["c@3/1"].Units != 4 {
+		t.Errorf("pot %+v, %v: 5 units cooling and 4 held by c expected", got, err)
+	}
+	if at := s.aged[coolKey("t", "a@1/1")]; !at.Equal(ended) {
+		t.Errorf("units of a cool since %s, since %s expected", at, ended)
+	}
+	if runs := s.replaced.take(); len(runs) != 0 {
+		t.Errorf("%d places left over", len(runs))
+	}
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -141,6 +141,8 @@
 	runners *RunnerRegistry
 	news    runnerNews
 	health  runnerHealth
+
+	replaced replacedRuns
 }
 
 type seat struct {
--- a/internal/share/purse.go
+++ b/internal/share/purse.go
@@ -191,7 +191,6 @@
 
 // How much a holder keeps at hand, so that units lie idle nowhere while another needs them.
 const (
-	fewNodes    = 4                      // assumed of a fleet that is not known yet
 	firstPart   = 4                      // a newcomer asks for a fourth of an equal part
 	idlePart    = 2                      // one that spends nothing keeps half of an equal part at most
 	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
@@ -201,13 +200,16 @@
 )
 
 // reserve is how many free units should be at hand. Where the equal parts of all nodes are smaller than a
-// few units, one that spends nothing holds none: they would lie idle everywhere. The caller holds the lock
-// and has swept.
+// few units, one that spends nothing holds none: they would lie idle everywhere. The same holds while the
+// fleet is not known (nodes is 0): after a restart of all, each would ask for units of every tenant. The caller
+// holds the lock and has swept.
 func (p *Purse) reserve(nodes int) int {
-	nodes = max(1, nodes)
 	wanted := max(p.need, p.queue)
 	if p.units == 0 && p.out == 0 {
-		return max(wanted, p.quota/(firstPart*max(fewNodes, nodes)))
+		if nodes == 0 {
+			return wanted
+		}
+		return max(wanted, p.quota/(firstPart*nodes))
 	}
 	least := reserveMin
 	if IsSmall(p.quota, nodes) {
@@ -219,10 +221,11 @@
 	return max(least, wanted, int(spent+0.999))
 }
 
-// IsSmall tells whether a quota is too small for each node to keep a unit idle.
+// IsSmall tells whether a quota is too small for each node to keep a unit idle. With an unknown number of
+// nodes (0) it counts as small.
 //
 //	if share.IsSmall(40, 74) { ... }
-func IsSmall(quota, nodes int) bool { return quota < idlePart*nodes }
+func IsSmall(quota, nodes int) bool { return nodes == 0 || quota < idlePart*nodes }
 
 // scarce tells whether the core lately had too little. The caller holds the lock.
 func (p *Purse) scarce(now time.Time) bool { return now.Sub(p.lacked) < p.window }
