--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -16,15 +16,16 @@
 
 // NodeSettings are what a core that serves another interface than ours is told about its place.
 type NodeSettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Control     string        // ip:port of the listener for runners and operators
-	Data        string        // folder on the disk
-	Seeds       []string      // ip:port of some cores
-	Bootstrap   bool          // the seeds found the fleet
-	Losses      int           // machines with a disk that may be lost at once
-	Lost        time.Duration // silence after which a member may be replaced by a newcomer
-	Term        time.Duration // lease of the primacy; 0: the default
-	MemoryLimit int64         // bytes; 0: none
+	Internal    string          // ip:port where other processes reach it
+	Control     string          // ip:port of the listener for runners and operators
+	Data        string          // folder on the disk
+	Seeds       []string        // ip:port of some cores
+	NewSeeds    <-chan []string // seeds as the settings have them later
+	Bootstrap   bool            // the seeds found the fleet
+	Losses      int             // machines with a disk that may be lost at once
+	Lost        time.Duration   // silence after which a member may be replaced by a newcomer
+	Term        time.Duration   // lease of the primacy; 0: the default
+	MemoryLimit int64           // bytes; 0: none
 	Codec       core.Codec
 	Handler     func(client *core.Client) (http.Handler, error) // serves Control
 }
@@ -50,7 +51,12 @@
 	go wire.Serve(process.Ctx, internal, server.Hand)
 	caller := wire.NewCaller(process.Ctx.Net)
 	defer caller.Close()
-	handler, err := settings.Handler(core.NewClient(process.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...)))
+	client := core.NewClient(process.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...))
+	go env.Loop(process.Ctx, settings.NewSeeds, 0, func(seeds []string) {
+		server.SetSeeds(seeds)
+		client.SetSeeds(append([]string{settings.Internal}, seeds...))
+	}, nil)
+	handler, err := settings.Handler(client)
 	if err != nil {
 		return err
 	}
--- a/internal/core/client.go
+++ b/internal/core/client.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// SetSeeds replaces the seeds: the settings have changed.
+//
+//	c.SetSeeds(set.Addrs("seeds"))
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
 // Peers adds addresses to ask besides the seeds: the other nodes.
 //
 //	c.Peers(addrs)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -36,7 +36,7 @@
 		return
 	}
 	low := s.set.founders()
-	told := s.ask(append(slices.Clone(low), s.set.Seeds...))
+	told := s.ask(append(slices.Clone(low), *s.seeds.Load()...))
 	for _, t := range told {
 		if t.View.Epoch > 0 {
 			s.learn(t.View)
@@ -66,6 +66,12 @@
 	return next.WithBackups(spread(cur.Members[1:], used, losses))
 }
 
+// SetSeeds replaces the addresses at which the fleet is looked for: the settings have changed. Who founds a
+// fleet stays as it was at the start.
+//
+//	srv.SetSeeds([]string{"127.0.0.1:7401"})
+func (s *Server) SetSeeds(seeds []string) { s.seeds.Store(&seeds) }
+
 // join asks the primary to become a member; where it can't be asked, it asks all who the primary is.
 func (s *Server) join(v view.View) {
 	if time.Now().Before(s.next) {
@@ -98,7 +104,7 @@
 }
 
 func (s *Server) askAround(v view.View) {
-	to := slices.Clone(s.set.Seeds)
+	to := slices.Clone(*s.seeds.Load())
 	for _, m := range v.Members {
 		to = append(to, m.Addr)
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -87,16 +87,17 @@
 
 // Server is one core process.
 type Server struct {
-	ctx  env.Ctx
-	set  Set
-	disk store.Disk
-	st   atomic.Pointer[store.Store]
-	vot  *view.Voter
-	cal  *wire.Caller
-	own  wire.Hands
-	box  chan *job
-	run  uint64   // of this process, at random; not zero
-	keep env.Gate // held while a batch or a copy is taken as backup
+	ctx   env.Ctx
+	set   Set
+	disk  store.Disk
+	st    atomic.Pointer[store.Store]
+	seeds atomic.Pointer[[]string] // where the fleet is looked for
+	vot   *view.Voter
+	cal   *wire.Caller
+	own   wire.Hands
+	box   chan *job
+	run   uint64   // of this process, at random; not zero
+	keep  env.Gate // held while a batch or a copy is taken as backup
 
 	// Only the run loop touches these.
 	top     uint64               // highest ballot number seen
@@ -247,6 +248,7 @@
 		short: map[string]time.Time{}, spare: map[string]spare{}}
 	s.runners = NewRunnerRegistry(set.RunnerSilence, s.announce)
 	s.st.Store(st)
+	s.seeds.Store(&set.Seeds)
 	s.own = wire.Hands{"view": s.viewHand, "core": s.coreHand}
 	return s, nil
 }
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -34,7 +34,7 @@
 	ctx   env.Ctx
 	addr  string
 	face  string
-	seeds []string
+	seeds atomic.Pointer[[]string]
 	cal   *wire.Caller
 	Core  *core.Client
 	Board *relay.Board
@@ -100,9 +100,10 @@
 //
 //	hub := node.NewHub(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, hook)
 func NewHub(ctx env.Ctx, addr, face string, seeds []string, hook func(relay.Rec), options ...Option) *Hub {
-	h := &Hub{ctx: ctx, addr: addr, face: face, seeds: seeds, cal: wire.NewCaller(ctx.Net), hook: hook,
+	h := &Hub{ctx: ctx, addr: addr, face: face, cal: wire.NewCaller(ctx.Net), hook: hook,
 		box: make(chan relay.Tell, 1024), begun: time.Now(), more: map[string]wire.Hand{}}
 	h.Core = core.NewClient(ctx, h.cal, seeds)
+	h.seeds.Store(&seeds)
 	h.Board = relay.NewBoard(h.see)
 	next := make(chan struct{})
 	h.turn.Store(&next)
@@ -160,6 +161,14 @@
 	close(*h.turn.Swap(&next))
 }
 
+// SetSeeds replaces the seeds: the settings have changed.
+//
+//	hub.SetSeeds([]string{"127.0.0.1:7401"})
+func (h *Hub) SetSeeds(seeds []string) {
+	h.seeds.Store(&seeds)
+	h.Core.SetSeeds(seeds)
+}
+
 // Layout is the newest layout held; nil before the first, and where the configuration is another document.
 //
 //	lay := hub.Layout()
@@ -520,7 +529,7 @@
 	ctx, end := context.WithTimeout(h.ctx, time.Second)
 	defer end()
 	if len(nodes) == 0 {
-		for _, a := range h.seeds {
+		for _, a := range *h.seeds.Load() {
 			var r Roll
 			if h.cal.Call(ctx, a, "node.roll", &Ask{}, &r) == nil && len(r.Nodes) > len(nodes) {
 				nodes = r.Nodes
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -30,6 +30,7 @@
 	Data        string            // ip:port of the clients' listener
 	Readiness   string            // ip:port of the readiness listener; "": none
 	Seeds       []string          // ip:port of some cores
+	NewSeeds    <-chan []string   // seeds as the settings have them later
 	Quota       routing.QuotaRule // how tenants' rates are judged
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
@@ -182,6 +183,7 @@
 func (g *Gateway) Start() {
 	go g.Purses.Run()
 	go g.Hub.Run()
+	go env.Loop(g.ctx, g.settings.NewSeeds, 0, g.Hub.SetSeeds, nil)
 	go env.Loop(g.ctx, nil, reportEvery, func(struct{}) {}, g.Front.Report)
 }
 
