--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,8 +20,9 @@
 	unacknowledgedLimit = 10 * time.Second
 )
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Now() // of the start of the process: past whenever it is used
+// longAgo is a deadline that has passed, on the clock of whoever asks: in simulated time that is not the one
+// that the process began with.
+func longAgo() time.Time { return time.Now().Add(-time.Second) }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
@@ -84,7 +85,7 @@
 		return c.probe.quiet()
 	}
 	// No socket: with a deadline that has passed, a pipe still tells that its other end is closed.
-	if c.SetReadDeadline(longAgo) != nil {
+	if c.SetReadDeadline(longAgo()) != nil {
 		return false
 	}
 	n, err := c.Conn.Read(make([]byte, 1))
