--- a/internal/balance/memory_test.go
+++ b/internal/balance/memory_test.go
@@ -1,8 +1,11 @@
 package balance
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
+
+	"yarrowridge/internal/routing"
 )
 
 // BenchmarkPrefixMemory tells how many bytes a router keeps for each remembered prompt part, with three runners each.
@@ -29,3 +32,36 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkChoose is what it takes to choose among the runners of a service with 610.
+//
+//	go test ./internal/balance -run XXX -bench Choose
+func BenchmarkChoose(b *testing.B) {
+	balancer := New("zone01")
+	var list []routing.Runner
+	for i := range 610 {
+		list = append(list, routing.Runner{ID: fmt.Sprintf("runner-%04d", i), Service: "models", Zone: fmt.Sprintf("zone%02d", i%11+1),
+			Address: fmt.Sprintf("10.%d.%d.9:8000", i%11, i/11), State: routing.RunnerReady, Slots: 64, Sequence: 1})
+	}
+	balancer.Update(list)
+	parts := []Part{{1, 900}, {2, 200}, {3, 200}, {4, 50}}
+	for b.Loop() {
+		if balancer.Choose(Request{Service: "models", Parts: parts, Input: 1350, Output: 300}) == nil {
+			b.Fatal("no runner was chosen")
+		}
+	}
+}
+
+// BenchmarkUpdate is what it takes to take a changed list of 610 runners.
+//
+//	go test ./internal/balance -run XXX -bench Update
+func BenchmarkUpdate(b *testing.B) {
+	balancer := New("zone01")
+	var list []routing.Runner
+	for i := range 610 {
+		list = append(list, routing.Runner{ID: fmt.Sprintf("runner-%04d", i), Service: "models", State: routing.RunnerReady})
+	}
+	for b.Loop() {
+		balancer.Update(list)
+	}
+}
--- a/internal/drill/scale.go
+++ b/internal/drill/scale.go
@@ -95,12 +95,14 @@
 		settings := flags.settings
 		settings.Routers, settings.Runners = flags.routers[i], flags.runners[i]
 		result, err := measureOne(ctx, flags.bin, flags.dir, settings, out)
+		if result != nil {
+			results = append(results, result)
+		}
 		if err != nil {
 			scale.Print(out, results) // what was measured before counts
 			fmt.Fprintf(out, "drill scale: %s\n", err)
 			return env.ExitTrouble
 		}
-		results = append(results, result)
 	}
 	scale.Print(out, results)
 	if flags.plot != "" {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -82,6 +82,7 @@
 }
 
 // Run starts a hollow fleet against cores that are up, and measures it in phases. Everything it starts ends with it.
+// With an error the result holds the phases that ended before; nil: there are none.
 //
 //	result, err := scale.Run(ctx, settings, cores, os.Stderr)
 func Run(ctx context.Context, settings Settings, cores []CoreProcess, progress io.Writer) (*Result, error) {
@@ -103,7 +104,7 @@
 		result: &Result{Settings: settings, ConfigurationBytes: len(raw), Parse: timeParse(raw)}}
 	for _, step := range []func(context.Context) error{r.begin, r.quiet, r.heartbeats, r.draws, r.configurations, r.drains, r.takeover} {
 		if err := step(ctx); err != nil {
-			return nil, err
+			return r.result, err
 		}
 	}
 	return r.result, nil
