--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -16,21 +16,22 @@
 
 // NodeSettings are what a core that serves another interface than ours is told about its place.
 type NodeSettings struct {
-	Internal    string        // ip:port where other processes reach it
-	Control     string        // ip:port of the listener for runners and operators
-	Data        string        // folder on the disk
-	Seeds       []string      // ip:port of some cores
-	Bootstrap   bool          // the seeds found the fleet
-	Losses      int           // machines with a disk that may be lost at once
-	Lost        time.Duration // silence after which a member may be replaced by a newcomer
-	Term        time.Duration // lease of the primacy; 0: the default
-	MemoryLimit int64         // bytes; 0: none
+	Internal    string          // ip:port where other processes reach it
+	Control     string          // ip:port of the listener for runners and operators
+	Data        string          // folder on the disk
+	Seeds       []string        // ip:port of some cores
+	NewSeeds    <-chan []string // seeds as the settings have them later
+	Bootstrap   bool            // the seeds found the fleet
+	Losses      int             // machines with a disk that may be lost at once
+	Lost        time.Duration   // silence after which a member may be replaced by a newcomer
+	Term        time.Duration   // lease of the primacy; 0: the default
+	MemoryLimit int64           // bytes; 0: none
 	Codec       core.Codec
 	Handler     func(client *core.Client) (http.Handler, error) // serves Control
 }
 
 // RunNode runs a core until it is told to stop.
-func RunNode(p *env.Proc, settings NodeSettings) error {
+func RunNode(process *env.Proc, settings NodeSettings) error {
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(settings.MemoryLimit * 6 / 10)
 	}
@@ -38,19 +39,24 @@
 	if err != nil {
 		return err
 	}
-	server, err := core.Open(p.Ctx.Part("core"), core.Set{Addr: settings.Internal, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap,
+	server, err := core.Open(process.Ctx.Part("core"), core.Set{Addr: settings.Internal, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap,
 		Losses: settings.Losses, Lost: settings.Lost, Term: settings.Term, Codec: settings.Codec}, disk)
 	if err != nil {
 		return err
 	}
-	internal, err := p.Ctx.Net.Listen(settings.Internal)
+	internal, err := process.Ctx.Net.Listen(settings.Internal)
 	if err != nil {
 		return eris.Wrap(err, "core: internal listener")
 	}
-	go wire.Serve(p.Ctx, internal, server.Hand)
-	caller := wire.NewCaller(p.Ctx.Net)
+	go wire.Serve(process.Ctx, internal, server.Hand)
+	caller := wire.NewCaller(process.Ctx.Net)
 	defer caller.Close()
-	handler, err := settings.Handler(core.NewClient(p.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...)))
+	client := core.NewClient(process.Ctx, caller, append([]string{settings.Internal}, settings.Seeds...))
+	go env.Loop(process.Ctx, settings.NewSeeds, 0, func(seeds []string) {
+		server.SetSeeds(seeds)
+		client.SetSeeds(append([]string{settings.Internal}, seeds...))
+	}, nil)
+	handler, err := settings.Handler(client)
 	if err != nil {
 		return err
 	}
@@ -64,11 +70,11 @@
 		server.Run()
 		close(done)
 	}()
-	p.Ctx.Log.Info("Core is up.", "internal", settings.Internal, "control", settings.Control, "zone", p.Ctx.Hall)
-	<-p.Stop
-	p.Ctx.Log.Info("Core stops.")
+	process.Ctx.Log.Info("Core is up.", "internal", settings.Internal, "control", settings.Control, "zone", process.Ctx.Zone)
+	<-process.Stop
+	process.Ctx.Log.Info("Core stops.")
 	server.Yield()
-	p.End()
+	process.End()
 	<-done
 	return nil
 }
--- a/internal/meter/traffic_test.go
+++ b/internal/metrics/traffic_test.go
@@ -1,4 +1,4 @@
-package meter
+package metrics
 
 import (
 	"context"
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	Data        string            // ip:port of the clients' listener
 	Readiness   string            // ip:port of the readiness listener; "": none
 	Seeds       []string          // ip:port of some cores
+	NewSeeds    <-chan []string   // seeds as the settings have them later
 	Quota       routing.QuotaRule // how tenants' rates are judged
 	Retries     gateway.RetryBounds
 	Notice      time.Duration // how long a stop goes on serving all after readiness has turned
@@ -37,6 +39,17 @@
 	Dialect     gateway.Dialect
 	Parse       func(raw []byte) (*routing.Table, []routing.Flaw)
 	Ready       func(why func() string) (http.Handler, error) // answers readiness probes
+
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // reaches runners; nil: TCP
+	Listen func(address string) (net.Listener, error)                  // for clients and probes; nil: TCP
+}
+
+// listen binds an address for clients or probes.
+func (s GatewaySettings) listen(address string) (net.Listener, error) {
+	if s.Listen != nil {
+		return s.Listen(address)
+	}
+	return net.Listen("tcp", address)
 }
 
 // Gateway is the parts of a router that carries opaque requests, put together.
@@ -61,8 +74,8 @@
 
 // NewGateway puts a gateway's parts together.
 func NewGateway(ctx env.Ctx, settings GatewaySettings) *Gateway {
-	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Hall)}
-	g.Pool = upstream.New(upstream.Options{})
+	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Zone)}
+	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
 		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
@@ -170,6 +183,7 @@
 func (g *Gateway) Start() {
 	go g.Purses.Run()
 	go g.Hub.Run()
+	go env.Loop(g.ctx, g.settings.NewSeeds, 0, g.Hub.SetSeeds, nil)
 	go env.Loop(g.ctx, nil, reportEvery, func(struct{}) {}, g.Front.Report)
 }
 
@@ -192,19 +206,20 @@
 		if err != nil {
 			return err
 		}
-		readiness, err := web.Listen(settings.Readiness, handler)
+		listener, err := settings.listen(settings.Readiness)
 		if err != nil {
-			return err
+			return eris.Wrap(err, "router: readiness listener")
 		}
-		go readiness.Run()
+		go web.NewServer(listener, handler).Run()
 	}
 	go wire.Serve(ctx, internal, g.Hub.Hand)
 	g.Start()
-	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Hall)
-	server, err := gateway.Listen(settings.Data, g.Front, startLimits)
+	ctx.Log.Info("Router is up.", "internal", settings.Internal, "data", settings.Data, "zone", ctx.Zone)
+	data, err := settings.listen(settings.Data)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "router: clients' listener")
 	}
+	server := gateway.NewServer(data, g.Front, startLimits)
 	go server.Run()
 	<-p.Stop
 	g.stop(ctx, server)
