--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -43,6 +43,7 @@
 	turn  atomic.Pointer[chan struct{}] // closed by the next layout
 	hook  func(relay.Rec)
 
+	told     uint64                                  // the sequence that the core last named; only the beat touches it
 	document func(sequence uint64, raw []byte) error // nil: the configuration is a layout
 	runners  *registry.Registry                      // nil: none is kept
 	tally    func() []core.RunnerTally               // nil: none is told
@@ -65,7 +66,7 @@
 type configuration struct {
 	sequence uint64
 	raw      []byte
-	layout   *layout.Layout // nil where the configuration is another document
+	layout   *layout.Config // nil where the configuration is another document
 }
 
 // Option changes what a hub does with its news.
@@ -140,8 +141,8 @@
 		h.ctx.Log.Error("Layout from the core is not understood. The old one stays.", "sequence", r.Turn, "trouble", bad[0].Path+": "+bad[0].Text)
 		return
 	}
-	lay.Seq = r.Turn
-	next := &configuration{sequence: lay.Seq, raw: lay.Raw, layout: lay}
+	lay.Version = r.Turn
+	next := &configuration{sequence: lay.Version, raw: lay.Raw, layout: lay}
 	if old := h.now.Load(); strike.Out("late") && old != nil {
 		time.AfterFunc(12*time.Second, func() { h.now.Store(next) })
 		return
@@ -162,7 +163,7 @@
 // Layout is the newest layout held; nil before the first, and where the configuration is another document.
 //
 //	lay := hub.Layout()
-func (h *Hub) Layout() *layout.Layout {
+func (h *Hub) Layout() *layout.Config {
 	if c := h.now.Load(); c != nil {
 		return c.layout
 	}
@@ -198,7 +199,7 @@
 //
 //	n := hub.Me()
 func (h *Hub) Me() core.Node {
-	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
+	n := core.Node{Name: h.ctx.Name, Hall: h.ctx.Zone, Addr: h.addr, Face: h.face, Born: h.ctx.Born}
 	n.Seq = h.Sequence()
 	n.Ready = h.Ready() == ""
 	return n
@@ -435,10 +436,13 @@
 	ctx, end := context.WithTimeout(h.ctx, 1500*time.Millisecond)
 	defer end()
 	var out core.Told
-	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds())}
+	in := core.Beat{Node: h.Me(), Roll: roll, AgeMs: int(time.Since(h.begun).Milliseconds()), ViewEpoch: h.Core.View().Epoch}
 	if h.runners != nil {
 		in.RunnersWanted = true
 		in.RunnersEpoch, in.RunnersVersion = h.runners.Position()
+		if in.RunnersVersion == 0 {
+			in.RunnersDigest = h.runners.Digest()
+		}
 	}
 	if h.tally != nil {
 		in.Tallies = h.tally()
@@ -471,8 +475,12 @@
 	if h.failing != nil {
 		h.failing(out.Failing)
 	}
-	// One that was not understood is not fetched again and again.
-	if rec, _, _ := h.Board.Get(relay.LayoutKey); h.Sequence() < out.Seq && rec.Turn < out.Seq {
+	// One that was not understood is not fetched again and again. A new one is on its way by the relays: it is
+	// fetched only if it was missing for a whole beat, else a large part of the fleet would ask the primary at once.
+	rec, _, _ := h.Board.Get(relay.LayoutKey)
+	overdue := h.Sequence() == 0 || rec.Turn < h.told
+	h.told = out.Seq
+	if h.Sequence() < out.Seq && rec.Turn < out.Seq && overdue {
 		var sheet core.Sheet
 		if h.Core.Call(ctx, "core.layout", &core.Want{}, &sheet, true) == nil && sheet.Seq > 0 {
 			h.Spread(relay.Tell{Recs: []relay.Rec{relay.LayoutRec(sheet.Seq, sheet.Raw)}})
@@ -520,7 +528,7 @@
 		}
 	}
 	for _, n := range nodes {
-		if n.Hall == h.ctx.Hall && n.Name != h.ctx.Name {
+		if n.Hall == h.ctx.Zone && n.Name != h.ctx.Name {
 			h.mendWith(ctx, n.Addr)
 		}
 	}
@@ -531,7 +539,7 @@
 	h.mu.Lock()
 	h.asked = true
 	if len(h.nodes) == 0 {
-		h.seat(append(nodes, core.Node{Name: h.ctx.Name, Hall: h.ctx.Hall, Addr: h.addr, Born: h.ctx.Born}))
+		h.seat(append(nodes, core.Node{Name: h.ctx.Name, Hall: h.ctx.Zone, Addr: h.addr, Born: h.ctx.Born}))
 	}
 	h.mu.Unlock()
 }
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -146,7 +146,7 @@
 	n, crash := f.w.Net(c.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	c.crash = func() { end(); crash() }
-	ec := env.Ctx{Context: ctx, Name: c.addr, Hall: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
+	ec := env.Ctx{Context: ctx, Name: c.addr, Zone: c.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
 	var srv *core.Server
 	var err error
 	set := core.Set{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, Lost: f.lost, Codec: f.codec}
@@ -184,7 +184,7 @@
 	n, crash := f.w.Net(r.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	r.crash = func() { end(); crash() }
-	ec := env.Ctx{Context: ctx, Name: r.name, Hall: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
+	ec := env.Ctx{Context: ctx, Name: r.name, Zone: r.hall, Born: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
 	var options []node.Option
 	if f.options != nil {
 		options = f.options(r)
@@ -208,12 +208,12 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if n := len(r.seen); n > 0 && r.seen[n-1] > lay.Seq {
-			f.t.Errorf("%s went back from sequence %d to %d", r.name, r.seen[n-1], lay.Seq)
+		if n := len(r.seen); n > 0 && r.seen[n-1] > lay.Version {
+			f.t.Errorf("%s went back from sequence %d to %d", r.name, r.seen[n-1], lay.Version)
 		}
-		if n := len(r.seen); n == 0 || r.seen[n-1] != lay.Seq {
-			r.seen = append(r.seen, lay.Seq)
-			r.raw[lay.Seq] = string(lay.Raw)
+		if n := len(r.seen); n == 0 || r.seen[n-1] != lay.Version {
+			r.seen = append(r.seen, lay.Version)
+			r.raw[lay.Version] = string(lay.Raw)
 		}
 	})
 }
