Router's stop and start in simulated time; an idle connection is looked at with a moment just past

Cause: the pool's look at connections that are no sockets used the start of the process as its deadline; in simulated time that lies ahead, and the look waited for ever (a request hung past its deadline in TestRouterLeaves). Ruled out: the simulated network, and the router's stop. Conclusion: a deadline of a second ago; the upstream test that used the old name sets the same.

--- /dev/null
+++ b/internal/gateway/start_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/routing"
+)
+
+// A request waits for a router that has just started; it is refused as unrun where that takes too long.
+func TestStartWait(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.runner("one", good("text"))
+	var ready atomic.Bool
+	f.gateway.Ready = func() string {
+		if ready.Load() {
+			return ""
+		}
+		return "no configuration yet"
+	}
+	begun := time.Now()
+	answer, _, err := f.send("1", "/a/x", "k1", "")
+	if err != nil || answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		t.Fatal(answer, err)
+	}
+	if took := time.Since(begun); took < startWait {
+		t.Errorf("refused after %s, before the configuration could come", took)
+	}
+	time.AfterFunc(startWait/4, func() { ready.Store(true) })
+	if answer, text, err := f.send("2", "/a/x", "k1", ""); err != nil || text != "text" {
+		t.Fatal(answer, text, err)
+	}
+}
+
+// A router that leaves keeps nobody waiting for a configuration, and asks for each connection to be closed.
+func TestDrainAsksToClose(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	f.runner("one", good("text"))
+	f.gateway.Drain()
+	if answer, text, err := f.send("1", "/a/x", "k1", ""); err != nil || text != "text" || !answer.Close {
+		t.Error(answer, text, err)
+	}
+	f.gateway.Ready = func() string { return "no configuration yet" }
+	begun := time.Now()
+	if answer, _, err := f.send("2", "/a/x", "k1", ""); err != nil || answer.StatusCode != http.StatusServiceUnavailable || time.Since(begun) > startWait/2 {
+		t.Error(answer, err, time.Since(begun))
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,9 +20,6 @@
 	unacknowledgedLimit = 10 * time.Second
 )
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Now() // of the start of the process: past whenever it is used
-
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
 // connection is one TCP connection to a runner. At most one exchange uses it at a time.
@@ -84,7 +81,7 @@
 		return c.probe.quiet()
 	}
 	// No socket: with a deadline that has passed, a pipe still tells that its other end is closed.
-	if c.SetReadDeadline(longAgo) != nil {
+	if c.SetReadDeadline(time.Now().Add(-time.Second)) != nil {
 		return false
 	}
 	n, err := c.Conn.Read(make([]byte, 1))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -951,7 +951,7 @@
 func TestReadDeadline(t *testing.T) {
 	r, p := newRunner(t), newPool(t, Options{})
 	e := send(t, p, r.address(), get)
-	e.SetReadDeadline(longAgo)
+	e.SetReadDeadline(time.Now().Add(-time.Second))
 	_, err := e.ReadHead(nil)
 	wantFailure(t, err, true, StepReadHead, os.ErrDeadlineExceeded)
 	e.Finish()
