--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -107,7 +107,7 @@
 	f := &hollowFleet{ctx: base}
 	for i := range routers {
 		own := base
-		own.Name, own.Hall, own.Born = fmt.Sprintf("router%04d", i+1), zone(i%zones), rand.Uint64()
+		own.Name, own.Zone, own.Born = fmt.Sprintf("router%04d", i+1), zone(i%zones), rand.Uint64()
 		r, err := startRouter(own, seeds)
 		if err != nil {
 			return nil, err
