--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,6 +23,10 @@
 // is lost, and the system sends it again after a second only: the next try comes sooner.
 const dialWait = 250 * time.Millisecond
 
+// idleAfter is how long a connection is kept unused once others are opened. Digests go to random nodes: without
+// a bound every router would in time hold a connection to every other.
+const idleAfter = 10 * time.Second
+
 // Two kinds of trouble a caller must tell apart.
 var (
 	// ErrUnsent means no byte of the call has left this process.
@@ -93,6 +97,7 @@
 		return err
 	}
 	binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
+	f.size = len(buf)
 	_, err = w.Write(buf)
 	return err
 }
@@ -106,6 +111,7 @@
 	if n > Most+1024 {
 		return eris.Errorf("wire: frame of %d bytes, at most %d expected", n, Most)
 	}
+	f.size = len(head) + int(n)
 	buf := make([]byte, n)
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return err
@@ -158,6 +164,8 @@
 		if read(con, &f) != nil {
 			return
 		}
+		counters := traffic.of(f.Kind)
+		counters.callsReceived.add(f.size)
 		go func() {
 			out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind, Unpacks: true}
 			ans, err := hand(ctx, f.Kind, f.Body)
@@ -179,7 +187,9 @@
 			con.SetWriteDeadline(time.Now().Add(5 * time.Second))
 			if write(con, &out) != nil {
 				con.Close()
+				return
 			}
+			counters.answersSent.add(out.size)
 		}()
 	}
 }
@@ -207,6 +217,14 @@
 	wait map[uint64]chan Frame
 	dead atomic.Bool // read without the lock, which a slow write may hold
 	pack atomic.Bool // the far side has said that it reads compressed bodies
+	used time.Time   // when it was last asked for; under the caller's lock
+}
+
+// idle tells whether no call waits for an answer.
+func (l *link) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.wait) == 0
 }
 
 // NewCaller makes a caller over a net.
@@ -249,6 +267,7 @@
 			l.kill()
 			return
 		}
+		traffic.of(f.Kind).answersReceived.add(f.size)
 		l.pack.Store(f.Unpacks)
 		l.mu.Lock()
 		ch := l.wait[f.Id]
@@ -264,6 +283,7 @@
 func (c *Caller) reach(ctx context.Context, addr string) (*link, error) {
 	c.mu.Lock()
 	if l := c.open[addr]; l != nil && !l.dead.Load() {
+		l.used = time.Now()
 		c.mu.Unlock()
 		return l, nil
 	}
@@ -294,7 +314,8 @@
 		err = net.ErrClosed
 	}
 	if d.err = err; err == nil {
-		d.l = &link{con: con, wait: map[uint64]chan Frame{}}
+		d.l = &link{con: con, wait: map[uint64]chan Frame{}, used: time.Now()}
+		c.closeIdle()
 		c.open[addr] = d.l
 		go d.l.loop()
 	}
@@ -302,6 +323,17 @@
 	close(d.done)
 }
 
+// closeIdle closes connections unused for long, and forgets broken ones; the caller holds the lock. One that was
+// just asked for is not idle, so no call meets a connection that is closed under it.
+func (c *Caller) closeIdle() {
+	for addr, l := range c.open {
+		if l.dead.Load() || time.Since(l.used) > idleAfter && l.idle() {
+			go l.kill()
+			delete(c.open, addr)
+		}
+	}
+}
+
 // Call sends in to addr and reads the answer into out (nil where none is wanted).
 // The error wraps ErrUnsent, ErrDoubt or a Fault, with the step and the peer.
 //
@@ -341,6 +373,7 @@
 		l.kill()
 		return eris.Wrapf(errors.Join(ErrDoubt, err), "%s to %s", kind, addr)
 	}
+	traffic.of(kind).callsSent.add(f.size)
 	select {
 	case ans, ok := <-ch:
 		if !ok {
