Balancer: a known holder of a session goes before a first choice that is not known to hold it

Cause: Choose took the first choice for the holder whatever it knew; a runner that was added took sessions from runners that keep them, and a session that left its home was known there to one router only. Ruled out: noting a holder when a request is sent (a runner that turns it away does not hold it): it is noted at the first byte of the answer. Entries for sessions at their home: every router works those out.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"yarrowridge/internal/routing"
+	"yarrowridge/internal/session"
 )
 
 // Part is one part of a prompt: parts with one id are the same text.
@@ -33,6 +34,11 @@
 	zone  string
 	cache *PrefixCache
 
+	// Sessions tells which runners hold sessions' contexts beside their home; the routers share it.
+	Sessions *session.Directory
+	recent   *recentSessions
+	added    atomic.Bool // a runner has become ready since the last Rehome
+
 	mu        sync.Mutex // over changes of the set
 	next      int
 	byID      map[string]*Runner
@@ -43,7 +49,8 @@
 
 // New makes a balancer of a router in a zone.
 func New(zone string) *Balancer {
-	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, speeds: map[string]*speed{}}
+	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, speeds: map[string]*speed{},
+		Sessions: session.New(directoryMost), recent: newRecentSessions(recentMost)}
 	b.byService.Store(&map[string][]*Runner{})
 	return b
 }
@@ -57,6 +64,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	known := map[string]bool{}
+	var gone []string
 	services := map[string][]*Runner{}
 	for _, info := range list {
 		known[info.ID] = true
@@ -67,15 +75,24 @@
 			b.byID[info.ID] = runner
 		}
 		runner.mu.Lock()
+		if info.State == routing.RunnerReady && (runner.since == now || runner.info.State != routing.RunnerReady ||
+			len(info.Models) > len(runner.info.Models)) {
+			b.added.Store(true)
+		}
 		runner.info = info
 		runner.mu.Unlock()
+		if info.State == routing.RunnerGone {
+			gone = append(gone, info.ID)
+		}
 		services[info.Service] = append(services[info.Service], runner)
 	}
 	for id := range b.byID {
 		if !known[id] {
 			delete(b.byID, id)
+			gone = append(gone, id)
 		}
 	}
+	b.Sessions.Gone(gone...)
 	b.byService.Store(&services)
 }
 
@@ -103,6 +120,7 @@
 type candidate struct {
 	runner *Runner
 	id     string
+	ready  bool    // as its heartbeats say
 	barred bool    // only as a last resort
 	wait   float64 // cost without what has to be read, in milliseconds
 	rate   float64 // prompt tokens read in a millisecond
@@ -114,18 +132,26 @@
 	now := time.Now()
 	candidates := b.candidates(request, now)
 	key, shared := affinity(request.Parts)
-	first, second := rendezvous(candidates, key)
+	first, second, home := rendezvous(candidates, key)
 	held := b.cache.Match(request.Parts)
+	context := b.session(&request, key, shared)
+	expected := first
+	if context.id != 0 {
+		expected = context.expected(candidates, first)
+		if context.home = home; len(request.Tried) > 0 {
+			context.home = b.home(request.Service, request.Model, key)
+		}
+	}
 	var best *Runner
 	bestCost, bestRead := math.Inf(1), 0
 	for i := range candidates {
 		c := &candidates[i]
 		kept := held[c.runner.Index]
 		again := readAgainMs
-		switch c.runner {
-		case first:
+		switch {
+		case c.runner == expected, context.holds(c.id):
 			kept = max(kept, shared)
-		case second:
+		case c.runner == second:
 			again *= secondChoice
 		}
 		read := max(0, request.Input-kept)
@@ -142,7 +168,9 @@
 		return nil
 	}
 	b.cache.Note(request.Parts, best.Index)
-	return best.begin(bestRead, now)
+	attempt := best.begin(bestRead, now)
+	attempt.balancer, attempt.context = b, context
+	return attempt
 }
 
 // candidates are the runners that a request could be sent to.
@@ -156,7 +184,8 @@
 		runner.mu.Lock()
 		if usable, barred := runner.usable(request.Model, now); usable {
 			wait := runner.waitCost(request, b.zone, now)
-			out = append(out, candidate{runner: runner, id: runner.info.ID, barred: barred, wait: wait, rate: runner.rate()})
+			out = append(out, candidate{runner: runner, id: runner.info.ID, ready: runner.info.State == routing.RunnerReady,
+				barred: barred, wait: wait, rate: runner.rate()})
 		}
 		runner.mu.Unlock()
 	}
@@ -169,7 +198,7 @@
 	if r.info.State != routing.RunnerReady && r.info.State != routing.RunnerSilent {
 		return false, false
 	}
-	if model != "" && len(r.info.Models) > 0 && !r.serves(model) {
+	if !r.fits(model) {
 		return false, false
 	}
 	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.fleetFails >= fleetBarred ||
@@ -177,6 +206,11 @@
 	return true, barred
 }
 
+// fits tells whether the runner serves the model; "": any. The caller holds the lock.
+func (r *Runner) fits(model string) bool {
+	return model == "" || len(r.info.Models) == 0 || r.serves(model)
+}
+
 func (r *Runner) serves(model string) bool {
 	for _, m := range r.info.Models {
 		if m.Name == model {
@@ -251,21 +285,22 @@
 	return key, shared
 }
 
-// rendezvous picks the two runners with the highest weights for a key: every router works out the same ones,
-// and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or there
-// are too few.
-func rendezvous(candidates []candidate, key uint64) (first, second *Runner) {
+// rendezvous picks the two usable runners with the highest weights for a key: every router works out the same
+// ones, and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or
+// there are too few. home is the ready runner with the highest weight, whatever this router thinks of it.
+func rendezvous(candidates []candidate, key uint64) (first, second *Runner, home string) {
 	if key == 0 {
-		return nil, nil
+		return nil, nil, ""
 	}
-	var firstWeight, secondWeight uint64
+	var firstWeight, secondWeight, homeWeight uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.barred {
-			continue
-		}
 		weight := weightOf(key, c.id)
+		if c.ready && (home == "" || weight > homeWeight) {
+			home, homeWeight = c.id, weight
+		}
 		switch {
+		case c.barred:
 		case first == nil || weight > firstWeight:
 			second, secondWeight = first, firstWeight
 			first, firstWeight = c.runner, weight
@@ -273,7 +308,7 @@
 			second, secondWeight = c.runner, weight
 		}
 	}
-	return first, second
+	return first, second, home
 }
 
 func weightOf(key uint64, id string) uint64 {
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -92,6 +92,9 @@
 	first    time.Time // of the first byte of the answer's body
 	last     time.Time
 	finished bool
+
+	balancer *Balancer
+	context  sessionRef // of the session that the request belongs to
 }
 
 func newRunner(index int, info routing.Runner, speed *speed, now time.Time) *Runner {
@@ -123,11 +126,19 @@
 
 // Progress notes that bytes of the answer's body came.
 func (a *Attempt) Progress() {
-	r, now := a.runner, time.Now()
+	if first := a.progress(time.Now()); first && a.context.id != 0 {
+		a.balancer.noteHolder(&a.context, a.runner.Info().ID)
+	}
+}
+
+// progress tells whether these were the first bytes.
+func (a *Attempt) progress(now time.Time) bool {
+	r := a.runner
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	first := a.first.IsZero()
 	r.lastByte = now
-	if a.first.IsZero() {
+	if first {
 		a.first = now
 		r.promptOpen -= a.prompt
 		r.sampleFirst(float64(now.Sub(a.started))/float64(time.Millisecond), a.prompt, now)
@@ -135,6 +146,7 @@
 		r.gapMs = average(r.gapMs, float64(now.Sub(a.last))/float64(time.Millisecond))
 	}
 	a.last = now
+	return first
 }
 
 // Done ends an attempt whose answer came whole.
--- /dev/null
+++ b/internal/balance/session.go
@@ -0,0 +1,222 @@
+package balance
+
+import (
+	"container/list"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/routing"
+	"yarrowridge/internal/session"
+)
+
+const (
+	directoryMost = 1 << 15 // sessions in the directory
+	recentMost    = 1 << 14 // sessions that this router remembers as served at their home
+	// sessionLeast is how many shared tokens make a session worth an entry: below it reading them again costs
+	// less than telling all routers.
+	sessionLeast = 128
+	// settle is how long an entry whose holders are all ready stands before another runner takes a place in it:
+	// a session in use at many runners at once does not become news all the time.
+	settle = 2 * time.Second
+)
+
+// sessionRef is a session as all routers name it, and where its context is expected.
+type sessionRef struct {
+	id      uint64 // 0: the request belongs to no session that is worth an entry
+	service string
+	model   string
+	key     uint64
+	home    string   // the runner that every router works out; "": none is ready
+	holders []string // those announced, or the one that this router remembers
+}
+
+// session names the session that a request belongs to and looks up its holders.
+func (b *Balancer) session(request *Request, key uint64, shared int) sessionRef {
+	if len(request.Parts) < 2 || shared < sessionLeast {
+		return sessionRef{}
+	}
+	ref := sessionRef{id: sessionID(request.Service, request.Model, key), service: request.Service, model: request.Model, key: key}
+	if entry, known := b.Sessions.Lookup(ref.id); known {
+		ref.holders = entry.Holders
+	} else if remembered, known := b.recent.get(ref.id); known {
+		ref.holders = []string{remembered.holder}
+	}
+	return ref
+}
+
+// sessionID is a session's id in the directory: one text at two services or models is two contexts.
+func sessionID(service, model string, key uint64) uint64 {
+	return weightOf(key, service+"\x00"+model) | 1 // 0 is no session
+}
+
+// holds tells whether the runner is an announced holder of the session.
+func (s *sessionRef) holds(id string) bool { return slices.Contains(s.holders, id) }
+
+// expected gives the runner that is taken for the session's holder although nobody is known to have sent it
+// there: the first choice, unless a known holder can be used.
+func (s *sessionRef) expected(candidates []candidate, first *Runner) *Runner {
+	for i := range candidates {
+		if !candidates[i].barred && s.holds(candidates[i].id) {
+			return nil
+		}
+	}
+	return first
+}
+
+// noteHolder takes note that a runner holds the session's context now: it has answered. The other routers are
+// told where they would not look for it there.
+func (b *Balancer) noteHolder(ref *sessionRef, id string) {
+	entry, known := b.Sessions.Lookup(ref.id)
+	switch {
+	case known && slices.Contains(entry.Holders, id):
+		return
+	case known:
+		b.takePlace(id, entry)
+	case id == ref.home:
+		b.recent.note(ref.id, recentSession{service: ref.service, model: ref.model, key: ref.key, holder: id})
+		return
+	default:
+		// The one before keeps it too, as far as this router knows of one.
+		b.Sessions.Hold(ref.id, append([]string{id}, b.readyOf(ref.holders)...)...)
+	}
+	b.recent.forget(ref.id)
+}
+
+// takePlace puts a runner into a session's entry that names others.
+func (b *Balancer) takePlace(id string, entry session.Entry) {
+	ready := b.readyOf(entry.Holders)
+	// A version may be somewhat ahead of our clock. One far ahead comes from a clock that was wrong.
+	age := time.Since(time.UnixMilli(int64(entry.Version))).Abs()
+	if len(ready) == session.HoldersMost && age < settle {
+		return
+	}
+	b.Sessions.Hold(entry.Session, append([]string{id}, ready...)...)
+}
+
+// readyOf gives those of the runners that may be sent requests.
+func (b *Balancer) readyOf(ids []string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ready []string
+	for _, id := range ids {
+		if runner := b.byID[id]; runner != nil && runner.Info().State == routing.RunnerReady {
+			ready = append(ready, id)
+		}
+	}
+	return ready
+}
+
+// Rehome looks, after runners were added, for sessions that this router served at their home and whose home
+// is another one now: their old runner becomes an announced holder. It is called now and then; where no runner
+// was added it does nothing.
+func (b *Balancer) Rehome() {
+	if !b.added.Swap(false) {
+		return
+	}
+	for _, remembered := range b.recent.all() {
+		id := remembered.id
+		if _, known := b.Sessions.Lookup(id); known || len(b.readyOf([]string{remembered.holder})) == 0 {
+			b.recent.forget(id)
+			continue
+		}
+		home := b.home(remembered.service, remembered.model, remembered.key)
+		if home != "" && home != remembered.holder {
+			b.Sessions.Hold(id, remembered.holder)
+			b.recent.forget(id)
+		}
+	}
+}
+
+// home is the ready runner with the highest weight for a key, whatever this router thinks of its condition:
+// all routers with the same list of runners work out the same one.
+func (b *Balancer) home(service, model string, key uint64) string {
+	var best string
+	var bestWeight uint64
+	for _, runner := range b.Runners(service) {
+		runner.mu.Lock()
+		id, fits := runner.info.ID, runner.info.State == routing.RunnerReady && runner.fits(model)
+		runner.mu.Unlock()
+		if !fits {
+			continue
+		}
+		if weight := weightOf(key, id); best == "" || weight > bestWeight {
+			best, bestWeight = id, weight
+		}
+	}
+	return best
+}
+
+// recentSession is a session that this router lately served at its home.
+type recentSession struct {
+	id      uint64
+	service string
+	model   string
+	key     uint64
+	holder  string
+}
+
+// recentSessions remembers the sessions that this router served at their home, in case that it becomes
+// another one. Nobody needs to be told of them until then.
+type recentSessions struct {
+	mu      sync.Mutex
+	most    int
+	entries map[uint64]*list.Element
+	order   *list.List // of recentSession, the one served last in front
+}
+
+func newRecentSessions(most int) *recentSessions {
+	return &recentSessions{most: most, entries: map[uint64]*list.Element{}, order: list.New()}
+}
+
+func (r *recentSessions) note(id uint64, served recentSession) {
+	served.id = id
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if element := r.entries[id]; element != nil {
+		known := element.Value.(recentSession)
+		if known.holder != served.holder {
+			element.Value = served
+		}
+		r.order.MoveToFront(element)
+		return
+	}
+	if r.order.Len() >= r.most {
+		oldest := r.order.Back()
+		delete(r.entries, oldest.Value.(recentSession).id)
+		r.order.Remove(oldest)
+	}
+	served.model = strings.Clone(served.model) // it is a part of a header, which is not to stay
+	r.entries[id] = r.order.PushFront(served)
+}
+
+func (r *recentSessions) get(id uint64) (recentSession, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	element := r.entries[id]
+	if element == nil {
+		return recentSession{}, false
+	}
+	return element.Value.(recentSession), true
+}
+
+func (r *recentSessions) forget(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if element := r.entries[id]; element != nil {
+		delete(r.entries, id)
+		r.order.Remove(element)
+	}
+}
+
+// all lists the sessions, the one served longest ago first.
+func (r *recentSessions) all() []recentSession {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]recentSession, 0, r.order.Len())
+	for element := r.order.Back(); element != nil; element = element.Prev() {
+		out = append(out, element.Value.(recentSession))
+	}
+	return out
+}
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -17,6 +17,7 @@
 	"yarrowridge/internal/gateway"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/registry"
+	"yarrowridge/internal/relay"
 	"yarrowridge/internal/routing"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/upstream"
@@ -62,6 +63,7 @@
 
 	ctx      env.Ctx
 	settings GatewaySettings
+	sessions *sessionNews
 	table    atomic.Pointer[routing.Table]
 }
 
@@ -76,8 +78,10 @@
 	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Hall)}
 	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
-	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
+	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, g.seeRecord,
 		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
+	g.sessions = newSessionNews(g)
+	g.Hub.Own("session", g.sessions.hand)
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
@@ -103,6 +107,9 @@
 	g.Balancer.Failing(shares)
 }
 
+// seeRecord takes news that is neither a configuration nor a runner.
+func (g *Gateway) seeRecord(record relay.Rec) { g.sessions.see(record) }
+
 // take puts a newer configuration in force.
 func (g *Gateway) take(sequence uint64, raw []byte) error {
 	table, flaws := g.settings.Parse(raw)
@@ -181,6 +188,7 @@
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
 	go g.Purses.Run()
+	go g.sessions.run()
 	go g.Hub.Run()
 	go env.Loop(g.ctx, nil, reportEvery, func(struct{}) {}, g.Front.Report)
 }
@@ -239,6 +247,7 @@
 	if err := server.Drain(left); err != nil {
 		ctx.Log.Warn("The grace ended before the requests did.", slog.Int("open", g.Front.Open()))
 	}
+	g.sessions.leave()
 	g.Hub.Leave()
 	g.Pool.Close()
 }
--- a/internal/session/msgs.go
+++ b/internal/session/msgs.go
@@ -20,6 +20,7 @@
 type Batch struct {
 	Runners []string      `msg:"r"`
 	Entries []PackedEntry `msg:"e"`
+	Partial bool          `msg:"p,omitempty"` // the router that answers a Fetch has not fetched itself yet
 }
 
 // Fetch asks a router for the entries that it used last.
--- a/internal/session/msgs_gen.go
+++ b/internal/session/msgs_gen.go
@@ -15,21 +15,39 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runners)))
-	for za0001 := range z.Runners {
-		o = msgp.AppendString(o, z.Runners[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Partial == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0002 := range z.Entries {
-		o, err = z.Entries[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Runners)))
+		for za0001 := range z.Runners {
+			o = msgp.AppendString(o, z.Runners[za0001])
+		}
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		for za0002 := range z.Entries {
+			o, err = z.Entries[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendBool(o, z.Partial)
 		}
 	}
 	return
@@ -103,6 +121,12 @@
 					return
 				}
 			}
+		case "p":
+			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -125,6 +149,7 @@
 	for za0002 := range z.Entries {
 		s += z.Entries[za0002].Msgsize()
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
