Session directory outlives routers: fetched from the core and a router; added runners take no session

So: the first router of the roll keeps the directory at the core each 3 s where it changed, one that starts reads it and asks another router; requests wait for it 150 ms at most. A runner that is added wakes the announcement. Ruled out: a write at the core for each entry (writes for nothing between losses).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -37,7 +37,8 @@
 	// Sessions tells which runners hold sessions' contexts beside their home; the routers share it.
 	Sessions *session.Directory
 	recent   *recentSessions
-	added    atomic.Bool // a runner has become ready since the last Rehome
+	added    atomic.Bool   // a runner has become ready since the last Rehome
+	wake     chan struct{} // has one where one was added
 
 	mu        sync.Mutex // over changes of the set
 	next      int
@@ -50,7 +51,7 @@
 // New makes a balancer of a router in a zone.
 func New(zone string) *Balancer {
 	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, speeds: map[string]*speed{},
-		Sessions: session.New(directoryMost), recent: newRecentSessions(recentMost)}
+		Sessions: session.New(directoryMost), recent: newRecentSessions(recentMost), wake: make(chan struct{}, 1)}
 	b.byService.Store(&map[string][]*Runner{})
 	return b
 }
@@ -77,7 +78,7 @@
 		runner.mu.Lock()
 		if info.State == routing.RunnerReady && (runner.since == now || runner.info.State != routing.RunnerReady ||
 			len(info.Models) > len(runner.info.Models)) {
-			b.added.Store(true)
+			b.noteAdded()
 		}
 		runner.info = info
 		runner.mu.Unlock()
--- a/internal/balance/session.go
+++ b/internal/balance/session.go
@@ -108,6 +108,17 @@
 	return ready
 }
 
+// Added gives a signal when a runner has become ready: it is time for Rehome.
+func (b *Balancer) Added() <-chan struct{} { return b.wake }
+
+func (b *Balancer) noteAdded() {
+	b.added.Store(true)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Rehome looks, after runners were added, for sessions that this router served at their home and whose home
 // is another one now: their old runner becomes an announced holder. It is called now and then; where no runner
 // was added it does nothing.
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -84,6 +84,10 @@
 		return wire.On(body, func(in *Move) (*Moved, error) { return s.move(ctx, in) })
 	case "core.moves":
 		return wire.On(body, func(in *Moves) (*MovedAll, error) { return s.moveAll(ctx, in) })
+	case "core.sessions":
+		return wire.On(body, func(*Want) (*Sessions, error) { return s.giveSessions() })
+	case "core.sessions.keep":
+		return wire.On(body, func(in *Sessions) (*Done, error) { return s.keepSessions(ctx, in) })
 	case "core.peek":
 		return wire.On(body, func(*Peek) (*State, error) { return s.Peek(), nil })
 	}
--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -112,6 +112,11 @@
 	Raw []byte `msg:"r"`
 }
 
+// Sessions is the routers' session directory as they keep it at the core, in their own form.
+type Sessions struct {
+	Batch []byte `msg:"b"`
+}
+
 // Write is an operator's change.
 type Write struct {
 	Id    string `msg:"i"` // the operator's write id, may be empty
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -1697,6 +1697,78 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Sessions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "b"
+	o = append(o, 0x81, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Batch)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Sessions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z78411aa4limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Batch")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Batch == nil || uint32(cap(z.Batch)) < zb0002 {
+				z.Batch = make([]byte, zb0002)
+			} else {
+				z.Batch = z.Batch[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Batch, bts[:zb0002])
+			bts = bts[zb0002:]
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Sessions) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Batch)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- /dev/null
+++ b/internal/core/sessions.go
@@ -0,0 +1,40 @@
+package core
+
+import (
+	"context"
+
+	"yarrowridge/internal/wire"
+)
+
+// sessionsKey is the key of the routers' session directory. It is on disk so that sessions go on where they are
+// held after the loss of all routers; the core does not look into it.
+const sessionsKey = "sessions"
+
+// sessionsMost bounds the directory that is kept, in bytes.
+const sessionsMost = 1 << 20
+
+// keepSessions keeps the directory in place of the one before.
+func (s *Server) keepSessions(ctx context.Context, in *Sessions) (*Done, error) {
+	if len(in.Batch) > sessionsMost {
+		return nil, wire.Fault{Code: "too-large"}
+	}
+	err := s.Submit(ctx, func(tx *Tx) error { return tx.Put(sessionsKey, in) })
+	if err != nil {
+		return nil, err
+	}
+	return &Done{}, nil
+}
+
+// giveSessions gives the directory that was kept last.
+func (s *Server) giveSessions() (*Sessions, error) {
+	if err := s.prime(); err != nil {
+		return nil, err
+	}
+	var out Sessions
+	if raw, ok := s.st.Load().Get(sessionsKey); ok {
+		if _, err := out.UnmarshalMsg(raw); err != nil {
+			return nil, err
+		}
+	}
+	return &out, nil
+}
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -126,7 +126,13 @@
 	if g.table.Load() == nil {
 		return "no configuration yet"
 	}
-	return g.Hub.Can()
+	if why := g.Hub.Can(); why != "" {
+		return why
+	}
+	if g.sessions.awaited() {
+		return "the session directory is being fetched"
+	}
+	return ""
 }
 
 // ready tells why no new clients should be sent here, or "".
--- a/internal/router/sessions.go
+++ b/internal/router/sessions.go
@@ -24,9 +24,14 @@
 	sessionSlots     = 8           // records that a router has on the board at once
 	sessionEvery     = 300 * time.Millisecond
 	sessionSpread    = 200 * time.Millisecond // added at random: of routers that find the same, one tells it
-	sessionFetchMost = 1 << 13                // entries that a router that starts asks for
+	sessionAdded     = 30 * time.Millisecond  // at most so much later news goes out after a runner was added
+	sessionFetchMost = 1 << 13                // entries that a router that starts asks another one for
 	sessionFetchTime = time.Second
-	sessionFetches   = 20 // tries, a neighbour each
+	sessionFetchWait = 20 * time.Millisecond  // between tries of a router that has not fetched yet
+	sessionAsks      = 5                      // routers that are asked until one has answered
+	sessionAwait     = 150 * time.Millisecond // how long requests wait for it at most
+	sessionKeepEvery = 3 * time.Second
+	sessionKeepMost  = 1 << 12 // entries that are kept at the core
 )
 
 // sessionNews carries entries of the session directory between routers: those that this router made go into a
@@ -40,14 +45,22 @@
 	nodes     func() []core.Node
 	call      func(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error
 
+	core  func(ctx context.Context, kind string, in msgp.Marshaler, out msgp.Unmarshaler, again bool) error
+	begun time.Time
+
 	turn    uint64 // of the last record
-	fetches int    // tries so far
+	asked   int    // routers, for what they know
 	fetched atomic.Bool
+	// servable is when requests could be served first but for the directory; 0: not yet.
+	servable atomic.Int64
+
+	kept   uint64    // changes of the directory that the core has
+	keptAt time.Time // when it was last told
 }
 
 func newSessionNews(g *Gateway) *sessionNews {
 	return &sessionNews{ctx: g.ctx.Part("session"), balancer: g.Balancer, directory: g.Balancer.Sessions, spread: g.Hub.Spread,
-		sure: g.Hub.Sure, nodes: g.Hub.Nodes, call: g.Hub.Call}
+		sure: g.Hub.Sure, nodes: g.Hub.Nodes, call: g.Hub.Call, core: g.Hub.Core.Call}
 }
 
 // see takes a record that the relays brought. Others are passed over.
@@ -77,10 +90,31 @@
 
 // run tells and fetches until the context ends.
 func (s *sessionNews) run() {
-	for env.Wait(s.ctx, sessionEvery+rand.N(sessionSpread)) {
-		s.fetch()
+	for s.wait() {
+		if !s.fetched.Load() || s.asked < sessionAsks {
+			s.fetch()
+		}
 		s.balancer.Rehome()
 		s.tell()
+		s.keep()
+	}
+}
+
+// wait waits for the next round: soon where nothing was fetched yet or a runner was added, since then other
+// routers may send sessions away from their runners.
+func (s *sessionNews) wait() bool {
+	if !s.fetched.Load() {
+		return env.Wait(s.ctx, sessionFetchWait)
+	}
+	timer := time.NewTimer(sessionEvery + rand.N(sessionSpread))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.balancer.Added():
+		return env.Wait(s.ctx, rand.N(sessionAdded))
+	case <-s.ctx.Done():
+		return false
 	}
 }
 
@@ -117,32 +151,89 @@
 	return relay.Rec{Key: key, Turn: s.turn, Body: body}, true
 }
 
-// fetch asks one other router, of the own zone where there is one, for what it knows. It asks until one that
-// has fetched itself has answered; routers that all start together give up after some tries.
+// fetch asks the core for what it kept, which is all that there is after the loss of all routers, and another
+// router for what it knows, which is newer. One answer will do to begin with.
 func (s *sessionNews) fetch() {
+	ctx, cancel := context.WithTimeout(s.ctx, sessionFetchTime)
+	defer cancel()
+	if !s.fetched.Load() && s.fetchFromCore(ctx) {
+		s.fetched.Store(true)
+		s.ctx.Log.Info("The session directory was fetched.", "sessions", s.directory.Len())
+	}
 	nodes := s.nodes()
-	if s.fetched.Load() || len(nodes) == 0 {
+	if len(nodes) == 0 {
 		return
 	}
-	s.fetches++
-	if s.fetches >= sessionFetches {
+	s.asked++
+	if s.fetchFromRouter(ctx, nodes) {
+		s.asked = sessionAsks
 		s.fetched.Store(true)
 	}
+}
+
+// awaited tells whether requests should wait for the directory: for a moment from when they could be served.
+func (s *sessionNews) awaited() bool {
+	if s.fetched.Load() {
+		return false
+	}
+	now := time.Now().UnixNano()
+	s.servable.CompareAndSwap(0, now)
+	return time.Duration(now-s.servable.Load()) < sessionAwait
+}
+
+// fetchFromRouter tells whether a router has answered that has fetched the directory itself.
+func (s *sessionNews) fetchFromRouter(ctx context.Context, nodes []core.Node) bool {
 	node, found := s.neighbour(nodes)
 	if !found {
-		return
+		return false
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, sessionFetchTime)
-	defer cancel()
 	var batch session.Batch
 	if err := s.call(ctx, node.Addr, "session.fetch", &session.Fetch{Most: sessionFetchMost}, &batch); err != nil {
 		s.ctx.Log.Debug("The session directory was not fetched.", "peer", node.Name, "error", err.Error())
-		return
+		return false
 	}
 	s.directory.Merge(batch.Unpack())
-	if !batch.Partial {
-		s.fetched.Store(true)
+	return !batch.Partial
+}
+
+// fetchFromCore tells whether the core has answered.
+func (s *sessionNews) fetchFromCore(ctx context.Context) bool {
+	var kept core.Sessions
+	if err := s.core(ctx, "core.sessions", &core.Want{}, &kept, true); err != nil {
+		s.ctx.Log.Debug("The core does not give the session directory.", "error", err.Error())
+		return false
+	}
+	var batch session.Batch
+	if len(kept.Batch) > 0 {
+		if _, err := batch.UnmarshalMsg(kept.Batch); err != nil {
+			s.ctx.Log.Warn("The session directory at the core is not understood.", "error", err.Error())
+		}
+	}
+	s.directory.Merge(batch.Unpack())
+	return true
+}
+
+// keep has the core keep the directory, now and then where it has changed. The first router of the list does
+// it for all.
+func (s *sessionNews) keep() {
+	nodes := s.nodes()
+	changes := s.directory.Changes()
+	if len(nodes) == 0 || nodes[0].Name != s.ctx.Name || !s.fetched.Load() || changes == s.kept || time.Since(s.keptAt) < sessionKeepEvery {
+		return
+	}
+	s.keptAt = time.Now()
+	body, err := session.Pack(s.directory.Newest(sessionKeepMost)).MarshalMsg(nil)
+	if err != nil {
+		s.ctx.Log.Error("The session directory cannot be written.", "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, sessionFetchTime)
+	defer cancel()
+	if err := s.core(ctx, "core.sessions.keep", &core.Sessions{Batch: body}, &core.Done{}, true); err != nil {
+		s.ctx.Log.Debug("The core does not keep the session directory.", "error", err.Error())
+		return
 	}
+	s.kept = changes
 }
 
 // neighbour picks another router at random, one of the own zone where there is any.
--- a/internal/session/directory.go
+++ b/internal/session/directory.go
@@ -47,6 +47,7 @@
 	queue   []uint64          // the same in the order in which they came, and some that are told already
 	gone    map[string]struct{}
 	goneIDs []string // the same, the oldest first
+	changes uint64
 }
 
 // New makes an empty directory of at most so many sessions; the one used longest ago is dropped.
@@ -74,6 +75,13 @@
 	return d.recent.Len()
 }
 
+// Changes counts the changes so far: who has seen it before can tell whether anything has moved since.
+func (d *Directory) Changes() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changes
+}
+
 // Hold notes what this router found: these runners hold the session, the newest holder first. The other
 // routers are told with the next announcement, unless they know it.
 func (d *Directory) Hold(session uint64, holders ...string) {
@@ -133,6 +141,7 @@
 
 // put stores an entry and drops the one used longest ago where there are too many. The caller holds the lock.
 func (d *Directory) put(entry Entry) {
+	d.changes++
 	if element := d.entries[entry.Session]; element != nil {
 		element.Value = entry
 		d.recent.MoveToFront(element)
@@ -145,6 +154,7 @@
 }
 
 func (d *Directory) drop(element *list.Element) {
+	d.changes++
 	session := element.Value.(Entry).Session
 	delete(d.entries, session)
 	delete(d.pending, session)
