--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -17,6 +17,7 @@
 	"yarrowridge/internal/gateway"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/registry"
+	"yarrowridge/internal/relay"
 	"yarrowridge/internal/routing"
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/upstream"
@@ -63,6 +64,7 @@
 
 	ctx      env.Ctx
 	settings GatewaySettings
+	sessions *sessionNews
 	table    atomic.Pointer[routing.Table]
 }
 
@@ -77,8 +79,10 @@
 	g := &Gateway{ctx: ctx, settings: settings, Balancer: balance.New(ctx.Zone)}
 	g.Pool = upstream.New(upstream.Options{Dial: settings.Dial})
 	g.Registry = registry.New(g.Balancer.Update)
-	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
+	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, g.seeRecord,
 		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
+	g.sessions = newSessionNews(g)
+	g.Hub.Own("session", g.sessions.hand)
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
 		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
@@ -104,6 +108,9 @@
 	g.Balancer.Failing(shares)
 }
 
+// seeRecord takes news that is neither a configuration nor a runner.
+func (g *Gateway) seeRecord(record relay.Rec) { g.sessions.see(record) }
+
 // take puts a newer configuration in force.
 func (g *Gateway) take(sequence uint64, raw []byte) error {
 	table, flaws := g.settings.Parse(raw)
@@ -120,7 +127,13 @@
 	if g.table.Load() == nil {
 		return "no configuration yet"
 	}
-	return g.Hub.Can()
+	if why := g.Hub.Can(); why != "" {
+		return why
+	}
+	if g.sessions.awaited() {
+		return "the session directory is being fetched"
+	}
+	return ""
 }
 
 // ready tells why no new clients should be sent here, or "".
@@ -182,6 +195,7 @@
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
 	go g.Purses.Run()
+	go g.sessions.run()
 	go g.Hub.Run()
 	go env.Loop(g.ctx, g.settings.NewSeeds, 0, g.Hub.SetSeeds, nil)
 	go env.Loop(g.ctx, nil, reportEvery, func(struct{}) {}, g.Front.Report)
@@ -241,6 +255,7 @@
 	if err := server.Drain(left); err != nil {
 		ctx.Log.Warn("The grace ended before the requests did.", slog.Int("open", g.Front.Open()))
 	}
+	g.sessions.leave()
 	g.Hub.Leave()
 	g.Pool.Close()
 }
