--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,6 +20,10 @@
 	unacknowledgedLimit = 10 * time.Second
 )
 
+// longAgo is a deadline that has passed, on the clock of whoever asks: in simulated time that is not the one
+// that the process began with.
+func longAgo() time.Time { return time.Now().Add(-time.Second) }
+
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
 // connection is one TCP connection to a runner. At most one exchange uses it at a time.
@@ -81,7 +85,7 @@
 		return c.probe.quiet()
 	}
 	// No socket: with a deadline that has passed, a pipe still tells that its other end is closed.
-	if c.SetReadDeadline(time.Now().Add(-time.Second)) != nil {
+	if c.SetReadDeadline(longAgo()) != nil {
 		return false
 	}
 	n, err := c.Conn.Read(make([]byte, 1))
