The word on runners that fail elsewhere holds two seconds

Cause: found on reading: without a core nothing newer is heard, and a runner named last would stay a last resort for as long as the core is gone. TestOldWordOnFailingRunners.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -172,7 +172,7 @@
 	if model != "" && len(r.info.Models) > 0 && !r.serves(model) {
 		return false, false
 	}
-	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.fleetFails >= fleetBarred ||
+	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.failingElsewhere(now) >= fleetBarred ||
 		r.failures > 0 && len(r.open) > 0 // after its failure one request tries whether it serves again
 	return true, barred
 }
@@ -212,7 +212,7 @@
 // milliseconds. The caller holds the lock.
 func (r *Runner) waitCost(request Request, zone string, now time.Time) float64 {
 	cost := r.fadedWait(now) + float64(r.promptOpen)/r.rate()
-	cost += max(r.fadedFailures(now), r.fleetFails) * failureCostMs
+	cost += max(r.fadedFailures(now), r.failingElsewhere(now)) * failureCostMs
 	if request.Input > 0 || r.promptOpen > 0 {
 		cost += decodeCostMs * float64(len(r.open))
 	} else {
--- a/internal/balance/fleet_test.go
+++ b/internal/balance/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"yarrowridge/internal/routing"
 )
@@ -37,6 +39,19 @@
 	}
 }
 
+// Without a core nothing newer is heard, and a runner that failed elsewhere is tried again after a while.
+func TestOldWordOnFailingRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := twoRunners()
+		b.Failing(map[string]float64{"a": 1})
+		time.Sleep(fleetFresh + time.Millisecond)
+		attempt := b.Choose(Request{Service: "s"})
+		if id := attempt.Runner().Info().ID; id != "a" {
+			t.Errorf("%s chosen, a was to be tried again", id)
+		}
+	})
+}
+
 // What became of attempts is told once.
 func TestTally(t *testing.T) {
 	b := twoRunners()
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -41,6 +41,7 @@
 	full        time.Time
 	tally       Tally
 	fleetFails  float64 // share of attempts that failed lately for all routers, as far as it is large
+	fleetUntil  time.Time
 }
 
 // Tally counts how attempts at a runner ended.
@@ -73,12 +74,25 @@
 	return tally
 }
 
+// fleetFresh is how long the word on failing runners holds: without a core there is no newer one, and a runner
+// must not be left alone for as long as that lasts.
+const fleetFresh = 2 * time.Second
+
+// failingElsewhere is the share of attempts that failed lately for all routers. The caller holds the lock.
+func (r *Runner) failingElsewhere(now time.Time) float64 {
+	if now.After(r.fleetUntil) {
+		return 0
+	}
+	return r.fleetFails
+}
+
 // Failing takes the runners that fail for all routers together, with the share of attempts that fail.
 func (b *Balancer) Failing(shares map[string]float64) {
+	until := time.Now().Add(fleetFresh)
 	for _, runners := range *b.byService.Load() {
 		for _, runner := range runners {
 			runner.mu.Lock()
-			runner.fleetFails = shares[runner.info.ID]
+			runner.fleetFails, runner.fleetUntil = shares[runner.info.ID], until
 			runner.mu.Unlock()
 		}
 	}
