Without a core no idle units are given back, and requests do not wait for one long silent

Cause: found on reading: idle units are struck off before the core may hand them on. TestUnitsStayWithoutACore was red on each by itself.

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -260,6 +260,15 @@
 	return time.Since(h.heard) > staleFrom
 }
 
+// Fresh tells whether the core has answered one of the last two beats.
+//
+//	if hub.Fresh() { ... }
+func (h *Hub) Fresh() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.heard) < 2*beatEvery+beatEvery/2
+}
+
 // Nodes lists the nodes that the core last named.
 //
 //	all := hub.Nodes()
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -80,7 +80,7 @@
 	g.Hub = node.NewHub(ctx.Part("node"), settings.Internal, settings.Data, settings.Seeds, nil,
 		node.Document(g.take), node.Runners(g.Registry), node.Health(g.tally, g.failing))
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
-		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
+		Short: g.Hub.Short, Rules: g.rules, Fresh: g.Hub.Fresh, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
 		Pool: g.Pool, Quotas: quotas{g.Purses}, Retries: settings.Retries, Part: g.part, Log: ctx.Part("gateway").Log})
 	return g
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -89,7 +89,7 @@
 		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
 	})
 	r.QuotaShares = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, r.Hub).move, Nodes: func() int { return len(r.Hub.Nodes()) },
-		Short: r.Hub.Short, Rules: quotaRules(r.Hub), Live: func() bool { return !r.Hub.Stale() }})
+		Short: r.Hub.Short, Rules: quotaRules(r.Hub), Fresh: r.Hub.Fresh, Live: func() bool { return !r.Hub.Stale() }})
 	r.Claims = clientapi.NewClaims(ctx.Part("claim"), r.Hub)
 	r.Streams = node.NewStreams(ctx.Part("stream"), r.Hub)
 	r.Clients = &clientapi.Server{Ctx: ctx.Part("origin"), Hub: r.Hub, Runners: r.Runners, Scheduler: r.Scheduler, Sender: r.sender,
--- a/internal/share/grown_test.go
+++ b/internal/share/grown_test.go
@@ -222,3 +222,43 @@
 		})
 	})
 }
+
+// Without a core no idle units are given back: they go on serving here, and a request that finds none is
+// refused soon once the core has been silent for long.
+func TestUnitsStayWithoutACore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer time.Sleep(10 * time.Second)
+		defer end()
+		var gone atomic.Bool
+		ps := NewPurses(env.Ctx{Context: ctx}, Ways{
+			Move: func(ctx context.Context, _ string, _ uint64, n int, _ bool) (int, int, error) {
+				if gone.Load() {
+					<-ctx.Done()
+					return 0, 0, ctx.Err()
+				}
+				return n, 40, nil
+			},
+			Nodes: func() int { return 60 }, Short: func() []string { return []string{"t"} },
+			Rules: func() []Rule { return []Rule{{"t", 40, time.Second}} },
+			Live:  func() bool { return !gone.Load() }})
+		go ps.Run()
+		time.Sleep(time.Second)
+		if ok, _ := ps.Keep(ctx, "t", 1); !ok {
+			t.Fatal("no unit drawn from a core that answers")
+		}
+		ps.For("t").Spend(1)
+		gone.Store(true)
+		time.Sleep(20 * time.Second)
+		bounded, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
+		defer cancel()
+		if ok, _ := ps.Keep(bounded, "t", 1); !ok {
+			t.Error("the unit held here was given up while there was no core")
+		}
+		begun := time.Now()
+		if ok, _ := ps.Keep(bounded, "t", 1); ok || time.Since(begun) > 100*time.Millisecond {
+			t.Errorf("%v after %s, a refusal within 100ms expected", ok, time.Since(begun))
+		}
+	})
+}
--- a/internal/share/purses.go
+++ b/internal/share/purses.go
@@ -19,6 +19,7 @@
 	Short func() []string // tenants whose idle units are wanted back
 	Rules func() []Rule   // the quotas of the layout in force
 	Live  func() bool     // the core is heard
+	Fresh func() bool     // the core has answered just now; nil: as Live
 
 	// Margin is added to the window before a spent unit counts as back; 0: the default.
 	Margin time.Duration
@@ -71,7 +72,7 @@
 )
 
 // Keep reserves units of a tenant's quota. Where they are short here it waits a moment for more from the
-// core; where the context has a deadline, it waits until then for a core that does not answer.
+// core; where the context has a deadline, it waits until then for a core that has just fallen silent.
 //
 //	ok, again := ps.Keep(ctx, "counter", 1)
 func (ps *Purses) Keep(ctx context.Context, tenant string, n int) (bool, time.Duration) {
@@ -90,7 +91,7 @@
 		if ok {
 			return true, 0
 		}
-		if expired && !(bounded && p.Busy()) || ctx.Err() != nil {
+		if expired && !(bounded && p.Busy() && ps.ways.Live()) || ctx.Err() != nil {
 			return false, again
 		}
 		if timer == nil {
@@ -175,12 +176,22 @@
 		if ps.draw(t, p) {
 			continue
 		}
+		if !ps.fresh() {
+			continue // units given now would be lost here, and no core could hand them on
+		}
 		if turn, n, ok := p.Spare(short[t], ps.ways.Nodes()); ok {
 			go ps.carry(t, p, turn, n, true)
 		}
 	}
 }
 
+func (ps *Purses) fresh() bool {
+	if ps.ways.Fresh == nil {
+		return ps.ways.Live()
+	}
+	return ps.ways.Fresh()
+}
+
 // carry repeats one turn until the core has answered it: a lost answer changes nothing.
 func (ps *Purses) carry(t string, p *Purse, turn uint64, n int, give bool) {
 	for {
