--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -25,8 +25,8 @@
 	return b
 }
 
-// session is a request of a session whose shared prompt has 5000 tokens.
-func session(key uint64) Request {
+// sessionOf is a request of a session whose shared prompt has 5000 tokens.
+func sessionOf(key uint64) Request {
 	return Request{Service: "s", Parts: []Part{{ID: key, Tokens: 5000}, {ID: key + 1<<40, Tokens: 100}}, Input: 5100, Output: 50}
 }
 
@@ -75,9 +75,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := balancerOf(readyRunners(6))
 		for key := range uint64(30) {
-			home := chosen(b, session(key+1))
+			home := chosen(b, sessionOf(key+1))
 			for turn := range 10 {
-				attempt := b.Choose(session(key + 1))
+				attempt := b.Choose(sessionOf(key + 1))
 				if id := attempt.Runner().Info().ID; id != home {
 					t.Fatalf("session %d: turn %d goes to %s, the ones before went to %s", key, turn, id, home)
 				}
@@ -92,19 +92,19 @@
 func TestSessionLeavesForALongWaitOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := balancerOf(readyRunners(6))
-		home := chosen(b, session(1))
+		home := chosen(b, sessionOf(1))
 		measuredWait(b, home, 30*time.Millisecond)
-		if id := chosen(b, session(1)); id != home {
+		if id := chosen(b, sessionOf(1)); id != home {
 			t.Errorf("a wait of 30 ms moves the session from %s to %s", home, id)
 		}
 		measuredWait(b, home, 1200*time.Millisecond)
-		second := chosen(b, session(1))
+		second := chosen(b, sessionOf(1))
 		if second == home {
 			t.Errorf("the session stays at %s, where requests wait 1.2 s", home)
 		}
 		time.Sleep(10 * time.Second)
 		for range 10 {
-			if id := chosen(b, session(1)); id != home && id != second {
+			if id := chosen(b, sessionOf(1)); id != home && id != second {
 				t.Errorf("the wait is over, but the session goes to %s, not to %s or %s", id, home, second)
 			}
 		}
@@ -121,7 +121,7 @@
 	for key := range uint64(200) {
 		one, other := balancerOf(list), New("west")
 		other.Update(reversed)
-		if a, b := chosen(one, session(key+1)), chosen(other, session(key+1)); a != b {
+		if a, b := chosen(one, sessionOf(key+1)), chosen(other, sessionOf(key+1)); a != b {
 			t.Fatalf("session %d goes to %s from one router and to %s from another", key, a, b)
 		}
 	}
@@ -133,14 +133,14 @@
 		spread := map[string]bool{}
 		for key := range uint64(20) {
 			one, other := balancerOf(readyRunners(6)), balancerOf(readyRunners(6))
-			home := chosen(one, session(key+1))
+			home := chosen(one, sessionOf(key+1))
 			for _, b := range []*Balancer{one, other} {
 				for range 6 { // prompts that the runner has not begun to answer
 					sendTo(b, home, Request{Service: "s", Input: 20000})
 				}
 			}
-			second := chosen(one, session(key+1))
-			if again := chosen(other, session(key+1)); second == home || again != second {
+			second := chosen(one, sessionOf(key+1))
+			if again := chosen(other, sessionOf(key+1)); second == home || again != second {
 				t.Fatalf("session %d leaves %s for %s at one router, for %s at another", key, home, second, again)
 			}
 			spread[second] = true
@@ -286,7 +286,7 @@
 	few, many := readyRunners(6), readyRunners(7)
 	moved := 0
 	for key := range uint64(300) {
-		before, after := chosen(balancerOf(few), session(key+1)), chosen(balancerOf(many), session(key+1))
+		before, after := chosen(balancerOf(few), sessionOf(key+1)), chosen(balancerOf(many), sessionOf(key+1))
 		if before != after {
 			moved++
 			if after != "life-6" {
@@ -322,7 +322,7 @@
 	for worker := range 8 {
 		all.Go(func() {
 			for i := range 200 {
-				attempt := b.Choose(session(uint64(worker*200+i)%17 + 1))
+				attempt := b.Choose(sessionOf(uint64(worker*200+i)%17 + 1))
 				if attempt == nil {
 					continue
 				}
