--- a/internal/router/sessions_test.go
+++ b/internal/router/sessions_test.go
@@ -38,7 +38,7 @@
 
 // start starts a router's news; one of the same name is replaced.
 func (f *newsFleet) start(name string) *sessionNews {
-	ctx := env.Ctx{Context: f.Context(), Name: name, Hall: "east", Born: uint64(len(f.routers) + 1), Log: slog.New(slog.DiscardHandler)}
+	ctx := env.Ctx{Context: f.Context(), Name: name, Zone: "east", Born: uint64(len(f.routers) + 1), Log: slog.New(slog.DiscardHandler)}
 	balancer := balance.New("east")
 	s := &sessionNews{ctx: ctx, balancer: balancer, directory: balancer.Sessions, nodes: f.nodes, call: f.call, core: f.core}
 	s.spread = func(tell relay.Tell) {
