--- a/internal/router/sessions.go
+++ b/internal/router/sessions.go
@@ -44,9 +44,7 @@
 	sure      func(context.Context, []relay.Rec) bool // hands records to all routers directly
 	nodes     func() []core.Node
 	call      func(ctx context.Context, addr, kind string, in msgp.Marshaler, out msgp.Unmarshaler) error
-
-	core  func(ctx context.Context, kind string, in msgp.Marshaler, out msgp.Unmarshaler, again bool) error
-	begun time.Time
+	core      func(ctx context.Context, kind string, in msgp.Marshaler, out msgp.Unmarshaler, again bool) error
 
 	turn    uint64 // of the last record
 	asked   int    // routers, for what they know
--- /dev/null
+++ b/internal/session/memory_bench_test.go
@@ -0,0 +1,56 @@
+package session
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkMemory tells how many bytes a router keeps for each entry with two holders, and how many an entry
+// takes on the wire.
+//
+//	go test ./internal/session -run XXX -bench Memory -benchtime 1x
+func BenchmarkMemory(b *testing.B) {
+	const entries = 1 << 15
+	runners := make([]string, 20)
+	for i := range runners {
+		runners[i] = fmt.Sprintf("i-%010x", i*7919)
+	}
+	for b.Loop() {
+		before := heap()
+		d := New(entries)
+		for i := range uint64(entries) {
+			d.Hold(i*0x9e3779b97f4a7c15, runners[i%20], runners[(i+1)%20])
+		}
+		for len(d.Take()) > 0 {
+		}
+		b.ReportMetric(float64(heap()-before)/entries, "B/entry")
+		raw, err := Pack(d.Newest(1000)).MarshalMsg(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(raw))/1000, "B/entry-on-wire")
+		runtime.KeepAlive(d)
+	}
+}
+
+// BenchmarkLookup is what each choice of a runner costs at the directory.
+func BenchmarkLookup(b *testing.B) {
+	d := New(1 << 15)
+	for i := range uint64(1 << 15) {
+		d.Hold(i, "a", "b")
+	}
+	session := uint64(0)
+	for b.Loop() {
+		session = (session + 7919) % (1 << 16)
+		d.Lookup(session)
+	}
+}
+
+// heap is how many bytes live objects take.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
