Session directory: versions are counted, no clock decides

Cause: versions came from the time of day, which jumps on machines; TestOnlyMonotonicTime was red. An entry's age is now this router's own. With counted versions a second fault showed (TestRoutersConverge): a router that passed over a newer entry for the sake of its own, untold one, and then dropped its own for an older same word, lost the newer one. It now remembers what it passed over.

--- a/internal/balance/session.go
+++ b/internal/balance/session.go
@@ -87,9 +87,7 @@
 // takePlace puts a runner into a session's entry that names others.
 func (b *Balancer) takePlace(id string, entry session.Entry) {
 	ready := b.readyOf(entry.Holders)
-	// A version may be somewhat ahead of our clock. One far ahead comes from a clock that was wrong.
-	age := time.Since(time.UnixMilli(int64(entry.Version))).Abs()
-	if len(ready) == session.HoldersMost && age < settle {
+	if len(ready) == session.HoldersMost && b.Sessions.Age(entry.Session) < settle {
 		return
 	}
 	b.Sessions.Hold(entry.Session, append([]string{id}, ready...)...)
--- a/internal/router/sessions_test.go
+++ b/internal/router/sessions_test.go
@@ -201,7 +201,8 @@
 	if s.fetched.Load() {
 		t.Error("another router that has fetched nothing is taken for one that knows")
 	}
-	s.servable.Store(time.Now().Add(-sessionAwait).UnixNano())
+	past := time.Now().Add(-sessionAwait)
+	s.servable.Store(&past)
 	if s.awaited() {
 		t.Error("requests wait still")
 	}
--- a/internal/session/directory.go
+++ b/internal/session/directory.go
@@ -22,7 +22,7 @@
 // Entry says which runners hold a session's context.
 type Entry struct {
 	Session uint64
-	Version uint64
+	Version uint64   // counted up by whoever changes it: no clock decides which entry is the newer
 	Holders []string // ids of runners, the newest holder first
 }
 
@@ -42,9 +42,11 @@
 
 	mu      sync.Mutex
 	entries map[uint64]*list.Element
-	recent  *list.List        // of Entry, the one used last in front
-	pending map[uint64]uint64 // sessions whose entry is still to be told, with the version told last
-	queue   []uint64          // the same in the order in which they came, and some that are told already
+	recent  *list.List           // of Entry, the one used last in front
+	pending map[uint64]uint64    // sessions whose entry is still to be told, with the version told last
+	queue   []uint64             // the same in the order in which they came, and some that are told already
+	changed map[uint64]time.Time // when an entry came to stand here
+	highest uint64               // version seen so far, of any session
 	gone    map[string]struct{}
 	goneIDs []string // the same, the oldest first
 	changes uint64
@@ -53,7 +55,7 @@
 // New makes an empty directory of at most so many sessions; the one used longest ago is dropped.
 func New(most int) *Directory {
 	return &Directory{most: most, now: time.Now, entries: map[uint64]*list.Element{}, recent: list.New(),
-		pending: map[uint64]uint64{}, gone: map[string]struct{}{}}
+		pending: map[uint64]uint64{}, changed: map[uint64]time.Time{}, gone: map[string]struct{}{}}
 }
 
 // Lookup gives the entry of a session. Its holders must not be changed.
@@ -68,6 +70,13 @@
 	return element.Value.(Entry), true
 }
 
+// Age is how long ago a session's entry came to stand in this router's copy.
+func (d *Directory) Age(session uint64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now().Sub(d.changed[session])
+}
+
 // Len counts the sessions that have an entry.
 func (d *Directory) Len() int {
 	d.mu.Lock()
@@ -91,13 +100,13 @@
 	if len(holders) == 0 {
 		return
 	}
-	version, told := uint64(max(0, d.now().UnixMilli())), uint64(0)
+	version, told := d.highest+1, uint64(0)
 	if element := d.entries[session]; element != nil {
 		known := element.Value.(Entry)
 		if slices.Equal(known.Holders, holders) {
 			return
 		}
-		version, told = max(version, known.Version+1), known.Version
+		told = known.Version
 	}
 	d.put(Entry{Session: session, Version: version, Holders: holders})
 	if _, waits := d.pending[session]; !waits {
@@ -128,9 +137,13 @@
 	if element := d.entries[entry.Session]; element != nil {
 		known := element.Value.(Entry)
 		told, waits := d.pending[entry.Session]
-		// Where another router has told the same before us, its entry does for ours.
+		// Where another router has told the same before us, its entry does for ours: unless we have passed
+		// over a newer one for the sake of ours.
 		sameWord := waits && entry.Version > told && slices.Equal(known.Holders, entry.Holders)
 		if !sameWord && !newer(entry, known) {
+			if waits {
+				d.pending[entry.Session] = max(told, entry.Version)
+			}
 			return false
 		}
 	}
@@ -142,6 +155,8 @@
 // put stores an entry and drops the one used longest ago where there are too many. The caller holds the lock.
 func (d *Directory) put(entry Entry) {
 	d.changes++
+	d.highest = max(d.highest, entry.Version)
+	d.changed[entry.Session] = d.now()
 	if element := d.entries[entry.Session]; element != nil {
 		element.Value = entry
 		d.recent.MoveToFront(element)
@@ -157,6 +172,7 @@
 	d.changes++
 	session := element.Value.(Entry).Session
 	delete(d.entries, session)
+	delete(d.changed, session)
 	delete(d.pending, session)
 	d.recent.Remove(element)
 }
