--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -152,6 +152,8 @@
 		switch {
 		case c.runner == expected, context.holds(c.id):
 			kept = max(kept, shared)
+		case c.runner == first:
+			again *= homeward
 		case c.runner == second:
 			again *= secondChoice
 		}
@@ -202,7 +204,7 @@
 	if !r.fits(model) {
 		return false, false
 	}
-	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.fleetFails >= fleetBarred ||
+	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.failingElsewhere(now) >= fleetBarred ||
 		r.failures > 0 && len(r.open) > 0 // after its failure one request tries whether it serves again
 	return true, barred
 }
@@ -231,6 +233,7 @@
 	decodeCostMs   = 1.5      // for each stream under way there
 	lastResortMs   = 100000.0 // of a runner that failed lately, is silent or on trial
 	secondChoice   = 0.9      // of readAgainMs at the second choice: all routers leave a full runner for the same one
+	homeward       = 0.5      // of readAgainMs at the first choice of a session that others hold: under load it comes home
 	requestCostMs  = 4.0      // for each whole answer under way on an ordinary service
 	warmupCostPart = 0.6
 	// longGapWeight is what a millisecond between events costs where more comes out than goes in: such an
@@ -247,7 +250,7 @@
 // milliseconds. The caller holds the lock.
 func (r *Runner) waitCost(request Request, zone string, now time.Time) float64 {
 	cost := r.fadedWait(now) + float64(r.promptOpen)/r.rate()
-	cost += max(r.fadedFailures(now), r.fleetFails) * failureCostMs
+	cost += max(r.fadedFailures(now), r.failingElsewhere(now)) * failureCostMs
 	if request.Input > 0 || r.promptOpen > 0 {
 		cost += decodeCostMs * float64(len(r.open))
 	} else {
--- a/internal/share/grown_test.go
+++ b/internal/share/grown_test.go
@@ -76,24 +76,25 @@
 			t.Errorf("%d moves before any request", n)
 		}
 		random := rand.New(rand.NewPCG(1, 2))
-		asked, refused := 0, 0
+		asked := 0
+		var refused atomic.Int64
 		var all sync.WaitGroup
 		for range 400 { // four a second: half of the quota
 			asked++
+			ps := c.purses[random.IntN(holders)]
 			all.Go(func() {
-				ps := c.purses[random.IntN(holders)]
 				if ok, _ := ps.Keep(ctx, "t", 1); ok {
 					ps.For("t").Spend(1)
 				} else {
-					refused++
+					refused.Add(1)
 				}
 			})
 			time.Sleep(250 * time.Millisecond)
 		}
 		all.Wait()
-		t.Logf("%d of %d requests refused within the quota, %d moves", refused, asked, c.moves.Load())
-		if refused > asked/50 {
-			t.Errorf("%d of %d requests refused within the quota", refused, asked)
+		t.Logf("%d of %d requests refused within the quota, %d moves", refused.Load(), asked, c.moves.Load())
+		if refused.Load() > int64(asked/50) {
+			t.Errorf("%d of %d requests refused within the quota", refused.Load(), asked)
 		}
 	})
 }
@@ -222,3 +223,43 @@
 		})
 	})
 }
+
+// Without a core no idle units are given back: they go on serving here, and a request that finds none is
+// refused soon once the core has been silent for long.
+func TestUnitsStayWithoutACore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer time.Sleep(10 * time.Second)
+		defer end()
+		var gone atomic.Bool
+		ps := NewPurses(env.Ctx{Context: ctx}, Ways{
+			Move: func(ctx context.Context, _ string, _ uint64, n int, _ bool) (int, int, error) {
+				if gone.Load() {
+					<-ctx.Done()
+					return 0, 0, ctx.Err()
+				}
+				return n, 40, nil
+			},
+			Nodes: func() int { return 60 }, Short: func() []string { return []string{"t"} },
+			Rules: func() []Rule { return []Rule{{"t", 40, time.Second}} },
+			Live:  func() bool { return !gone.Load() }})
+		go ps.Run()
+		time.Sleep(time.Second)
+		if ok, _ := ps.Keep(ctx, "t", 1); !ok {
+			t.Fatal("no unit drawn from a core that answers")
+		}
+		ps.For("t").Spend(1)
+		gone.Store(true)
+		time.Sleep(20 * time.Second)
+		bounded, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
+		defer cancel()
+		if ok, _ := ps.Keep(bounded, "t", 1); !ok {
+			t.Error("the unit held here was given up while there was no core")
+		}
+		begun := time.Now()
+		if ok, _ := ps.Keep(bounded, "t", 1); ok || time.Since(begun) > 100*time.Millisecond {
+			t.Errorf("%v after %s, a refusal within 100ms expected", ok, time.Since(begun))
+		}
+	})
+}
