Only runners that were added are compared with a session's holder

Cause: Rehome worked out each remembered session's home over all runners: with 100 runners 1.6 M hashes for each one added. Now one hash for each session and added runner: measured by BenchmarkRehome.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,7 @@
 	// Sessions tells which runners hold sessions' contexts beside their home; the routers share it.
 	Sessions *session.Directory
 	recent   *recentSessions
-	added    atomic.Bool   // a runner has become ready since the last Rehome
+	added    []*Runner     // that have become ready since the last Rehome; guarded by mu
 	wake     chan struct{} // has one where one was added
 
 	mu        sync.Mutex // over changes of the set
@@ -78,7 +79,7 @@
 		runner.mu.Lock()
 		if info.State == routing.RunnerReady && (runner.since == now || runner.info.State != routing.RunnerReady ||
 			len(info.Models) > len(runner.info.Models)) {
-			b.noteAdded()
+			b.noteAdded(runner)
 		}
 		runner.info = info
 		runner.mu.Unlock()
@@ -201,7 +202,7 @@
 	if r.info.State != routing.RunnerReady && r.info.State != routing.RunnerSilent {
 		return false, false
 	}
-	if !r.fits(model) {
+	if !servesModel(&r.info, model) {
 		return false, false
 	}
 	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.fleetFails >= fleetBarred ||
@@ -209,18 +210,9 @@
 	return true, barred
 }
 
-// fits tells whether the runner serves the model; "": any. The caller holds the lock.
-func (r *Runner) fits(model string) bool {
-	return model == "" || len(r.info.Models) == 0 || r.serves(model)
-}
-
-func (r *Runner) serves(model string) bool {
-	for _, m := range r.info.Models {
-		if m.Name == model {
-			return true
-		}
-	}
-	return false
+// servesModel tells whether a runner serves the model; "": any.
+func servesModel(info *routing.Runner, model string) bool {
+	return model == "" || len(info.Models) == 0 || slices.ContainsFunc(info.Models, func(m routing.RunnerModel) bool { return m.Name == model })
 }
 
 // Weights of what the cost adds up, in milliseconds.
--- a/internal/balance/session.go
+++ b/internal/balance/session.go
@@ -111,8 +111,9 @@
 // Added gives a signal when a runner has become ready: it is time for Rehome.
 func (b *Balancer) Added() <-chan struct{} { return b.wake }
 
-func (b *Balancer) noteAdded() {
-	b.added.Store(true)
+// noteAdded notes a runner that has become ready. The caller holds the lock.
+func (b *Balancer) noteAdded(runner *Runner) {
+	b.added = append(b.added, runner)
 	select {
 	case b.wake <- struct{}{}:
 	default:
@@ -120,26 +121,50 @@
 }
 
 // Rehome looks, after runners were added, for sessions that this router served at their home and whose home
-// is another one now: their old runner becomes an announced holder. It is called now and then; where no runner
+// is one of those now: their old runner becomes an announced holder. It is called now and then; where no runner
 // was added it does nothing.
 func (b *Balancer) Rehome() {
-	if !b.added.Swap(false) {
+	added := b.takeAdded()
+	if len(added) == 0 {
 		return
 	}
 	for _, remembered := range b.recent.all() {
-		id := remembered.id
-		if _, known := b.Sessions.Lookup(id); known || len(b.readyOf([]string{remembered.holder})) == 0 {
-			b.recent.forget(id)
+		if !remembered.moves(added) {
 			continue
 		}
-		home := b.home(remembered.service, remembered.model, remembered.key)
-		if home != "" && home != remembered.holder {
-			b.Sessions.Hold(id, remembered.holder)
-			b.recent.forget(id)
+		if _, known := b.Sessions.Lookup(remembered.id); !known && len(b.readyOf([]string{remembered.holder})) > 0 {
+			b.Sessions.Hold(remembered.id, remembered.holder)
 		}
+		b.recent.forget(remembered.id)
 	}
 }
 
+// takeAdded gives the runners that have become ready since the last call.
+func (b *Balancer) takeAdded() []routing.Runner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []routing.Runner
+	for _, runner := range b.added {
+		if info := runner.Info(); info.State == routing.RunnerReady {
+			out = append(out, info)
+		}
+	}
+	b.added = nil
+	return out
+}
+
+// moves tells whether one of the added runners is the session's home rather than its holder.
+func (s *recentSession) moves(added []routing.Runner) bool {
+	weight := weightOf(s.key, s.holder)
+	for i := range added {
+		runner := &added[i]
+		if runner.ID != s.holder && runner.Service == s.service && servesModel(runner, s.model) && weightOf(s.key, runner.ID) > weight {
+			return true
+		}
+	}
+	return false
+}
+
 // home is the ready runner with the highest weight for a key, whatever this router thinks of its condition:
 // all routers with the same list of runners work out the same one.
 func (b *Balancer) home(service, model string, key uint64) string {
@@ -147,7 +172,7 @@
 	var bestWeight uint64
 	for _, runner := range b.Runners(service) {
 		runner.mu.Lock()
-		id, fits := runner.info.ID, runner.info.State == routing.RunnerReady && runner.fits(model)
+		id, fits := runner.info.ID, runner.info.State == routing.RunnerReady && servesModel(&runner.info, model)
 		runner.mu.Unlock()
 		if !fits {
 			continue
--- /dev/null
+++ b/internal/balance/session_bench_test.go
@@ -0,0 +1,27 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"yarrowridge/internal/routing"
+)
+
+// BenchmarkRehome is what a router with as many sessions as it remembers does when a hundredth runner is added.
+func BenchmarkRehome(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		balancer, runners := New("east"), []routing.Runner{}
+		for i := range 100 {
+			runners = append(runners, routing.Runner{ID: fmt.Sprint("runner ", i), Service: "s", State: routing.RunnerReady})
+		}
+		balancer.Update(runners[:99])
+		balancer.Rehome()
+		for number := range recentMost {
+			ask(balancer, sessionRequest(number))
+		}
+		balancer.Update(runners)
+		b.StartTimer()
+		balancer.Rehome()
+	}
+}
