--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -84,7 +84,7 @@
 	g.sessions = newSessionNews(g)
 	g.Hub.Own("session", g.sessions.hand)
 	g.Purses = share.NewPurses(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, g.Hub).move, Nodes: func() int { return len(g.Hub.Nodes()) },
-		Short: g.Hub.Short, Rules: g.rules, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
+		Short: g.Hub.Short, Rules: g.rules, Fresh: g.Hub.Fresh, Live: func() bool { return !g.Hub.Stale() }, Margin: quotaMargin})
 	g.Front = gateway.New(gateway.Options{Dialect: settings.Dialect, Table: g.table.Load, Ready: g.canServe, Balancer: g.Balancer,
 		Pool: g.Pool, Quotas: quotas{g.Purses}, Retries: settings.Retries, Part: g.part, Log: ctx.Part("gateway").Log})
 	return g
--- a/internal/router/sessions.go
+++ b/internal/router/sessions.go
@@ -49,8 +49,8 @@
 	turn    uint64 // of the last record
 	asked   int    // routers, for what they know
 	fetched atomic.Bool
-	// servable is when requests could be served first but for the directory; 0: not yet.
-	servable atomic.Int64
+	// servable is when requests could be served first but for the directory; nil: not yet.
+	servable atomic.Pointer[time.Time]
 
 	kept   uint64    // changes of the directory that the core has
 	keptAt time.Time // when it was last told
@@ -174,9 +174,9 @@
 	if s.fetched.Load() {
 		return false
 	}
-	now := time.Now().UnixNano()
-	s.servable.CompareAndSwap(0, now)
-	return time.Duration(now-s.servable.Load()) < sessionAwait
+	now := time.Now()
+	s.servable.CompareAndSwap(nil, &now)
+	return time.Since(*s.servable.Load()) < sessionAwait
 }
 
 // fetchFromRouter tells whether a router has answered that has fetched the directory itself.
