--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -173,6 +173,18 @@
 	return digest == beat.RunnersDigest
 }
 
+// Known gives what stands of a runner; without an ID where nothing does.
+//
+//	runner := registry.Known("i-7f3a")
+func (r *RunnerRegistry) Known(id string) routing.Runner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.runners[id]; known != nil {
+		return known.runner
+	}
+	return routing.Runner{}
+}
+
 // List names all known runners, sorted by ID.
 //
 //	for _, runner := range registry.List(time.Now()) { ... }
@@ -203,7 +215,8 @@
 		return nil, wire.Fault{Code: BadRunner}
 	}
 	told := s.runners.Heartbeat(in.Runner, time.Now())
-	if err := s.keepRunner(ctx, in.Runner); err != nil {
+	// A late heartbeat says what is no longer so: kept is what stands.
+	if err := s.keepRunner(ctx, s.runners.Known(in.Runner.ID)); err != nil {
 		return nil, err
 	}
 	if told != nil {
--- a/internal/core/runnerstore.go
+++ b/internal/core/runnerstore.go
@@ -14,6 +14,9 @@
 // keepRunner keeps a runner whose news differs from what the disk has. That one is leaving is kept before it
 // is acknowledged: a primary that takes over must not send routers to it again. That one has come can wait.
 func (s *Server) keepRunner(ctx context.Context, runner routing.Runner) error {
+	if runner.ID == "" || runner.State == routing.RunnerSilent {
+		return nil
+	}
 	if stored, ok := s.storedRunner(runner.ID); ok == (runner.State != routing.RunnerGone) && (!ok || stored.SaysSame(runner)) {
 		return nil
 	}
--- /dev/null
+++ b/internal/core/runnerstore_test.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowridge/internal/routing"
+	"yarrowridge/internal/store"
+)
+
+// keepingServer is a server whose operations are committed by the test.
+func keepingServer(t *testing.T) (*Server, func()) {
+	s, st := quotaServer(t)
+	s.box = make(chan *job, 16)
+	s.runners = NewRunnerRegistry(4*time.Second, func(routing.Runner) <-chan struct{} { return nil })
+	s.runners.Begin(1, time.Now(), time.Now(), nil)
+	return s, func() {
+		t.Helper()
+		tx := &Tx{st: st, over: map[string]*store.Put{}}
+		for len(s.box) > 0 {
+			if err := (<-s.box).do(tx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(tx.puts) == 0 {
+			return
+		}
+		if err := st.Add(store.Batch{Seq: st.Seq() + 1, Puts: tx.last()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// hear takes a heartbeat as the primary does, but for the waits.
+func hear(t *testing.T, s *Server, commit func(), state routing.RunnerState, sequence uint64) {
+	t.Helper()
+	runner := routing.Runner{ID: "a", Service: "s", Address: "10.0.0.9:80", State: state, Sequence: sequence}
+	s.runners.Heartbeat(runner, time.Now())
+	ended := make(chan error, 1)
+	s.ready = true
+	go func() { ended <- s.keepRunner(t.Context(), s.runners.Known("a")) }()
+	synctest.Wait()
+	for len(s.box) > 0 {
+		waiting := <-s.box
+		s.box <- waiting
+		commit()
+		waiting.done <- nil
+		synctest.Wait()
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What the disk has of a runner follows its newest word: a late heartbeat does not bring back one that is
+// leaving or gone, and a heartbeat that says the same again writes nothing.
+func TestStoredRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, commit := keepingServer(t)
+		stored := func() (routing.RunnerState, uint64) {
+			runner, _ := s.storedRunner("a")
+			return runner.State, s.st.Load().Seq()
+		}
+		steps := []struct {
+			state    routing.RunnerState
+			sequence uint64
+			kept     routing.RunnerState
+			writes   uint64
+		}{
+			{routing.RunnerReady, 1, routing.RunnerReady, 1},
+			{routing.RunnerReady, 2, routing.RunnerReady, 1},
+			{routing.RunnerDraining, 4, routing.RunnerDraining, 2},
+			{routing.RunnerReady, 3, routing.RunnerDraining, 2},
+			{routing.RunnerGone, 9, "", 3},
+			{routing.RunnerReady, 5, "", 3},
+		}
+		for i, step := range steps {
+			hear(t, s, commit, step.state, step.sequence)
+			if state, writes := stored(); state != step.kept || writes != step.writes {
+				t.Errorf("step %d: the disk has %q after %d writes, %q after %d expected", i, state, writes, step.kept, step.writes)
+			}
+		}
+		if list := s.storedRunners(); len(list) != 0 {
+			t.Errorf("stored: %v", list)
+		}
+	})
+}
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -5,6 +5,7 @@
 
 	"yarrowridge/internal/allow"
 	"yarrowridge/internal/layout"
+	"yarrowridge/internal/routing"
 )
 
 // The free output allowance on the gateway. Its clients know no funds: a tenant counts as unfunded while its
@@ -43,10 +44,8 @@
 	if r.funded() {
 		return nil
 	}
-	aim := r.route.TargetLatency
-	rule := layout.Allowance{Ceiling: ceiling, Floor: ceiling / allowanceFloorPart, Full: aim, Low: allowanceLowWaits * aim, Rate: assumedRate}
 	feeds := r.gateway.Balancer.Feeds(r.service.Name, r.meta.Model)
-	verdict := allow.Decide(rule, allow.Demand{Tokens: r.meta.OutputTokens}, feeds, 0)
+	verdict := allow.Decide(allowanceRule(&r.route.RouteSpec, ceiling), allow.Demand{Tokens: r.meta.OutputTokens}, feeds, 0)
 	switch verdict.Outcome {
 	case allow.NoFunds:
 		return refuseAllowance
@@ -56,6 +55,12 @@
 	return nil
 }
 
+// allowanceRule gives the allowance's figures of a route, of which ceiling tokens at most were asked for.
+func allowanceRule(route *routing.RouteSpec, ceiling int) layout.Allowance {
+	return layout.Allowance{Ceiling: ceiling, Floor: ceiling / allowanceFloorPart, Full: route.TargetLatency,
+		Low: allowanceLowWaits * route.TargetLatency, Rate: assumedRate}
+}
+
 // funded tells whether the tenant's quota is not nearly spent.
 func (r *request) funded() bool {
 	return r.tenant == nil || r.tenant.Rate <= 0 || !r.gateway.Quotas.Scarce(r.tenant.Name)
