--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -269,14 +269,10 @@
 	if len(parts) == 0 {
 		return 0, 0
 	}
-	last := len(parts) - 1
-	for i := 0; i <= last; i++ {
-		if i < last || last == 0 {
-			shared += parts[i].Tokens
-		}
-		if i < last || last == 0 {
-			key = parts[i].ID
-		}
+	// The last part is the request's own, unless there is no other.
+	for _, part := range parts[:max(1, len(parts)-1)] {
+		shared += part.Tokens
+		key = part.ID
 	}
 	return key, shared
 }
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -16,7 +16,6 @@
 	sampleWeight = 0.3                    // weight of a new sample in a moving average
 	firstRate    = 100.0                  // prompt tokens a millisecond, until it was measured
 	silenceFloor = 400 * time.Millisecond // a runner is never called silent sooner
-	connectGrace = 120 * time.Millisecond // what a refused connection costs in the estimate
 )
 
 // Runner is one life of one runner with what this router has seen of it.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -121,15 +121,24 @@
 	return x
 }
 
-func (r *request) authenticate() error {
-	if r.route.Public || len(r.table.Tenants) == 0 {
-		return nil
+// payer finds the tenant that a request with a key belongs to on a route. Nil: none is needed.
+func payer(table *routing.Table, route *routing.Route, key string) (tenant *routing.Tenant, known bool) {
+	if route.Public || len(table.Tenants) == 0 {
+		return nil, true
+	}
+	index, known := table.TenantOf(key)
+	if !known {
+		return nil, false
 	}
-	index, known := r.table.TenantOf(r.meta.Key)
+	return &table.Tenants[index], true
+}
+
+func (r *request) authenticate() error {
+	tenant, known := payer(r.table, r.route, r.meta.Key)
 	if !known {
 		return refuseKey
 	}
-	r.tenant = &r.table.Tenants[index]
+	r.tenant = tenant
 	return nil
 }
 
@@ -300,13 +309,9 @@
 	if route == nil || route.Kind != r.route.Kind {
 		return r.withdrawn(refuseNoRoute)
 	}
-	var tenant *routing.Tenant
-	if !route.Public && len(table.Tenants) > 0 {
-		index, known := table.TenantOf(r.meta.Key)
-		if !known || r.tenant != nil && table.Tenants[index].Name != r.tenant.Name {
-			return r.withdrawn(refuseKey)
-		}
-		tenant = &table.Tenants[index]
+	tenant, known := payer(table, route, r.meta.Key)
+	if !known || tenant != nil && r.tenant != nil && tenant.Name != r.tenant.Name {
+		return r.withdrawn(refuseKey)
 	}
 	if (tenant == nil) != (r.tenant == nil) {
 		return r.withdrawn(refuseNotReady)
