--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -12,6 +12,7 @@
 
 	"yarrowridge/internal/routing"
 	"yarrowridge/internal/session"
+	"yarrowridge/internal/spread"
 )
 
 // Part is one part of a prompt: parts with one id are the same text.
@@ -311,11 +312,7 @@
 	}
 	hash.Write(word[:])
 	hash.Write([]byte(id))
-	x := hash.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+	return spread.Mix(hash.Sum64())
 }
 
 func fade(value float64, age, half time.Duration) float64 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"yarrowridge/internal/balance"
 	"yarrowridge/internal/retry"
 	"yarrowridge/internal/routing"
+	"yarrowridge/internal/spread"
 )
 
 // request is one request on its way.
@@ -100,7 +101,7 @@
 	if r.route == nil {
 		return refuseNoRoute
 	}
-	r.service = &r.table.Services[r.route.Pick(spread(meta.AttemptID))]
+	r.service = &r.table.Services[r.route.Pick(spreadID(meta.AttemptID))]
 	r.journey.repeatable = r.route.Repeatable()
 	wait := r.route.Timeout
 	if meta.Deadline > 0 {
@@ -110,15 +111,11 @@
 	return nil
 }
 
-// spread turns an id into a number that is spread evenly.
-func spread(id string) uint64 {
+// spreadID turns an id into a number that is spread evenly.
+func spreadID(id string) uint64 {
 	hash := fnv.New64a()
 	hash.Write([]byte(id))
-	x := hash.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+	return spread.Mix(hash.Sum64())
 }
 
 // payer finds the tenant that a request with a key belongs to on a route. Nil: none is needed.
@@ -316,7 +313,7 @@
 	if (tenant == nil) != (r.tenant == nil) {
 		return r.withdrawn(refuseNotReady)
 	}
-	service := &table.Services[route.Pick(spread(r.meta.AttemptID))]
+	service := &table.Services[route.Pick(spreadID(r.meta.AttemptID))]
 	for _, part := range route.Split {
 		if name := table.Services[part.Service].Name; name == r.service.Name && part.Weight > 0 {
 			service = &table.Services[part.Service]
--- a/internal/place/prefix.go
+++ b/internal/place/prefix.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"hash/fnv"
 	"sync"
+
+	"yarrowridge/internal/spread"
 )
 
 // BlockSize is how many bytes of a prompt share one hash.
@@ -130,9 +132,5 @@
 	binary.LittleEndian.PutUint64(b[:], key)
 	hash.Write(b[:])
 	hash.Write([]byte(addr))
-	x := hash.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+	return spread.Mix(hash.Sum64())
 }
