--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -55,7 +56,8 @@
 	}
 }
 
-// takeSnapshot takes one part of the primary's whole state, and with the last one replaces ours by it.
+// takeSnapshot takes one part of the primary's whole state, and with the last one replaces ours by it. A snapshot that was
+// begun before the newest one known here was long under way: writes may have been acknowledged since, and must stay.
 func (s *Server) takeSnapshot(request *SnapshotRequest) (*ReplicateResponse, error) {
 	s.storeGate.Lock()
 	defer s.storeGate.Unlock()
@@ -64,9 +66,9 @@
 	}
 	s.mu.Lock()
 	incoming := s.incoming
-	if request.Part == 0 {
-		incoming = &incomingSnapshot{epoch: request.View.Epoch, snapshot: request.Snapshot}
-		s.incoming = incoming
+	if number := numberOf(request); request.Part == 0 && (s.lastSnapshot.before(number) || strike.Out("late-snapshot")) {
+		incoming = &incomingSnapshot{number: number}
+		s.incoming, s.lastSnapshot = incoming, number
 	}
 	s.mu.Unlock()
 	if incoming == nil || !incoming.expects(request) {
@@ -87,7 +89,12 @@
 	return &ReplicateResponse{Id: s.voter.Id()}, nil
 }
 
+// numberOf is the number of the snapshot that a part belongs to.
+func numberOf(request *SnapshotRequest) snapshotNumber {
+	return snapshotNumber{epoch: request.View.Epoch, snapshot: request.Snapshot}
+}
+
 // expects tells whether a part is the next one of this snapshot.
 func (i *incomingSnapshot) expects(request *SnapshotRequest) bool {
-	return i.epoch == request.View.Epoch && i.snapshot == request.Snapshot && i.part == request.Part
+	return i.number == numberOf(request) && i.part == request.Part
 }
--- /dev/null
+++ b/internal/core/replica_test.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// newBackup is a core that runs no loop, and a view in which it is the backup.
+func newBackup(t *testing.T) (*Server, view.View) {
+	t.Helper()
+	disk, err := store.OpenFolder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := env.Ctx{Context: t.Context(), Name: "backup", Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
+	s, err := Open(ctx, Settings{Addr: "10.0.0.2:1"}, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := view.View{Epoch: 3, Primary: "p", Members: []view.Member{{Id: "p", Addr: "10.0.0.1:1"}, {Id: s.voter.Id(), Addr: "10.0.0.2:1"}}}
+	return s, v.WithBackups([]string{s.voter.Id()})
+}
+
+// A snapshot whose sender gave it up arrives after the next one, and after writes that were acknowledged since: the backup
+// keeps those.
+func TestLateSnapshotIsRejected(t *testing.T) {
+	s, v := newBackup(t)
+	snapshot := func(number, version uint64) error {
+		puts := []store.Put{{Key: "version", Val: []byte{byte(version)}}}
+		_, err := s.takeSnapshot(&SnapshotRequest{View: v, Primary: "p", Snapshot: number, Version: version, Last: true, Puts: puts})
+		return err
+	}
+	if err := snapshot(2, 7); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.takeBatch(&ReplicateRequest{View: v, Primary: "p", Batch: store.Batch{Seq: 8, Puts: []store.Put{{Key: "acknowledged", Val: []byte{1}}}}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, number := range []uint64{1, 2} {
+		if err := snapshot(number, 6); !wire.Is(err, "copy-out-of-step") {
+			t.Errorf("snapshot %d after snapshot 2 ended with %v", number, err)
+		}
+	}
+	if _, ok := s.store.Load().Get("acknowledged"); !ok || s.store.Load().Seq() != 8 {
+		t.Errorf("the backup is at version %d, acknowledged write held: %v", s.store.Load().Seq(), ok)
+	}
+	v.Epoch++
+	if err := snapshot(1, 9); err != nil {
+		t.Errorf("the first snapshot of the next epoch: %v", err)
+	}
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -81,6 +81,7 @@
 	scarceSince   map[string]time.Time // tenants whose idle units are wanted back
 	candidates    map[string]candidate // by identity
 	incoming      *incomingSnapshot    // under way; nil: none
+	lastSnapshot  snapshotNumber       // the newest one begun
 
 	registry   *RunnerRegistry
 	runnerNews runnerNews
@@ -132,10 +133,20 @@
 
 // incomingSnapshot is what we have, as backup to be, of a snapshot under way.
 type incomingSnapshot struct {
+	number snapshotNumber
+	part   int // the next one expected
+	puts   []store.Put
+}
+
+// snapshotNumber orders the snapshots that a backup is sent: an epoch is led by one run of one process, which counts them.
+type snapshotNumber struct {
 	epoch    uint64
 	snapshot uint64
-	part     int // the next one expected
-	puts     []store.Put
+}
+
+// before tells whether a snapshot was begun before another.
+func (n snapshotNumber) before(other snapshotNumber) bool {
+	return n.epoch < other.epoch || n.epoch == other.epoch && n.snapshot < other.snapshot
 }
 
 // Open reads the disk and makes a core. A disk whose state is damaged counts as blank: its
