Core: a primary that starts again, or reads its disk anew, leads in an epoch of its own

Cause, found by reading: a restarted primary led on in the epoch of its last run. Nothing but the epoch tells the runs apart, since a run's number is drawn at random. Ruled out: an order of runs kept on disk (one more synced file at each start); fencing by connection (a backup does not know which of two is the newer).

--- a/internal/core/disk.go
+++ b/internal/core/disk.go
@@ -92,6 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.diskFailed = false
-	s.epoch = 0 // leading starts over, with a fresh snapshot to the backups
+	s.epoch = 0 // leading starts over, in a new epoch and with a fresh snapshot to the backups
+	s.epochAtOpen = s.voter.View().Epoch
 	return true
 }
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -66,9 +66,13 @@
 // lead takes one step towards being a primary that may answer, or one step of its duties.
 func (s *Server) lead(v view.View, me string) {
 	primacy, ready, otherPromised, ledSince := s.leading(v)
-	if !primacy.Stands(v.IsMajority) {
+	switch {
+	case !primacy.Stands(v.IsMajority):
 		s.leadWithoutLease(v, otherPromised)
 		return
+	case !s.mayLeadEpoch(v.Epoch):
+		s.beginEpoch(v)
+		return
 	}
 	s.nextViewSearch = time.Now().Add(2 * s.settings.LeaseTerm)
 	keep := s.backupsToKeep(v, primacy, ready, ledSince)
@@ -91,6 +95,22 @@
 	s.sweep()
 }
 
+// mayLeadEpoch tells whether an epoch began in this run of the process, with the disk as it was last read. An earlier
+// one is led on by nobody: messages of the run before may still be under way, and are known by their epoch only.
+func (s *Server) mayLeadEpoch(epoch uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return epoch > s.epochAtOpen || strike.Out("resumed-epoch")
+}
+
+// beginEpoch decides the same view once more, for an epoch that is ours from its beginning.
+func (s *Server) beginEpoch(v view.View) {
+	s.setReady(false)
+	if s.attemptDue(proposePause) {
+		s.decide(v, v, false)
+	}
+}
+
 // leadWithoutLease is what a primary does while no majority grants it the lease. Where a voter has promised the next
 // epoch to another, we propose our own view for it: the promise may be of a proposer that is gone.
 func (s *Server) leadWithoutLease(v view.View, otherPromised bool) {
