Core: nobody who holds all writes leaves the view before another one does

Cause, found by reading: three steps left a view in which one disk held everything, for the time of a copy, while another machine with all acknowledged writes had already lost its right to lead. (1) A backup that took over decided a view without the old primary. (2) A primary dropped a silent backup before it had copied to the next one. (3) A member lost for long gave its place to a newcomer also where it was the backup. Now the old primary stays as a backup until the new one has copied to others; members that are new as backups get their copy first, and one decision puts them in the place of those let go; a lost member that is a backup gives its place only where there is no room beside it. A member that failed as backup is asked again after 0.5 s where there is nobody else (5 s before). Ruled out: a second set of the former holders beside the view (the same in more words); keeping the old primary as backup where others are to be had (it was just lost, or is about to stop). One decision less for each replaced backup.

--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"yarrowridge/internal/lease"
@@ -11,11 +11,12 @@
 
 // How long backups are kept or left out.
 const (
-	snapshotTimeout = 2 * time.Second  // one part of a snapshot
-	failedFor       = 5 * time.Second  // a backup that failed is not chosen again for so long
-	calmFor         = 5 * time.Second  // a primary ready for so long may look for better placed backups
-	aliveWithin     = time.Second      // a member heard within this span can be chosen
-	steadyFor       = 10 * time.Second // a better placed member must not have failed within this span
+	snapshotTimeout  = 2 * time.Second        // one part of a snapshot
+	failedFor        = 5 * time.Second        // a backup that failed is not chosen again for so long where there are others
+	retryFailedAfter = 500 * time.Millisecond // and for so long where there are none
+	calmFor          = 5 * time.Second        // a primary ready for so long may look for better placed backups
+	aliveWithin      = time.Second            // a member heard within this span can be chosen
+	steadyFor        = 10 * time.Second       // a better placed member must not have failed within this span
 )
 
 // addrsOf names where identities listen, for the log.
@@ -38,38 +39,64 @@
 	return out
 }
 
-// addBackups finds a primary its missing backups, copies everything to them, and only then puts them
-// into the view. Nothing is acknowledged in between, so the copies are whole.
-func (s *Server) addBackups(v view.View, me string, primacy *lease.Lease) bool {
-	chosen := s.chooseBackups(v, me, primacy, s.settings.backupCount(v)-len(v.Backups()))
+// settleBackups sees to it that enough backups hold all that we hold, and tells whether the view names exactly those.
+// Members that are new as backups get a full copy first; one decision then puts them in the place of those that are let
+// go. Until then the latter may still lead: they hold all that was acknowledged, so that the loss of our own disk
+// meanwhile loses nothing. Nothing is acknowledged in between, so the copies are whole.
+func (s *Server) settleBackups(v view.View, me string, primacy *lease.Lease, keep []string) bool {
+	s.setReady(false)
+	missing := s.settings.backupCount(v) - len(keep)
+	chosen := s.chooseBackups(v, me, primacy, keep, missing)
+	if len(chosen) < missing {
+		return false
+	}
 	for _, id := range chosen {
 		delete(s.copiedTo, id)
 	}
-	if chosen = s.copyAll(v, chosen); len(chosen) == 0 {
+	backups := s.copyAll(v, slices.Concat(keep, chosen))
+	if len(backups) < s.settings.backupCount(v) {
 		return false
 	}
-	return s.decide(v, v.WithBackups(append(slices.Clone(v.Backups()), chosen...)), false)
+	if sameMembers(backups, v.Backups()) {
+		return true
+	}
+	return s.decide(v, v.WithBackups(backups), false)
+}
+
+// sameMembers tells whether two lists name the same members, in whatever order.
+func sameMembers(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
 }
 
-// chooseBackups picks members that answer as new backups, zones that hold no copy yet first.
-func (s *Server) chooseBackups(v view.View, me string, primacy *lease.Lease, count int) []string {
+// chooseBackups picks members that answer as backups beside those that are kept, zones that hold no copy yet first. A
+// member that failed a while ago, and the former primary, are chosen only where there are not enough others.
+func (s *Server) chooseBackups(v view.View, me string, primacy *lease.Lease, keep []string, count int) []string {
 	used := map[string]bool{s.ctx.Zone: true}
-	for _, id := range v.Backups() {
+	for _, id := range keep {
 		used[v.ZoneOf(id)] = true
 	}
-	var free []view.Member
+	var free, lastResort []view.Member
 	for _, m := range v.Members {
-		if m.Id != me && !v.IsBackup(m.Id) && primacy.Gone(m.Id, time.Time{}) <= aliveWithin && time.Since(s.failedAt[m.Id]) >= failedFor {
+		switch {
+		case m.Id == me || slices.Contains(keep, m.Id) || primacy.Gone(m.Id, time.Time{}) > aliveWithin:
+		case m.Id != s.predecessor && !s.hasFailedWithin(m.Id, failedFor):
 			free = append(free, m)
+		case !s.hasFailedWithin(m.Id, retryFailedAfter):
+			lastResort = append(lastResort, m)
 		}
 	}
-	sort.Slice(free, func(i, j int) bool { return free[i].Id < free[j].Id })
-	return spread(free, used, count)
+	chosen := spread(free, used, count)
+	return append(chosen, spread(lastResort, used, count-len(chosen))...)
+}
+
+// hasFailedWithin tells whether a member failed as backup within the span.
+func (s *Server) hasFailedWithin(id string, span time.Duration) bool {
+	return time.Since(s.failedAt[id]) < span
 }
 
 // spread picks members, those of zones not used yet first.
 func spread(from []view.Member, used map[string]bool, count int) []string {
-	free := slices.Clone(from)
+	free := slices.SortedFunc(slices.Values(from), func(a, b view.Member) int { return strings.Compare(a.Id, b.Id) })
 	var out []string
 	for len(out) < count && len(free) > 0 {
 		best := max(0, slices.IndexFunc(free, func(m view.Member) bool { return !used[m.Zone] }))
@@ -97,7 +124,7 @@
 		used[v.ZoneOf(id)] = true
 	}
 	for _, m := range v.Members {
-		if worst != "" && !used[m.Zone] && primacy.Gone(m.Id, time.Time{}) < aliveWithin && time.Since(s.failedAt[m.Id]) > steadyFor {
+		if worst != "" && !used[m.Zone] && primacy.Gone(m.Id, time.Time{}) < aliveWithin && !s.hasFailedWithin(m.Id, steadyFor) {
 			return worst
 		}
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -162,7 +162,7 @@
 	}
 	if failed := <-replicated; len(failed) > 0 {
 		s.noteFailed(failed)
-		if !s.replaceBackups(v, failed) {
+		if !s.replaceBackups() {
 			return inDoubt
 		}
 	} else if !s.isPrimary(v) {
@@ -172,15 +172,11 @@
 	return nil
 }
 
-// replaceBackups leads on until other backups hold all, the unanswered batch included.
-func (s *Server) replaceBackups(v view.View, failed []string) bool {
+// replaceBackups leads on until backups hold all, the unanswered batch included. Those that failed are let go where
+// others can be had.
+func (s *Server) replaceBackups() bool {
 	s.setReady(false)
 	me := s.voter.Id()
-	next := v
-	for _, id := range failed {
-		next = next.WithoutBackup(id)
-	}
-	s.decide(v, next, false)
 	for deadline := time.Now().Add(replaceTimeout); time.Now().Before(deadline); {
 		current := s.voter.View()
 		if current.Primary != me || s.hasDiskFailed() {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -16,10 +16,14 @@
 	replacePause = 2 * time.Second        // to replace a backup that would stand better elsewhere
 )
 
-// withPrimary is the view in which a backup leads. The other backups stay: each holds every write
-// acknowledged so far, and the new primary acknowledges none before it has copied its state to all of them.
+// withPrimary is the view in which a backup leads. The other backups stay, and the former primary becomes one: each
+// holds every write acknowledged so far, so that one of them can lead where the new primary's disk is lost before it
+// has copied its state to anybody. It acknowledges nothing before every backup of its view has such a copy.
 func withPrimary(v view.View, id string) view.View {
 	next := v.WithoutBackup(id)
+	if v.HasMember(v.Primary) {
+		next = next.WithBackups(append(slices.Clone(next.Backups()), v.Primary))
+	}
 	next.Primary = id
 	return next
 }
@@ -47,6 +51,7 @@
 
 // watchPrimary takes over from a primary whose lease has run out.
 func (s *Server) watchPrimary(v view.View, me string) {
+	s.predecessor = v.Primary
 	if s.voter.Leased() || strike.Out("takeover") {
 		// In turns, so that two backups hinder one another rarely.
 		turn := time.Duration(slices.Index(v.Backups(), me))
@@ -76,19 +81,14 @@
 	}
 	s.nextViewSearch = time.Now().Add(2 * s.settings.LeaseTerm)
 	keep := s.backupsToKeep(v, primacy, ready, ledSince)
-	switch {
-	case len(keep) < len(v.Backups()):
-		s.setReady(false)
-		s.ctx.Log.Warn("Backups are let go.", "kept", addrsOf(v, keep), "before", addrsOf(v, v.Backups()))
-		s.decide(v, v.WithBackups(keep), false)
-		return
-	case len(keep) < s.settings.backupCount(v):
-		s.setReady(false)
-		if !s.addBackups(v, me, primacy) {
+	if !ready || len(keep) < len(v.Backups()) || len(keep) < s.settings.backupCount(v) {
+		if !s.settleBackups(v, me, primacy, keep) {
 			s.changeMembers(v, me, primacy, ledSince) // newcomers may be what is missing
+			return
+		}
+		if s.voter.View().Epoch != v.Epoch {
+			return // the next step is that of the new epoch
 		}
-		return
-	case !ready:
 		s.becomeReady(v)
 	}
 	s.changeMembers(v, me, primacy, ledSince)
@@ -121,12 +121,12 @@
 	}
 }
 
-// backupsToKeep lists the backups that respond, hold all we hold and stand where they should.
+// backupsToKeep lists the backups that respond, did not fail lately and stand where they should. A new primary keeps
+// the former one only where there is nobody else: it has just been lost, or is about to stop.
 func (s *Server) backupsToKeep(v view.View, primacy *lease.Lease, ready bool, ledSince time.Time) []string {
-	keep := s.respondingBackups(v, primacy, ledSince)
-	if !ready && len(keep) == len(v.Backups()) {
-		keep = s.copyAll(v, keep)
-	}
+	keep := slices.DeleteFunc(s.respondingBackups(v, primacy, ledSince), func(id string) bool {
+		return !ready && id == s.predecessor || !s.copiedTo[id] && s.hasFailedWithin(id, failedFor)
+	})
 	worst := s.misplaced(v, primacy)
 	if len(keep) == len(v.Backups()) && worst != "" && s.attemptDue(replacePause) {
 		keep = slices.DeleteFunc(keep, func(id string) bool { return id == worst })
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"yarrowridge/internal/lease"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -108,7 +109,7 @@
 	if size == 0 {
 		size = len(v.Members)
 	}
-	lost := s.longestLost(v, silence)
+	lost, lostBackup := s.longestLost(v, silence)
 	switch {
 	case newcomer != nil && supersedes(v, newcomer.member):
 		next := v
@@ -126,6 +127,8 @@
 			return v, false
 		}
 		v, size = v.WithMember(newcomer.member), max(size, live)
+	case newcomer != nil && lostBackup != "":
+		v = v.WithoutMember(lostBackup).WithMember(newcomer.member)
 	case lost != "" && len(v.Members) > size:
 		v = v.WithoutMember(lost)
 	default:
@@ -135,15 +138,20 @@
 	return v, true
 }
 
-// longestLost is the member silent for longest of those that are lost, or "".
-func (s *Server) longestLost(v view.View, silence func(string) time.Duration) string {
-	lost := ""
+// longestLost is the member silent for longest of those that are lost, or "": of the members that are no backups, and of
+// the backups. A backup that is only cut off holds all that was acknowledged, so that it stays a member until another
+// one has a copy, or there is no room for the newcomer that may get one.
+func (s *Server) longestLost(v view.View, silence func(string) time.Duration) (lost, lostBackup string) {
 	for _, m := range v.Members {
-		if quiet := silence(m.Id); quiet > s.settings.LostAfter && (lost == "" || quiet > silence(lost)) {
-			lost = m.Id
+		longest := &lost
+		if v.IsBackup(m.Id) && !strike.Out("lost-backup") {
+			longest = &lostBackup
+		}
+		if quiet := silence(m.Id); quiet > s.settings.LostAfter && (*longest == "" || quiet > silence(*longest)) {
+			*longest = m.Id
 		}
 	}
-	return lost
+	return lost, lostBackup
 }
 
 // countAlive counts the newcomer and the members heard since it asked to join. So a newcomer that
--- a/internal/core/primary.go
+++ b/internal/core/primary.go
@@ -145,6 +145,7 @@
 		}
 	}
 	s.finishedKeys.load(s.store.Load())
+	s.predecessor = ""
 	s.mu.Lock()
 	s.registry.Begin(registryEpoch(v.Epoch, s.ctx.Born), s.ledSince, time.Now(), s.storedRunners())
 	s.ready, s.config, s.readySince = true, config, time.Now()
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -96,6 +96,7 @@
 	highestBallot    uint64               // highest ballot number seen
 	copiedTo         map[string]bool      // the backups that hold all we hold, in this run
 	deposed          string               // the primary that we took over from
+	predecessor      string               // the primary that we last followed as backup; "" once we are ready
 	nextMemberChange time.Time            // earliest next change of the members
 	nextViewSearch   time.Time            // earliest next look for a newer view
 	nextAttempt      time.Time            // earliest next attempt at what attemptDue guards
--- a/internal/sim/secondloss_test.go
+++ b/internal/sim/secondloss_test.go
@@ -5,6 +5,95 @@
 	"time"
 )
 
+// cutOff cuts a core off from all others, routers and operators too.
+func (f *fleet) cutOff(c *coreProc, operators ...*operator) {
+	others := f.rest(c)
+	for _, o := range operators {
+		others = append(others, o.addr)
+	}
+	f.w.Split([]string{c.addr}, others)
+}
+
+// loseDisk crashes a core and takes its disk away.
+func (f *fleet) loseDisk(c *coreProc) {
+	f.crashCore(c)
+	wipe(c)
+}
+
+// readsBack waits for a primary and holds what is read against the newest acknowledged write.
+func (f *fleet) readsBack(b *book, p put) {
+	f.t.Helper()
+	took := f.within(12*time.Second, "a primary after the second loss", func() bool { return f.primary() != nil })
+	f.t.Logf("service is back after %s", took)
+	o := f.operator()
+	seen := len(b.looks)
+	o.look(b)
+	if len(b.looks) == seen || b.looks[seen].seq < p.seq {
+		f.t.Errorf("sequence %d was acknowledged and is not read back: %+v", p.seq, b.looks[seen:])
+	}
+	time.Sleep(7 * time.Second) // writes in doubt end
+	f.check(b)
+}
+
+// The primary is cut off, a backup takes over, and that one's disk is lost before it has copied anything to anybody:
+// the old primary, back from the cut, still holds all that was acknowledged and must be able to lead.
+func TestNewPrimaryLostBeforeItCopied(t *testing.T) {
+	t.Parallel()
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 5, 1)
+		o, b := f.operator(), &book{}
+		acknowledged := o.put(1, 0, "")
+		b.add(acknowledged)
+		if acknowledged.code != 200 {
+			t.Fatalf("a write was answered %d", acknowledged.code)
+		}
+		old := f.primary()
+		f.cutOff(old, o)
+		var next *coreProc
+		for next == nil {
+			time.Sleep(time.Millisecond / 4)
+			for _, c := range f.cores {
+				if c != old && c.srv.View().Primary == c.srv.State().Id {
+					next = c
+				}
+			}
+		}
+		f.loseDisk(next)
+		time.Sleep(time.Duration(f.chance(2000)) * time.Millisecond)
+		f.w.Heal()
+		f.startCore(next)
+		f.readsBack(b, acknowledged)
+	})
+}
+
+// A backup is cut off, and the primary's disk is lost while it replaces that backup: the one that was cut off holds all
+// that was acknowledged and must be able to lead once it is back.
+func TestPrimaryLostWhileItReplacesABackup(t *testing.T) {
+	t.Parallel()
+	overSeeds(t, func(t *testing.T, seed uint64) {
+		f := grown(t, seed, 5, 1)
+		o, b := f.operator(), &book{}
+		acknowledged := o.put(1, 0, "")
+		b.add(acknowledged)
+		if acknowledged.code != 200 {
+			t.Fatalf("a write was answered %d", acknowledged.code)
+		}
+		primary := f.primary()
+		backup := f.at(primary.srv.View().Backups()[0])
+		f.cutOff(backup, o)
+		go func() { b.add(o.put(2, 0, "second")) }()
+		for primary.srv.State().Ready {
+			time.Sleep(time.Millisecond / 4)
+		}
+		time.Sleep(time.Duration(f.chance(16)) * time.Millisecond)
+		f.loseDisk(primary)
+		time.Sleep(time.Duration(f.chance(2000)) * time.Millisecond)
+		f.w.Heal()
+		f.startCore(primary)
+		f.readsBack(b, acknowledged)
+	})
+}
+
 // A primary that starts again leads on in an epoch of its own: what its last run sent may still be under way, and the
 // backups must know it for old.
 func TestRestartedPrimaryBeginsAnEpoch(t *testing.T) {
