Core: a replaced machine does not count among the members for ever

Cause, found by the model check: a planned replacement (the new machine first) leaves one member more than machines. The view kept as many members as had been seen alive at once, so that with three cores four stayed members, of which three ran: the next loss left no majority. A member lost for long is now also dropped where fewer are then a majority, and never below 2 x losses + 1; one that was only cut off asks to join again. With an odd number nothing is dropped, since that would change no majority. Ruled out: to drop on SIGTERM (the machine may be about to start again); to drop every lost member (a fleet that is half cut off would shrink with no gain).

--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -129,7 +129,7 @@
 		v, size = v.WithMember(newcomer.member), max(size, live)
 	case newcomer != nil && lostBackup != "":
 		v = v.WithoutMember(lostBackup).WithMember(newcomer.member)
-	case lost != "" && len(v.Members) > size:
+	case lost != "" && (len(v.Members) > size || s.isTooManyByOne(v)):
 		v = v.WithoutMember(lost)
 	default:
 		return v, false
@@ -138,6 +138,14 @@
 	return v, true
 }
 
+// isTooManyByOne tells whether fewer members are a majority once one of them is dropped, and enough are left to bear the
+// losses. So a machine that was replaced, the new one first, does not count among the members for ever: with four members
+// of which three run, the next loss would leave no majority. A member that was only cut off asks to join again.
+func (s *Server) isTooManyByOne(v view.View) bool {
+	left := len(v.Members) - 1
+	return left%2 == 1 && left >= 2*s.settings.Losses+1
+}
+
 // longestLost is the member silent for longest of those that are lost, or "": of the members that are no backups, and of
 // the backups. A backup that is only cut off holds all that was acknowledged, so that it stays a member until another
 // one has a copy, or there is no room for the newcomer that may get one.
--- a/internal/sim/secondloss_test.go
+++ b/internal/sim/secondloss_test.go
@@ -1,8 +1,12 @@
 package sim_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"yarrowridge/internal/sim"
 )
 
 // cutOff cuts a core off from all others, routers and operators too.
@@ -114,3 +118,38 @@
 		f.check(b)
 	})
 }
+
+// A machine is replaced as planned, the new one first, and after the time that this may take another is lost: the members
+// that are left must still be a majority. The old machine is gone for good, and must not count for ever.
+func TestLossAfterAPlannedReplacement(t *testing.T) {
+	t.Parallel()
+	for _, cores := range []int{3, 5} {
+		for _, replaced := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%d cores, %d replaced", cores, replaced), func(t *testing.T) {
+				overSeeds(t, func(t *testing.T, seed uint64) {
+					f := grown(t, seed, cores, 1)
+					o, b := f.operator(), &book{}
+					b.add(o.put(1, 0, ""))
+					for i := range replaced {
+						old := f.cores[f.chance(len(f.cores))]
+						next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), hall: old.hall, disk: sim.NewDisk()}
+						f.cores = append(f.cores, next)
+						f.startCore(next)
+						time.Sleep(time.Second)
+						old.srv.StepDown()
+						f.crashCore(old)
+						f.cores = slices.DeleteFunc(f.cores, func(c *coreProc) bool { return c == old })
+						time.Sleep(4 * time.Second)
+					}
+					f.crashCore(f.cores[f.chance(cores)])
+					acknowledged := put{}
+					f.within(6*time.Second, "a write after the loss", func() bool {
+						acknowledged = o.put(10+len(b.all), 0, "")
+						b.add(acknowledged)
+						return acknowledged.code == 200
+					})
+				})
+			})
+		}
+	}
+}
