Model check: the core as it is under schedules of faults, its history linearizable

A package of tests runs real core servers in simulated time under a schedule: processes killed, alone, all, or at a write; power lost with removals undone; disks lost, stalled, full, slow; machines replaced, planned or not; cuts, one way, and into halves; messages late, doubled, or answered late; members' clocks up to 9 % apart. Three operators write by base, repeat by other ways, and read; porcupine holds what they saw against a register that changes by compare-and-set. Afterwards service must come back within 12 s and all cores be members again. A failed schedule is shrunk and printed; -replay plays it.

--- /dev/null
+++ b/internal/modelcheck/fleet_test.go
@@ -0,0 +1,225 @@
+package modelcheck
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/view"
+)
+
+// Times of the checked fleets.
+const (
+	leaseTerm    = 600 * time.Millisecond
+	lostAfter    = 2 * time.Second
+	maxDrift     = 0.09                   // by how much the fastest clock runs faster than the slowest
+	recoverySpan = 12 * time.Second       // service is back within this once all faults are over
+	wholeSpan    = 20 * time.Second       // and all cores are members again
+	restartPause = 300 * time.Millisecond // between two tries to start a process
+)
+
+// fleet is a world of cores.
+type fleet struct {
+	t       *testing.T
+	world   *sim.World
+	losses  int
+	log     *slog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	history *history
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	processes []*process // of the machines that stay
+	machines  []*process // all that there ever were
+	losing    bool       // disks are being lost
+	wiped     bool       // some were lost before
+	messages  messageFaults
+}
+
+// messageFaults says how many messages are affected, of 100, and by how much at most.
+type messageFaults struct {
+	held, doubled, answersHeld int
+	most                       time.Duration
+}
+
+// messageFault is what happens to one message.
+type messageFault struct {
+	hold, again, holdAnswer time.Duration
+}
+
+// newFleet makes a world of cores; none runs yet.
+func newFleet(t *testing.T, seed uint64, cores, losses int, loud bool) *fleet {
+	out := io.Discard
+	if loud {
+		out = os.Stderr
+	}
+	f := &fleet{t: t, world: sim.NewWorld(seed), losses: losses, log: env.NewLog(out, slog.LevelDebug),
+		random: rand.New(rand.NewPCG(seed, 3)), history: &history{}}
+	f.ctx, f.cancel = context.WithCancel(t.Context())
+	for range cores {
+		f.processes = append(f.processes, f.newMachine(true))
+	}
+	return f
+}
+
+// newMachine makes a machine with an empty disk.
+func (f *fleet) newMachine(founding bool) *process {
+	number := len(f.machines) + 1
+	drift := 1 - maxDrift*float64(f.chance(100))/100
+	p := &process{fleet: f, addr: fmt.Sprintf("10.0.0.%d:1", number), zone: fmt.Sprint("zone-", number%3), disk: sim.NewDisk(),
+		term: time.Duration(float64(leaseTerm) * drift), first: founding}
+	f.machines = append(f.machines, p)
+	return p
+}
+
+// seeds are three machines as an operator's list has them.
+func (f *fleet) seeds() []string {
+	var seeds []string
+	for _, p := range f.processes[:min(3, len(f.processes))] {
+		seeds = append(seeds, p.addr)
+	}
+	return seeds
+}
+
+// chance draws a number below n.
+func (f *fleet) chance(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+// messageFault draws what happens to the next message.
+func (f *fleet) messageFault() (fault messageFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	draw := func(percent int) time.Duration {
+		if f.messages.most == 0 || f.random.IntN(100) >= percent {
+			return 0
+		}
+		return time.Duration(f.random.Int64N(int64(f.messages.most))) + 1
+	}
+	return messageFault{hold: draw(f.messages.held), again: draw(f.messages.doubled), holdAnswer: draw(f.messages.answersHeld)}
+}
+
+// setMessages sets the message faults.
+func (f *fleet) setMessages(faults messageFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messages = faults
+}
+
+// stop kills a process.
+func (f *fleet) stop(p *process) {
+	if !p.running {
+		return
+	}
+	p.running = false
+	p.endRun()
+	p.crash()
+	p.disk.Use() // whatever the dead run still does to its disk is lost
+}
+
+// start starts a process where it can.
+func (f *fleet) start(p *process) {
+	if !p.running && !p.retired {
+		p.start()
+	}
+}
+
+// current is the newest view that any running process knows.
+func (f *fleet) current() (newest view.View) {
+	for _, p := range f.processes {
+		if p.running {
+			if v := p.view(); v.Epoch > newest.Epoch {
+				newest = v
+			}
+		}
+	}
+	return newest
+}
+
+// holder is the running process with an identity, or nil.
+func (f *fleet) holder(id string) *process {
+	for _, p := range f.processes {
+		if p.running && p.id() == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// isServing tells whether a primary takes writes.
+func (f *fleet) isServing() bool {
+	for _, p := range f.processes {
+		if p.running && p.server.State().Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// isWhole tells whether a primary takes writes whose members are all machines, with all backups.
+func (f *fleet) isWhole() bool {
+	v := f.current()
+	if !f.isServing() || len(v.Backups()) != f.losses || len(v.Members) != len(f.processes) {
+		return false
+	}
+	for _, p := range f.processes {
+		if !p.running || v.Addr(p.id()) != p.addr {
+			return false
+		}
+	}
+	return true
+}
+
+// within waits until ok holds, and tells whether it did.
+func (f *fleet) within(span time.Duration, ok func() bool) bool {
+	for begun := time.Now(); !ok(); {
+		if time.Since(begun) > span {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
+// heal ends every fault and starts every process.
+func (f *fleet) heal() {
+	f.setMessages(messageFaults{})
+	f.world.Heal()
+	for _, p := range f.processes {
+		f.restore(p)
+	}
+}
+
+// restore ends what ails a machine and has its process run.
+func (f *fleet) restore(p *process) {
+	p.mu.Lock()
+	p.crashAt = 0
+	p.mu.Unlock()
+	p.disk.Flow()
+	p.disk.Full(false)
+	p.disk.Slow(0)
+	for f.start(p); !p.running && !p.retired && f.ctx.Err() == nil; f.start(p) {
+		time.Sleep(restartPause)
+	}
+}
+
+// end stops the world.
+func (f *fleet) end() {
+	f.cancel()
+	for _, p := range f.machines {
+		p.disk.Flow()
+		f.stop(p)
+	}
+	time.Sleep(30 * time.Second) // simulated: every task sees the end
+}
--- /dev/null
+++ b/internal/modelcheck/history_test.go
@@ -0,0 +1,187 @@
+package modelcheck
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// operationKind says what an operator did.
+type operationKind int
+
+const (
+	readConfig operationKind = iota
+	writeConfig
+)
+
+// outcome says what an operator was told of an operation.
+type outcome int
+
+const (
+	done       outcome = iota // read, or written
+	raceLost                  // another version than the base was current
+	notTaken                  // surely not carried out, and never will be
+	inDoubt                   // perhaps carried out, or yet to be
+	unexpected                // an answer that nothing explains
+)
+
+// operation is what an operator asked for.
+type operation struct {
+	kind  operationKind
+	base  uint64 // of a write: the version that it builds on
+	value string // of a write
+}
+
+// result is what an operator was told.
+type result struct {
+	outcome outcome
+	version uint64
+	value   string // of a read
+}
+
+// register is the configuration in force.
+type register struct {
+	version uint64
+	value   string
+}
+
+// configModel is the register that the core has to be: a write takes effect once, on the version that it names, or not
+// at all; a read gives what is in force.
+var configModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{register{}} },
+	Step: func(state, input, output any) []any {
+		return step(state.(register), input.(operation), output.(result))
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+// step gives the states that an operation may leave behind; none: its result is impossible in this state.
+func step(before register, asked operation, told result) []any {
+	written := register{version: before.version + 1, value: asked.value}
+	matches := asked.base == before.version
+	switch {
+	case asked.kind == readConfig:
+		if told.version == before.version && told.value == before.value {
+			return []any{before}
+		}
+	case told.outcome == done:
+		if matches && told.version == written.version {
+			return []any{written}
+		}
+	case told.outcome == raceLost:
+		if !matches {
+			return []any{before}
+		}
+	case told.outcome == notTaken:
+		return []any{before}
+	case told.outcome == inDoubt:
+		if matches {
+			return []any{before, written}
+		}
+		return []any{before}
+	}
+	return nil
+}
+
+// history is what all operators did, in the order in which it began and ended.
+type history struct {
+	mu         sync.Mutex
+	clock      int64
+	operations []porcupine.Operation
+	broken     []string // what is wrong whatever the order
+}
+
+// begin notes the begin of an operation.
+func (h *history) begin() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	return h.clock
+}
+
+// end notes an operation and its result.
+func (h *history) end(operator int, begun int64, asked operation, told result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	h.operations = append(h.operations, porcupine.Operation{ClientId: operator, Input: asked, Call: begun, Output: told, Return: h.clock})
+}
+
+// fail notes what is wrong whatever the order.
+func (h *history) fail(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.broken = append(h.broken, fmt.Sprintf(format, args...))
+}
+
+// counts tells how many writes were acknowledged, and how many operations there are.
+func (h *history) counts() (acknowledged, all int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, one := range h.operations {
+		if one.Input.(operation).kind == writeConfig && one.Output.(result).outcome == done {
+			acknowledged++
+		}
+	}
+	return acknowledged, len(h.operations)
+}
+
+// searchTimeout bounds the search for an order, in real time.
+const searchTimeout = 20 * time.Second
+
+// violations tells what no order of the operations explains.
+func (h *history) violations() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	broken := h.broken
+	operations := make([]porcupine.Operation, len(h.operations))
+	copy(operations, h.operations)
+	for i := range operations {
+		if operations[i].Output.(result).outcome == inDoubt {
+			operations[i].Return = h.clock + 1 // it may take effect at any time
+		}
+	}
+	model := configModel.ToModel()
+	switch porcupine.CheckOperationsTimeout(model, operations, searchTimeout) {
+	case porcupine.Illegal:
+		broken = append(broken, "the history is not linearizable: "+h.firstOddity())
+	case porcupine.Unknown:
+		broken = append(broken, "no order was found in time")
+	}
+	return broken
+}
+
+// firstOddity describes the plainest contradiction, for a reader of the failure.
+func (h *history) firstOddity() string {
+	type acknowledged struct {
+		asked operation
+		told  result
+		end   int64
+	}
+	var writes []acknowledged
+	for _, one := range h.operations {
+		asked, told := one.Input.(operation), one.Output.(result)
+		if asked.kind == writeConfig && told.outcome == done {
+			writes = append(writes, acknowledged{asked, told, one.Return})
+		}
+	}
+	for _, one := range h.operations {
+		asked, told := one.Input.(operation), one.Output.(result)
+		for _, write := range writes {
+			switch {
+			case asked.kind == readConfig && write.end < one.Call && told.version < write.told.version:
+				return fmt.Sprintf("version %d read after %d was acknowledged", told.version, write.told.version)
+			case asked.kind == readConfig && told.version == write.told.version && told.value != write.asked.value:
+				return fmt.Sprintf("version %d read as %s, acknowledged as %s", told.version, told.value, write.asked.value)
+			case asked.kind == writeConfig && told.outcome == done && told.version == write.told.version && asked.value != write.asked.value:
+				return fmt.Sprintf("version %d acknowledged twice, for %s and %s", told.version, asked.value, write.asked.value)
+			}
+		}
+	}
+	return "no single pair of operations shows it"
+}
--- /dev/null
+++ b/internal/modelcheck/process_test.go
@@ -0,0 +1,134 @@
+package modelcheck
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// process is one core: a machine with a disk, and the process that runs on it now.
+type process struct {
+	fleet *fleet
+	addr  string
+	zone  string
+	term  time.Duration // its lease term: members' clocks run at different speeds
+	disk  *sim.Disk
+
+	server  *core.Server
+	ctx     context.Context
+	endRun  context.CancelFunc
+	crash   func()
+	running bool
+	first   bool // it was never started
+	retired bool // the machine is gone for good
+
+	mu        sync.Mutex
+	crashAt   int // at which write from now on it dies; 0: at none
+	afterSync bool
+}
+
+// faultyDisk is a disk whose process may die at a write.
+type faultyDisk struct {
+	store.Disk
+	process *process
+}
+
+// Write writes, or ends the process before or after it.
+func (d faultyDisk) Write(name string, data []byte) error {
+	dies, after := d.process.countWrite()
+	if dies && !after {
+		return d.process.die()
+	}
+	err := d.Disk.Write(name, data)
+	if dies {
+		return d.process.die()
+	}
+	return err
+}
+
+// countWrite tells whether the process dies at this write, and whether after it.
+func (p *process) countWrite() (dies, after bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.crashAt == 0 {
+		return false, false
+	}
+	p.crashAt--
+	return p.crashAt == 0, p.afterSync
+}
+
+// die ends the process in the middle of a write: nothing that it still does is seen by anyone.
+func (p *process) die() error {
+	p.fleet.stop(p)
+	return sim.ErrDead
+}
+
+// start runs a process on the machine. A disk in trouble may keep it from starting for a while.
+func (p *process) start() {
+	network, crash := p.fleet.world.Net(p.addr)
+	ctx, cancel := context.WithCancel(p.fleet.ctx)
+	settings := core.Settings{Addr: p.addr, Seeds: p.fleet.seeds(), Bootstrap: p.first, Losses: p.fleet.losses,
+		LeaseTerm: p.term, LostAfter: lostAfter}
+	p.first = false
+	where := env.Ctx{Context: ctx, Name: p.addr, Zone: p.zone, Born: uint64(time.Now().UnixNano()), Log: p.fleet.log.With("at", p.addr), Net: network}
+	disk := faultyDisk{p.disk.Use(), p}
+	server, err := core.Open(where, settings, disk)
+	if err != nil {
+		cancel()
+		crash()
+		return
+	}
+	listener, err := network.Listen(p.addr)
+	if err != nil {
+		cancel()
+		crash()
+		return
+	}
+	p.server, p.ctx, p.endRun, p.crash, p.running = server, ctx, cancel, crash, true
+	go wire.Serve(ctx, listener, p.handler(ctx, server))
+	go server.Run()
+}
+
+// handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
+func (p *process) handler(run context.Context, server *core.Server) wire.Hand {
+	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+		fault := p.fleet.messageFault()
+		if fault.hold > 0 {
+			env.Wait(run, fault.hold)
+			ctx = run // it arrives, whether its caller still waits or not
+		}
+		if fault.again > 0 {
+			go func() {
+				if env.Wait(run, fault.again) {
+					server.Handle(run, kind, body)
+				}
+			}()
+		}
+		response, err := server.Handle(ctx, kind, body)
+		if fault.holdAnswer > 0 {
+			env.Wait(run, fault.holdAnswer)
+		}
+		return response, err
+	}
+}
+
+// loseDisk gives the machine an empty disk. Its process does not run.
+func (p *process) loseDisk() {
+	p.disk.Flow() // a write that hangs there ends
+	p.disk = sim.NewDisk()
+}
+
+// view is the newest view that the process knows.
+func (p *process) view() view.View { return p.server.View() }
+
+// id is the identity on the process's disk.
+func (p *process) id() string { return p.server.State().Id }
--- /dev/null
+++ b/internal/modelcheck/schedule_test.go
@@ -0,0 +1,335 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Event is one fault of a schedule, as it is printed and read from a file.
+type Event struct {
+	AtMs  int    `json:"at_ms"` // from when the fleet serves
+	Kind  string `json:"kind"`
+	Who   string `json:"who,omitempty"` // primary, backup, any; where the kind concerns one machine
+	ForMs int    `json:"for_ms,omitempty"`
+	Count int    `json:"count,omitempty"` // at which write; of 100 messages
+}
+
+// Schedule is one run: a fleet and its faults.
+type Schedule struct {
+	Seed   uint64  `json:"seed"`
+	Cores  int     `json:"cores"`
+	Losses int     `json:"losses"`
+	Events []Event `json:"events"`
+}
+
+// String is the schedule in JSON, as -replay reads it.
+func (s Schedule) String() string {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// The last of the faults comes this long after the first may.
+const faultSpanMs = 16000
+
+// faultKinds are what may happen, by name; each brings one fault about and ends it.
+var faultKinds = map[string]func(f *fleet, event Event){
+	"kill":         killProcess,
+	"kill all":     killAll,
+	"power all":    losePower,
+	"cut":          cutProcess,
+	"cut one way":  cutOneWay,
+	"halves":       cutHalves,
+	"wipe":         wipeDisk,
+	"wipe, power":  wipeAndLosePower,
+	"replace":      replaceMachine,
+	"leave":        replaceAsPlanned,
+	"stall":        stallDisk,
+	"full":         fillDisk,
+	"slow":         slowDisk,
+	"die at write": dieAtWrite,
+	"late":         lateMessages,
+	"doubled":      doubledMessages,
+	"late answers": lateAnswers,
+}
+
+// newSchedule draws a run: faults come alone, and in pairs or threes within half a second.
+func newSchedule(seed uint64) Schedule {
+	random := rand.New(rand.NewPCG(seed, 11))
+	s := Schedule{Seed: seed, Cores: 5, Losses: 1}
+	switch random.IntN(4) {
+	case 0:
+		s.Cores = 3
+	case 1:
+		s.Losses = 2
+	}
+	kinds := make([]string, 0, len(faultKinds))
+	for kind := range faultKinds {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	for range 2 + random.IntN(4) {
+		at := random.IntN(faultSpanMs)
+		for range 1 + random.IntN(3) {
+			s.Events = append(s.Events, Event{AtMs: at + random.IntN(500), Kind: kinds[random.IntN(len(kinds))],
+				Who: []string{"primary", "primary", "backup", "any"}[random.IntN(4)], ForMs: 50 + random.IntN(1+random.IntN(4000)), Count: 1 + random.IntN(12)})
+		}
+	}
+	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.AtMs - b.AtMs })
+	return s
+}
+
+// pick is the machine that an event concerns, or nil.
+func (f *fleet) pick(event Event) *process {
+	v := f.current()
+	switch event.Who {
+	case "primary":
+		return f.holder(v.Primary)
+	case "backup":
+		if backups := v.Backups(); len(backups) > 0 {
+			return f.holder(backups[f.chance(len(backups))])
+		}
+		return nil
+	}
+	return f.processes[f.chance(len(f.processes))]
+}
+
+// span is how long a fault lasts.
+func (e Event) span() time.Duration { return time.Duration(e.ForMs) * time.Millisecond }
+
+func killProcess(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		f.stop(p)
+		time.Sleep(event.span())
+		f.restore(p)
+	}
+}
+
+func killAll(f *fleet, event Event) {
+	all := slices.Clone(f.processes)
+	for _, p := range all {
+		f.stop(p)
+	}
+	time.Sleep(event.span() / 4)
+	for _, p := range all {
+		f.restore(p)
+	}
+}
+
+func losePower(f *fleet, event Event) {
+	all := slices.Clone(f.processes)
+	for _, p := range all {
+		f.stop(p)
+		p.disk.LosePower(func() bool { return f.chance(2) == 0 })
+	}
+	time.Sleep(event.span() / 4)
+	for _, p := range all {
+		f.restore(p)
+	}
+}
+
+// others are the addresses of all cores but one, and of the operators.
+func (f *fleet) others(p *process, operators bool) []string {
+	var others []string
+	for _, other := range f.processes {
+		if other != p {
+			others = append(others, other.addr)
+		}
+	}
+	for i := range operatorCount {
+		if operators {
+			others = append(others, operatorHost(i))
+		}
+	}
+	return others
+}
+
+// operatorHost is the address of an operator's machine.
+func operatorHost(number int) string { return fmt.Sprintf("10.0.9.%d:1", number+1) }
+
+func cutProcess(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		f.world.Split([]string{p.addr}, f.others(p, event.Count%3 == 0))
+		time.Sleep(event.span())
+		f.world.Heal()
+	}
+}
+
+func cutOneWay(f *fleet, event Event) {
+	p := f.pick(event)
+	if p == nil {
+		return
+	}
+	for _, other := range f.others(p, false) {
+		if event.Count%2 == 0 {
+			f.world.Cut(p.addr, other)
+		} else {
+			f.world.Cut(other, p.addr)
+		}
+	}
+	time.Sleep(event.span())
+	f.world.Heal()
+}
+
+func cutHalves(f *fleet, event Event) {
+	var sides [2][]string
+	for i, p := range f.processes {
+		side := (i + event.Count) * 2 / len(f.processes) % 2
+		sides[side] = append(sides[side], p.addr)
+	}
+	f.world.Split(sides[0], sides[1])
+	time.Sleep(event.span())
+	f.world.Heal()
+}
+
+// loseDisks has disks be lost where all that were lost before are made up for.
+func (f *fleet) loseDisks(lose func()) {
+	if f.losing || f.wiped && !f.isWhole() {
+		return
+	}
+	f.losing, f.wiped = true, true
+	lose()
+	f.losing = false
+}
+
+// wipeDisk loses a machine's disk; it comes back at its address.
+func wipeDisk(f *fleet, event Event) {
+	f.loseDisks(func() {
+		if p := f.pick(event); p != nil {
+			f.stop(p)
+			p.loseDisk()
+			time.Sleep(event.span() / 2)
+			f.restore(p)
+		}
+	})
+}
+
+// wipeAndLosePower loses as many disks as may be lost, the primary's first, and the power of all others.
+func wipeAndLosePower(f *fleet, event Event) {
+	f.loseDisks(func() { f.loseDisksOfHolders(event) })
+}
+
+// loseDisksOfHolders is what wipeAndLosePower does.
+func (f *fleet) loseDisksOfHolders(event Event) {
+	v := f.current()
+	lost := []*process{f.holder(v.Primary)}
+	for _, id := range v.Backups() {
+		lost = append(lost, f.holder(id))
+	}
+	if event.Count%2 == 0 {
+		lost = lost[1:]
+	}
+	all := slices.Clone(f.processes)
+	for _, p := range all {
+		f.stop(p)
+		p.disk.LosePower(func() bool { return f.chance(2) == 0 })
+	}
+	for _, p := range lost[:min(f.losses, len(lost))] {
+		if p != nil {
+			p.loseDisk()
+		}
+	}
+	time.Sleep(event.span() / 4)
+	for _, p := range all {
+		f.restore(p)
+	}
+}
+
+// replaceMachine takes a machine out for good; an empty one comes at another address.
+func replaceMachine(f *fleet, event Event) {
+	f.loseDisks(func() {
+		if p := f.pick(event); p != nil {
+			next := f.newMachine(false)
+			f.retire(p, next)
+			time.Sleep(event.span() / 4)
+			f.restore(next)
+		}
+	})
+}
+
+// replaceAsPlanned adds an empty machine, then stops an old one in order, for good.
+func replaceAsPlanned(f *fleet, event Event) {
+	f.loseDisks(func() {
+		p := f.pick(event)
+		if p == nil {
+			return
+		}
+		next := f.newMachine(false)
+		f.restore(next)
+		time.Sleep(event.span() / 4)
+		if p.running {
+			p.server.StepDown()
+		}
+		f.retire(p, next)
+	})
+}
+
+// retire takes a machine out for good; another one counts in its place.
+func (f *fleet) retire(p, next *process) {
+	p.retired = true
+	f.stop(p)
+	if i := slices.Index(f.processes, p); i >= 0 {
+		f.processes = slices.Clone(f.processes)
+		f.processes[i] = next
+	}
+}
+
+func stallDisk(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		p.disk.Stall()
+		time.Sleep(event.span())
+		p.disk.Flow()
+	}
+}
+
+func fillDisk(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		p.disk.Full(true)
+		time.Sleep(event.span())
+		p.disk.Full(false)
+	}
+}
+
+func slowDisk(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		p.disk.Slow(time.Duration(event.Count*20) * time.Millisecond)
+		time.Sleep(event.span())
+		p.disk.Slow(0)
+	}
+}
+
+// dieAtWrite has a process die at one of its next writes.
+func dieAtWrite(f *fleet, event Event) {
+	p := f.pick(event)
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.crashAt, p.afterSync = event.Count, event.ForMs%2 == 0
+	p.mu.Unlock()
+	time.Sleep(event.span())
+	f.restore(p)
+}
+
+func lateMessages(f *fleet, event Event) {
+	f.spoilMessages(event, messageFaults{held: event.Count * 3})
+}
+func doubledMessages(f *fleet, event Event) {
+	f.spoilMessages(event, messageFaults{doubled: event.Count * 5})
+}
+func lateAnswers(f *fleet, event Event) {
+	f.spoilMessages(event, messageFaults{answersHeld: event.Count * 3})
+}
+
+// spoilMessages sets message faults for a while.
+func (f *fleet) spoilMessages(event Event, faults messageFaults) {
+	faults.most = event.span()
+	f.setMessages(faults)
+	time.Sleep(event.span() + time.Second)
+	f.setMessages(messageFaults{})
+}
--- /dev/null
+++ b/internal/modelcheck/walk_test.go
@@ -0,0 +1,163 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yarrowridge/internal/strike"
+)
+
+var (
+	walks  = flag.Int("walks", 120, "how many schedules TestRandomWalks plays")
+	first  = flag.Uint64("seed", 1, "seed of the first schedule")
+	replay = flag.String("replay", "", "file with a schedule, as a failed walk prints it, for TestReplay")
+	loud   = flag.Bool("loud", false, "print the processes' logs")
+)
+
+// operatorCount is how many operators change the configuration at once.
+const operatorCount = 3
+
+// verdict is what came of a run.
+type verdict struct {
+	violations               []string
+	acknowledged, operations int
+}
+
+// play runs a schedule in simulated time.
+func play(t *testing.T, s Schedule) (v verdict) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, s.Seed, s.Cores, s.Losses, *loud)
+		defer f.end()
+		for _, p := range slices.Clone(f.processes) {
+			f.start(p)
+			time.Sleep(time.Duration(f.chance(100)) * time.Millisecond)
+		}
+		if !f.within(recoverySpan, f.isWhole) {
+			v.violations = []string{"the fleet was not founded in time"}
+			return
+		}
+		f.playEvents(s)
+		v.violations = f.recover()
+		v.acknowledged, v.operations = f.history.counts()
+		v.violations = append(v.violations, f.history.violations()...)
+	})
+	return v
+}
+
+// playEvents has operators work while the schedule's faults come.
+func (f *fleet) playEvents(s Schedule) {
+	begun := time.Now()
+	until := begun.Add((faultSpanMs + 2000) * time.Millisecond)
+	var all sync.WaitGroup
+	for i := range operatorCount {
+		o := f.newOperator(i)
+		all.Go(func() { o.work(until, 150*time.Millisecond) })
+	}
+	for _, event := range s.Events {
+		time.Sleep(time.Duration(event.AtMs)*time.Millisecond - time.Since(begun))
+		all.Go(func() { faultKinds[event.Kind](f, event) })
+	}
+	all.Wait()
+}
+
+// recover ends all faults and tells what does not come back in time.
+func (f *fleet) recover() (broken []string) {
+	f.heal()
+	last := f.newOperator(operatorCount)
+	if !f.within(recoverySpan, func() bool { return last.read() }) {
+		return []string{fmt.Sprintf("no read within %s after all faults were over; view %+v", recoverySpan, f.current())}
+	}
+	if !f.within(recoverySpan, func() bool { return last.write(last.known) == done || !last.read() }) {
+		broken = append(broken, "no write was acknowledged after all faults were over")
+	}
+	if !f.within(wholeSpan, f.isWhole) {
+		broken = append(broken, fmt.Sprintf("not all cores are members after %s; view %+v", wholeSpan, f.current()))
+	}
+	last.read()
+	return broken
+}
+
+// shrinkTries is how often a shorter schedule is played before it counts as sound: runs differ a little.
+const shrinkTries = 4
+
+// shrink leaves out events for as long as the schedule still fails.
+func shrink(t *testing.T, s Schedule) Schedule {
+	for i := 0; i < len(s.Events); {
+		shorter := s
+		shorter.Events = slices.Delete(slices.Clone(s.Events), i, i+1)
+		if !fails(t, shorter) {
+			i++
+			continue
+		}
+		s = shorter
+	}
+	return s
+}
+
+// fails tells whether one of a few runs of a schedule shows a violation.
+func fails(t *testing.T, s Schedule) bool {
+	for range shrinkTries {
+		if len(play(t, s).violations) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRandomWalks plays many schedules of faults: what operators saw is linearizable, and service comes back.
+func TestRandomWalks(t *testing.T) {
+	if strike.Out("") {
+		t.Skip("built with a mechanism struck out")
+	}
+	var mu sync.Mutex
+	total := verdict{}
+	t.Run("all", func(t *testing.T) {
+		for i := range uint64(*walks) {
+			s := newSchedule(*first + i)
+			t.Run(fmt.Sprint("seed", s.Seed), func(t *testing.T) {
+				t.Parallel()
+				v := play(t, s)
+				for _, broken := range v.violations {
+					t.Error(broken)
+				}
+				if len(v.violations) > 0 {
+					t.Logf("schedule: %s", s)
+					t.Logf("shortest schedule that fails: %s", shrink(t, s))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				total.acknowledged += v.acknowledged
+				total.operations += v.operations
+			})
+		}
+	})
+	t.Logf("%d schedules, %d operations, %d writes acknowledged", *walks, total.operations, total.acknowledged)
+	if total.acknowledged < *walks {
+		t.Errorf("only %d writes were acknowledged in %d schedules", total.acknowledged, *walks)
+	}
+}
+
+// TestReplay plays a schedule from a file, as a failed walk printed it.
+func TestReplay(t *testing.T) {
+	if *replay == "" {
+		t.Skip("no -replay FILE")
+	}
+	raw, err := os.ReadFile(*replay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Schedule
+	if err := json.Unmarshal(raw, &s); err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range play(t, s).violations {
+		t.Error(broken)
+	}
+}
