Model check: every course of the vote, and mechanisms struck out one by one

With the build tag strike one mechanism is struck out at a time (TestStruckMechanisms, TestStruckVote).

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -10,6 +10,7 @@
 
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -160,12 +161,12 @@
 		s.failDisk(eris.New("sync takes too long"))
 		return inDoubt
 	}
-	if failed := <-replicated; len(failed) > 0 {
+	if failed := <-replicated; len(failed) > 0 && !strike.Out("backup-copy") {
 		s.noteFailed(failed)
 		if !s.replaceBackups() {
 			return inDoubt
 		}
-	} else if !s.isPrimary(v) {
+	} else if !s.isPrimary(v) && !strike.Out("second-look") {
 		return inDoubt
 	}
 	s.applyCommitted(tx)
--- a/internal/core/handlers.go
+++ b/internal/core/handlers.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
 )
@@ -91,7 +92,7 @@
 	if v.Primary != s.voter.Id() {
 		return wire.Fault{Code: NotPrimary}
 	}
-	if !s.isReady() || !s.isPrimary(v) {
+	if (!s.isReady() || !s.isPrimary(v)) && !strike.Out("read-lease") {
 		return wire.Fault{Code: NotReady}
 	}
 	return nil
--- a/internal/core/history.go
+++ b/internal/core/history.go
@@ -1,6 +1,10 @@
 package core
 
-import "strconv"
+import (
+	"strconv"
+
+	"yarrowridge/internal/strike"
+)
 
 // What is kept of older configurations and of write ids is bounded by counting writes, not by
 // arithmetic on versions, where documents number themselves.
@@ -50,7 +54,7 @@
 
 // keepWriteID remembers the id of the write with this count, and forgets the id of one long ago.
 func (t *Tx) keepWriteID(count uint64, id string, record WriteRecord) error {
-	if id != "" {
+	if id != "" && !strike.Out("write-id") {
 		if err := t.Put("mark/"+id, &record); err != nil {
 			return err
 		}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -21,7 +21,7 @@
 // has copied its state to anybody. It acknowledges nothing before every backup of its view has such a copy.
 func withPrimary(v view.View, id string) view.View {
 	next := v.WithoutBackup(id)
-	if v.HasMember(v.Primary) {
+	if v.HasMember(v.Primary) && !strike.Out("former-primary") {
 		next = next.WithBackups(append(slices.Clone(next.Backups()), v.Primary))
 	}
 	next.Primary = id
--- a/internal/core/primary.go
+++ b/internal/core/primary.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 )
 
@@ -28,7 +29,7 @@
 		s.findFleet()
 	case v.Primary == me:
 		s.lead(v, me)
-	case v.IsBackup(me):
+	case v.IsBackup(me) || v.HasMember(me) && strike.Out("only-holders-lead"):
 		s.watchPrimary(v, me)
 	case v.Addr(me) != s.settings.Addr: // no member, or one that has moved
 		s.join(v)
--- a/internal/core/replicate.go
+++ b/internal/core/replicate.go
@@ -9,6 +9,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 	"yarrowridge/internal/view"
 )
 
@@ -16,6 +17,9 @@
 func (s *Server) copyAll(v view.View, ids []string) []string {
 	var todo []string
 	for _, id := range ids {
+		if v.IsBackup(id) && strike.Out("copy-first") {
+			s.copiedTo[id] = true
+		}
 		if !s.copiedTo[id] {
 			todo = append(todo, id)
 		}
--- a/internal/modelcheck/fleet_test.go
+++ b/internal/modelcheck/fleet_test.go
@@ -47,6 +47,7 @@
 
 // messageFaults says how many messages are affected, of 100, and by how much at most.
 type messageFaults struct {
+	only                       string // the kind of call that is affected; "": all kinds
 	held, doubled, answersHeld int
 	most                       time.Duration
 }
@@ -97,10 +98,13 @@
 	return f.random.IntN(n)
 }
 
-// messageFault draws what happens to the next message.
-func (f *fleet) messageFault() (fault messageFault) {
+// messageFault draws what happens to a call of a kind.
+func (f *fleet) messageFault(kind string) (fault messageFault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.messages.only != "" && f.messages.only != kind {
+		return messageFault{}
+	}
 	draw := func(percent int) time.Duration {
 		if f.messages.most == 0 || f.random.IntN(100) >= percent {
 			return 0
--- a/internal/modelcheck/operator_test.go
+++ b/internal/modelcheck/operator_test.go
@@ -37,10 +37,14 @@
 	return o
 }
 
-// work reads and writes until the time is up.
-func (o *operator) work(until time.Time, pause time.Duration) {
+// work reads and writes until the time is up. The first operator reads most of the time.
+func (o *operator) work(until time.Time) {
+	writes, pause := 30, 150*time.Millisecond
+	if o.number == 0 {
+		writes, pause = 3, 40*time.Millisecond
+	}
 	for time.Now().Before(until) {
-		if o.fleet.chance(3) == 0 {
+		if o.fleet.chance(100) < writes {
 			o.write(o.base())
 		} else {
 			o.read()
--- /dev/null
+++ b/internal/modelcheck/planted_test.go
@@ -0,0 +1,103 @@
+//go:build strike
+
+package modelcheck
+
+import (
+	"flag"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var (
+	only       = flag.String("strike", "", "the one mechanism that TestStruckMechanisms strikes out")
+	findWithin = flag.Duration("find", 2*time.Minute, "how long TestStruckMechanisms looks for the fault of each mechanism")
+)
+
+// mechanism is one of those that the protocol rests on, by its name in package strike, with the kinds of fault that the
+// search keeps to; none: all.
+type mechanism struct {
+	name  string
+	kinds []string
+	rare  bool // it may take longer than the search in CI: left out with -short
+}
+
+// struckMechanisms are struck out one by one.
+var struckMechanisms = []mechanism{
+	{"read-lease", nil, false},                            // a read without contact with a majority
+	{"lease", []string{"island", "late"}, false},          // a lease that never ends
+	{"backup-copy", nil, false},                           // an acknowledgement before the backups hold the write
+	{"majority", nil, false},                              // decisions by one voter less than a majority
+	{"grant-at-restart", []string{"restart rest"}, false}, // a voter that forgets its grant when it starts again
+	{"write-id", nil, false},                              // a repeated order taken for a new one
+	{"only-holders-lead", nil, false},                     // a takeover by a member that holds no copy
+	{"copy-first", nil, false},                            // a new primary that does not bring its backups to its state
+	{"former-primary", nil, true},                         // a view without the former primary before others hold a copy
+	{"race", nil, false},                                  // a change carried out although it lost its race
+}
+
+// TestStruckMechanisms strikes out one mechanism after the other: the walks have to find what it guards against.
+func TestStruckMechanisms(t *testing.T) {
+	for _, struck := range struckMechanisms {
+		if *only != "" && *only != struck.name || struck.rare && testing.Short() {
+			continue
+		}
+		t.Run(struck.name, func(t *testing.T) {
+			t.Setenv("YARROWRIDGE_STRIKE", struck.name)
+			begun := time.Now()
+			s, broken, played := find(t, struck.kinds, begun.Add(*findWithin))
+			if broken == "" {
+				t.Fatalf("nothing was found in %d schedules", played)
+			}
+			t.Logf("found after %d schedules and %s: %s; schedule %s", played, time.Since(begun).Round(100*time.Millisecond), broken, s)
+		})
+	}
+}
+
+// searchers is how many schedules are played side by side.
+const searchers = 6
+
+// find plays schedules until one fails, or the time is up.
+func find(t *testing.T, kinds []string, deadline time.Time) (failed Schedule, broken string, played uint64) {
+	var next atomic.Uint64
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	found := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return broken != ""
+	}
+	for range searchers {
+		all.Go(func() {
+			for time.Now().Before(deadline) && !found() {
+				s := newSchedule(*first+next.Add(1), kinds...)
+				if v := play(t, s); len(v.violations) > 0 {
+					mu.Lock()
+					failed, broken = s, v.violations[0]
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	all.Wait()
+	return failed, broken, next.Load()
+}
+
+// TestStruckVote strikes out what the vote rests on: the exploration of all its courses has to find two views decided.
+func TestStruckVote(t *testing.T) {
+	struck := map[string]voteBounds{
+		"vote-on-disk": {attempts: 1, restarts: 1}, // a voter that forgets its promise when it starts again
+		"majority":     {attempts: 1},              // decisions by one voter less than a majority
+	}
+	for name, bounds := range struck {
+		t.Run(name, func(t *testing.T) {
+			t.Setenv("YARROWRIDGE_STRIKE", name)
+			e := exploreAll(t, bounds)
+			if e.problem == "" {
+				t.Fatalf("nothing was found in %d courses", e.played)
+			}
+			t.Logf("found after %d courses: %s by %q", e.played, e.problem, e.failed)
+		})
+	}
+}
--- a/internal/modelcheck/process_test.go
+++ b/internal/modelcheck/process_test.go
@@ -101,7 +101,7 @@
 // handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
 func (p *process) handler(run context.Context, server *core.Server) wire.Hand {
 	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
-		fault := p.fleet.messageFault()
+		fault := p.fleet.messageFault(kind)
 		if fault.hold > 0 {
 			env.Wait(run, fault.hold)
 			ctx = run // it arrives, whether its caller still waits or not
--- a/internal/modelcheck/schedule_test.go
+++ b/internal/modelcheck/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -56,10 +57,15 @@
 	"late":         lateMessages,
 	"doubled":      doubledMessages,
 	"late answers": lateAnswers,
+	"late writes":  lateWrites,
+	"late copies":  lateCopies,
+	"island":       cutWithReader,
+	"restart rest": restartBehindACut,
 }
 
-// newSchedule draws a run: faults come alone, and in pairs or threes within half a second.
-func newSchedule(seed uint64) Schedule {
+// newSchedule draws a run of the kinds of fault that are named, of all where none is: faults come alone, and in pairs or
+// threes within half a second.
+func newSchedule(seed uint64, kinds ...string) Schedule {
 	random := rand.New(rand.NewPCG(seed, 11))
 	s := Schedule{Seed: seed, Cores: 5, Losses: 1}
 	switch random.IntN(4) {
@@ -68,11 +74,9 @@
 	case 1:
 		s.Losses = 2
 	}
-	kinds := make([]string, 0, len(faultKinds))
-	for kind := range faultKinds {
-		kinds = append(kinds, kind)
+	if len(kinds) == 0 {
+		kinds = slices.Sorted(maps.Keys(faultKinds))
 	}
-	slices.Sort(kinds)
 	for range 2 + random.IntN(4) {
 		at := random.IntN(faultSpanMs)
 		for range 1 + random.IntN(3) {
@@ -160,6 +164,38 @@
 	}
 }
 
+// cutWithReader cuts a machine off together with an operator, who goes on reading there.
+func cutWithReader(f *fleet, event Event) {
+	if p := f.pick(event); p != nil {
+		f.isolate(p)
+		time.Sleep(event.span())
+		f.world.Heal()
+	}
+}
+
+// isolate cuts a machine and the first operator off from all others.
+func (f *fleet) isolate(p *process) {
+	island := []string{p.addr, operatorHost(0)}
+	f.world.Split(island, slices.DeleteFunc(f.others(p, true), func(addr string) bool { return addr == operatorHost(0) }))
+}
+
+// restartBehindACut cuts a machine off together with an operator; at the same time all others start again.
+func restartBehindACut(f *fleet, event Event) {
+	p := f.pick(event)
+	if p == nil {
+		return
+	}
+	f.isolate(p)
+	for _, other := range slices.Clone(f.processes) {
+		if other != p {
+			f.stop(other)
+			f.restore(other)
+		}
+	}
+	time.Sleep(event.span())
+	f.world.Heal()
+}
+
 func cutOneWay(f *fleet, event Event) {
 	p := f.pick(event)
 	if p == nil {
@@ -326,6 +362,13 @@
 	f.spoilMessages(event, messageFaults{answersHeld: event.Count * 3})
 }
 
+func lateWrites(f *fleet, event Event) {
+	f.spoilMessages(event, messageFaults{only: "core.hold", held: 50})
+}
+func lateCopies(f *fleet, event Event) {
+	f.spoilMessages(event, messageFaults{only: "core.copy", held: 50})
+}
+
 // spoilMessages sets message faults for a while.
 func (f *fleet) spoilMessages(event Event, faults messageFaults) {
 	faults.most = event.span()
--- /dev/null
+++ b/internal/modelcheck/vote_test.go
@@ -0,0 +1,330 @@
+package modelcheck
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
+	"yarrowridge/internal/view"
+)
+
+// The bounds of the exhaustive exploration of the vote.
+const (
+	votersExplored    = 3
+	proposersExplored = 2
+)
+
+// voteBounds are how many faults one course of the vote may have.
+type voteBounds struct {
+	lost     int // messages lost, requests or answers
+	restarts int // of voters
+	attempts int // of each proposer
+}
+
+// pendingCall is a message on its way to a voter, or its answer; the scheduler decides what becomes of it.
+type pendingCall struct {
+	proposer, attempt, voter int
+	request                  msgp.Marshaler
+	response                 *view.BallotResponse
+	outcome                  chan error
+}
+
+// name tells calls of one state apart.
+func (c *pendingCall) name() string {
+	kind := "prepare"
+	if _, ok := c.request.(*view.AcceptRequest); ok {
+		kind = "accept"
+	}
+	return fmt.Sprintf("%d.%d %s %d", c.proposer, c.attempt, kind, c.voter)
+}
+
+// errLost ends a call whose request or answer was lost.
+var errLost = errors.New("modelcheck: message lost")
+
+// vote is one course of the vote: real voters on disks in memory, real proposals, and a scheduler in between.
+type vote struct {
+	bounds   voteBounds
+	disks    []*sim.Disk
+	voters   []*view.Voter
+	current  view.View
+	mu       sync.Mutex
+	pending  []*pendingCall
+	decided  []string                // what each proposer was told
+	accepted map[string]map[int]bool // by ballot and view: the voters that ever accepted it
+	chosen   map[string]bool         // views that a majority accepted under one ballot
+	running  sync.WaitGroup
+}
+
+// newVote begins a course: nothing has been proposed yet.
+func newVote(t *testing.T, bounds voteBounds) *vote {
+	v := &vote{bounds: bounds, decided: make([]string, proposersExplored), accepted: map[string]map[int]bool{}, chosen: map[string]bool{}}
+	v.current = view.View{Epoch: 1}
+	for i := range votersExplored {
+		member := view.Member{Id: fmt.Sprint("member-", i), Addr: fmt.Sprint(i)}
+		v.current.Members = append(v.current.Members, member)
+		v.disks = append(v.disks, diskOf(t, member.Id))
+		v.voters = append(v.voters, nil)
+		v.restart(t, i)
+	}
+	v.current.Primary = v.current.Members[0].Id
+	for i := range proposersExplored {
+		v.running.Go(func() { v.propose(i) })
+	}
+	return v
+}
+
+// diskOf is the disk of a voter that has an identity and has never voted: drawn at random, identities would make each
+// course another one.
+func diskOf(t *testing.T, id string) *sim.Disk {
+	state := view.VoterState{Id: id}
+	raw, err := state.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk := sim.NewDisk()
+	if err := disk.Use().Write("ballot", store.Seal(raw)); err != nil {
+		t.Fatal(err)
+	}
+	return disk
+}
+
+// restart opens a voter from its disk.
+func (v *vote) restart(t *testing.T, voter int) {
+	opened, err := view.Open(v.disks[voter].Use(), 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.voters[voter] = opened
+}
+
+// propose has one member propose itself as primary until something is decided or its attempts are over.
+func (v *vote) propose(proposer int) {
+	next := v.current
+	next.Primary = v.current.Members[proposer].Id
+	highest := uint64(0)
+	for attempt := range v.bounds.attempts {
+		proposal := view.Proposal{Proposer: next.Primary, Current: v.current, Next: next, StepTimeout: time.Hour, HighestBallot: highest,
+			Call: func(_ context.Context, addr, _ string, in msgp.Marshaler, out msgp.Unmarshaler) error {
+				return v.send(proposer, attempt, addr, in, out)
+			}}
+		decided, err := proposal.Run(context.Background())
+		highest = proposal.HighestBallot
+		if err == nil {
+			v.mu.Lock()
+			v.decided[proposer] = decided.Primary
+			v.mu.Unlock()
+			return
+		}
+	}
+}
+
+// send puts a call before the scheduler and waits for what becomes of it.
+func (v *vote) send(proposer, attempt int, addr string, in msgp.Marshaler, out msgp.Unmarshaler) error {
+	call := &pendingCall{proposer: proposer, attempt: attempt, voter: int(addr[0] - '0'), request: in,
+		response: out.(*view.BallotResponse), outcome: make(chan error, 1)}
+	v.mu.Lock()
+	v.pending = append(v.pending, call)
+	v.mu.Unlock()
+	return <-call.outcome
+}
+
+// deliver has a voter take a call, and notes what it accepts.
+func (v *vote) deliver(call *pendingCall) error {
+	var response *view.BallotResponse
+	var err error
+	switch request := call.request.(type) {
+	case *view.PrepareRequest:
+		response, err = v.voters[call.voter].Prepare(request)
+	case *view.AcceptRequest:
+		response, err = v.voters[call.voter].Accept(request)
+		if err == nil && response.Ok {
+			v.noteAccepted(request, call.voter)
+		}
+	}
+	if err == nil {
+		*call.response = *response
+	}
+	return err
+}
+
+// noteAccepted remembers who accepted what: a majority under one ballot has chosen it.
+func (v *vote) noteAccepted(request *view.AcceptRequest, voter int) {
+	key := fmt.Sprintf("%d/%s", request.Ballot.Number, request.Ballot.Proposer)
+	if v.accepted[key] == nil {
+		v.accepted[key] = map[int]bool{}
+	}
+	v.accepted[key][voter] = true
+	if 2*len(v.accepted[key]) > votersExplored {
+		v.chosen[request.Proposed.Primary] = true
+	}
+}
+
+// moves lists what may happen next, in a fixed order.
+func (v *vote) moves() []string {
+	slices.SortFunc(v.pending, func(a, b *pendingCall) int { return strings.Compare(a.name(), b.name()) })
+	var moves []string
+	for _, call := range v.pending {
+		moves = append(moves, "deliver "+call.name())
+		if v.bounds.lost > 0 {
+			moves = append(moves, "lose the request "+call.name(), "lose the answer "+call.name())
+		}
+	}
+	for voter := range votersExplored {
+		if v.bounds.restarts > 0 && len(v.pending) > 0 {
+			moves = append(moves, fmt.Sprint("restart ", voter))
+		}
+	}
+	return moves
+}
+
+// take makes one move.
+func (v *vote) take(t *testing.T, move string) {
+	var voter int
+	if n, _ := fmt.Sscanf(move, "restart %d", &voter); n == 1 {
+		v.bounds.restarts--
+		v.restart(t, voter)
+		return
+	}
+	i := slices.IndexFunc(v.pending, func(call *pendingCall) bool { return strings.HasSuffix(move, " "+call.name()) })
+	call := v.pending[i]
+	v.pending = slices.Delete(v.pending, i, i+1)
+	var err error
+	if !strings.HasPrefix(move, "lose the request") {
+		err = v.deliver(call)
+	}
+	if strings.HasPrefix(move, "lose") {
+		v.bounds.lost--
+		err = errLost
+	}
+	call.outcome <- err
+	synctest.Wait()
+}
+
+// state describes all that what follows depends on.
+func (v *vote) state() string {
+	var state strings.Builder
+	fmt.Fprint(&state, v.bounds, v.decided, v.chosen)
+	for _, call := range v.pending {
+		raw, err := call.request.MarshalMsg(nil)
+		fmt.Fprintf(&state, "|%s %x %v", call.name(), raw, err)
+	}
+	for i, voter := range v.voters {
+		raw, err := v.disks[i].Use().Read("ballot")
+		v.voters[i] = voter
+		fmt.Fprintf(&state, "|%x %v", raw, err)
+	}
+	return state.String()
+}
+
+// finish ends all proposals, so that no task is left.
+func (v *vote) finish() {
+	for done := false; !done; {
+		v.mu.Lock()
+		calls := v.pending
+		v.pending = nil
+		v.mu.Unlock()
+		for _, call := range calls {
+			call.outcome <- errLost
+		}
+		synctest.Wait()
+		v.mu.Lock()
+		done = len(v.pending) == 0
+		v.mu.Unlock()
+	}
+	v.running.Wait()
+}
+
+// disagreement tells where two views were chosen or told for one epoch.
+func (v *vote) disagreement() string {
+	values := map[string]bool{}
+	for chosen := range v.chosen {
+		values[chosen] = true
+	}
+	for _, decided := range v.decided {
+		if decided != "" {
+			values[decided] = true
+		}
+	}
+	if len(values) < 2 {
+		return ""
+	}
+	return fmt.Sprintf("chosen %v, told %v", v.chosen, v.decided)
+}
+
+// exploration walks through all courses of the vote within bounds.
+type exploration struct {
+	bounds   voteBounds
+	seen     map[string]bool
+	played   int
+	deepest  int
+	failed   []string // the moves of a course that decides two views
+	problem  string
+	deadline time.Time
+}
+
+// explore plays the course of the given moves, and all that may follow.
+func (e *exploration) explore(t *testing.T, moves []string) {
+	if e.problem != "" {
+		return
+	}
+	v := newVote(t, e.bounds)
+	synctest.Wait()
+	for _, move := range moves {
+		v.moves()
+		v.take(t, move)
+	}
+	e.played++
+	e.deepest = max(e.deepest, len(moves))
+	next := v.moves()
+	state, problem := v.state(), v.disagreement()
+	v.finish()
+	if problem != "" {
+		e.failed, e.problem = moves, problem
+		return
+	}
+	if e.seen[state] {
+		return
+	}
+	e.seen[state] = true
+	for _, move := range next {
+		e.explore(t, append(slices.Clone(moves), move))
+	}
+}
+
+// exploreAll explores everything within bounds.
+func exploreAll(t *testing.T, bounds voteBounds) *exploration {
+	e := &exploration{bounds: bounds, seen: map[string]bool{}}
+	synctest.Test(t, func(t *testing.T) { e.explore(t, nil) })
+	return e
+}
+
+// TestEveryCourseOfTheVote plays every order of messages, losses and restarts of two proposals to three voters: never are
+// two views decided for one epoch.
+func TestEveryCourseOfTheVote(t *testing.T) {
+	if strike.Out("") {
+		t.Skip("built with a mechanism struck out")
+	}
+	for _, bounds := range []voteBounds{{attempts: 1}, {attempts: 1, lost: 1}, {attempts: 1, restarts: 1}} {
+		t.Run(fmt.Sprintf("%+v", bounds), func(t *testing.T) {
+			t.Parallel()
+			e := exploreAll(t, bounds)
+			if e.problem != "" {
+				t.Errorf("%s after %q", e.problem, e.failed)
+			}
+			t.Logf("%d states, %d courses, at most %d moves", len(e.seen), e.played, e.deepest)
+		})
+	}
+}
--- a/internal/modelcheck/walk_test.go
+++ b/internal/modelcheck/walk_test.go
@@ -58,7 +58,7 @@
 	var all sync.WaitGroup
 	for i := range operatorCount {
 		o := f.newOperator(i)
-		all.Go(func() { o.work(until, 150*time.Millisecond) })
+		all.Go(func() { o.work(until) })
 	}
 	for _, event := range s.Events {
 		time.Sleep(time.Duration(event.AtMs)*time.Millisecond - time.Since(begun))
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -2,7 +2,11 @@
 // for each epoch by single-decree Paxos. Voters sync their promises and accepted views to disk before they answer.
 package view
 
-import "slices"
+import (
+	"slices"
+
+	"yarrowridge/internal/strike"
+)
 
 // Less orders ballots.
 //
@@ -100,5 +104,8 @@
 			count++
 		}
 	}
+	if strike.Out("majority") {
+		count++
+	}
 	return count > len(v.Members)/2
 }
--- a/internal/view/voter.go
+++ b/internal/view/voter.go
@@ -11,6 +11,7 @@
 
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 )
 
 // Voter is one member's vote: what it has promised, accepted and learnt, on its disk, and the lease that it has
@@ -58,7 +59,9 @@
 		if ok && err == nil && v.state.Id != "" {
 			state := v.state
 			v.published.Store(&state)
-			v.leaseEnd = v.openedAt.Add(term)
+			if !strike.Out("grant-at-restart") {
+				v.leaseEnd = v.openedAt.Add(term)
+			}
 			return v, nil
 		}
 		log.Error("Ballot file is damaged; set aside. This disk counts as blank.", "file", "bad-"+ballotFile)
@@ -89,6 +92,11 @@
 	if err != nil {
 		return err
 	}
+	if strike.Out("vote-on-disk") && v.state.Id != "" && state.View.Epoch == v.state.View.Epoch {
+		v.state = state
+		v.published.Store(&state)
+		return nil
+	}
 	if err := v.disk.Write(ballotFile, store.Seal(raw)); err != nil {
 		return eris.Wrap(err, "view: ballot not kept")
 	}
