Model check: a machine taken out while it starts does not come back

One of 4000 schedules ended with six machines alive where five counted: the harness let a process finish its start after its machine had been taken out. Not a fault of the core.

--- a/internal/modelcheck/fleet_test.go
+++ b/internal/modelcheck/fleet_test.go
@@ -137,6 +137,9 @@
 	if !p.running && !p.retired {
 		p.start()
 	}
+	if p.retired {
+		f.stop(p) // it was taken out while it started
+	}
 }
 
 // current is the newest view that any running process knows.
