Gateway: tests of a route's time, its attempts, and the time handed on

Red with, in this order: the client's time in place of the lesser; one attempt more (sent to 3); the client's time handed on again (2 s and 2 s, 120 ms later).

--- /dev/null
+++ b/internal/gateway/bounds_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yarrowridge/internal/routing"
+)
+
+// slack is how much later than its bound an answer may come here.
+const slack = 500 * time.Millisecond
+
+// A request that nobody has answered by its route's time is answered then, whatever its client would wait.
+func TestRouteTimeEndsARequest(t *testing.T) {
+	bounded := route(routing.Unsafe, 1, false)
+	bounded.Timeout = 150 * time.Millisecond
+	f := newFleet(t, bounded)
+	f.runner("silent", func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	begun := time.Now()
+	answer, _, err := f.send("1", "/a/x", "k1", "", "Test-Deadline", "30000")
+	if err != nil || answer.StatusCode != http.StatusGatewayTimeout {
+		t.Fatal(answer, err)
+	}
+	if took := time.Since(begun); took < bounded.Timeout || took > bounded.Timeout+slack {
+		t.Errorf("answered after %s, its route's time is %s", took, bounded.Timeout)
+	}
+}
+
+// However many runners fail, a request is sent to no more of them than its route allows.
+func TestAttemptsAreBounded(t *testing.T) {
+	f := newFleet(t, route(routing.Safe, 2, false))
+	f.runner("good", good("text"))
+	for range 8 { // earn further tries
+		if answer, _, err := f.send("1", "/a/x", "k1", ""); err != nil || answer.StatusCode != http.StatusOK {
+			t.Fatal(answer, err)
+		}
+	}
+	f.runners = nil
+	var sent atomic.Int64
+	for _, id := range []string{"one", "two", "three", "four"} {
+		f.raw(id, func(con net.Conn, _ *http.Request) {
+			sent.Add(1)
+			con.Close()
+		})
+	}
+	answer, _, err := f.send("1", "/a/x", "k1", "")
+	if err != nil || answer.StatusCode != http.StatusBadGateway || sent.Load() != 2 {
+		t.Errorf("sent to %d runners, answer %v, %v", sent.Load(), answer, err)
+	}
+}
+
+// A runner is handed the time that is left, also on a further attempt.
+func TestTimeLeftIsHandedOn(t *testing.T) {
+	f := newFleet(t, route(routing.Safe, 2, false))
+	const pause = 120 * time.Millisecond
+	handed := make(chan time.Duration, 2)
+	for _, id := range []string{"one", "two"} {
+		f.raw(id, func(con net.Conn, request *http.Request) {
+			left, _ := strconv.Atoi(request.Header.Get("Test-Left"))
+			handed <- time.Duration(left) * time.Millisecond
+			time.Sleep(pause)
+			con.Close()
+		})
+	}
+	if _, _, err := f.send("1", "/a/x", "k1", "", "Test-Deadline", "2000"); err != nil {
+		t.Fatal(err)
+	}
+	first, second := <-handed, <-handed
+	if first <= 0 || first > 2*time.Second || second <= 0 || second > first-pause {
+		t.Errorf("handed %s first and %s %s later", first, second, pause)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 		h.Set("Test-Tenant", m.Tenant)
 	}
 	h.Set("Test-Runner", m.RunnerID)
+	h.Set("Test-Left", strconv.FormatInt(m.Deadline.Milliseconds(), 10))
 	if m.LastEventID != "" {
 		h.Set("Last-Event-Id", m.LastEventID)
 	}
