--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -166,7 +166,7 @@
 		if !s.replaceBackups() {
 			return inDoubt
 		}
-	} else if !s.isPrimary(v) && !strike.Out("second-look") {
+	} else if !s.isPrimary(v) {
 		return inDoubt
 	}
 	s.applyCommitted(tx)
