--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -281,8 +281,8 @@
 		r.Heartbeat(routing.Runner{ID: fmt.Sprintf("runner-%032d", i), Address: "10.100.100.100:10000", Zone: "zone", Service: "service-name", State: routing.RunnerReady, Sequence: 1}, r.now)
 	}
 	response := r.tell(0, 0)
-	if size := response.Msgsize(); size > wire.Most {
-		t.Errorf("ten thousand runners take %d bytes, a frame %d", size, wire.Most)
+	if size := response.Msgsize(); size > wire.MaxFrameBytes {
+		t.Errorf("ten thousand runners take %d bytes, a frame %d", size, wire.MaxFrameBytes)
 	}
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -54,7 +54,7 @@
 	seeds    atomic.Pointer[[]string] // where the fleet is looked for
 	voter    *view.Voter
 	caller   *wire.Caller
-	handlers wire.Hands
+	handlers wire.Handlers
 	jobs     chan *job
 	runID    uint64 // of this process, at random; not zero
 
@@ -187,7 +187,7 @@
 	s.registry = NewRunnerRegistry(settings.RunnerSilentAfter, s.announce)
 	s.store.Store(opened)
 	s.seeds.Store(&settings.Seeds)
-	s.handlers = wire.Hands{"view": s.handleView, "core": s.handleCore}
+	s.handlers = wire.Handlers{"view": s.handleView, "core": s.handleCore}
 	return s, nil
 }
 
--- a/internal/modelcheck/process_test.go
+++ b/internal/modelcheck/process_test.go
@@ -99,7 +99,7 @@
 }
 
 // handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
-func (p *process) handler(run context.Context, server *core.Server) wire.Hand {
+func (p *process) handler(run context.Context, server *core.Server) wire.Handler {
 	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
 		fault := p.fleet.messageFault(kind)
 		if fault.hold > 0 {
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -54,7 +54,7 @@
 	routersBefore   int  // as a primary told that does not know the nodes yet
 	draining        bool // no new clients, please
 	leaving         bool // the lease is given up
-	handlers        map[string]wire.Hand
+	handlers        map[string]wire.Handler
 }
 
 // Option changes what a hub does with its news.
@@ -95,7 +95,7 @@
 //	hub := node.NewHub(ctx, "127.0.0.1:7501", "127.0.0.1:8501", seeds, onNews)
 func NewHub(ctx env.Ctx, addr, clientAddr string, seeds []string, onNews func(relay.Record), options ...Option) *Hub {
 	h := &Hub{ctx: ctx, addr: addr, clientAddr: clientAddr, caller: wire.NewCaller(ctx.Net), onNews: onNews,
-		outbox: make(chan relay.News, 1024), started: time.Now(), handlers: map[string]wire.Hand{}}
+		outbox: make(chan relay.News, 1024), started: time.Now(), handlers: map[string]wire.Handler{}}
 	h.Core = core.NewClient(ctx, h.caller, seeds)
 	h.seeds.Store(&seeds)
 	h.Records = relay.NewStore(h.takeRecord)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -14,7 +14,7 @@
 // Handle adds a handler of another owner's calls on the same listener.
 //
 //	hub.Handle("piece", pool.Hand)
-func (h *Hub) Handle(name string, hand wire.Hand) { h.handlers[name] = hand }
+func (h *Hub) Handle(name string, hand wire.Handler) { h.handlers[name] = hand }
 
 // Serve answers calls from other processes.
 //
@@ -49,7 +49,7 @@
 	case "node.roll":
 		return &NodeList{h.Nodes()}, nil
 	}
-	return wire.Hands(h.handlers).Do(ctx, kind, body)
+	return wire.Handlers(h.handlers).Do(ctx, kind, body)
 }
 
 // Call reaches another process of the fleet.
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -18,22 +18,22 @@
 
 // World is a network of machines, each known by its address.
 type World struct {
-	mu   sync.Mutex
-	rnd  *rand.Rand
-	ears map[string]*ear
-	cons map[*con]bool
-	cuts map[[2]string]bool // from, to: nothing gets through
-	lag  time.Duration      // the most that a piece is under way
-	sent int
-	dial int
+	mu          sync.Mutex
+	rnd         *rand.Rand
+	listeners   map[string]*listener
+	connections map[*connection]bool
+	cuts        map[[2]string]bool // from, to: nothing gets through
+	maxDelay    time.Duration      // the most that a piece is under way
+	sent        int
+	dial        int
 }
 
 // NewWorld makes a world whose delays come from the seed.
 //
 //	w := sim.NewWorld(42)
 func NewWorld(seed uint64) *World {
-	w := &World{rnd: rand.New(rand.NewPCG(seed, 7)), ears: map[string]*ear{}, cons: map[*con]bool{},
-		cuts: map[[2]string]bool{}, lag: 4 * time.Millisecond}
+	w := &World{rnd: rand.New(rand.NewPCG(seed, 7)), listeners: map[string]*listener{}, connections: map[*connection]bool{},
+		cuts: map[[2]string]bool{}, maxDelay: 4 * time.Millisecond}
 	return w
 }
 
@@ -58,12 +58,12 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		m.dead = true
-		for _, e := range w.ears {
+		for _, e := range w.listeners {
 			if e.m == m {
 				e.shut()
 			}
 		}
-		for c := range w.cons {
+		for c := range w.connections {
 			if c.m == m || c.far.m == m {
 				c.fail()
 				c.far.fail()
@@ -97,8 +97,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cuts)
-	for c := range w.cons {
-		c.poke()
+	for c := range w.connections {
+		c.wakeReader()
 	}
 }
 
@@ -132,22 +132,22 @@
 	}
 }
 
-type ear struct {
+type listener struct {
 	m    *machine
 	addr string
-	ch   chan *con
+	ch   chan *connection
 	done chan struct{}
 	once sync.Once
 }
 
-func (e *ear) shut() {
+func (e *listener) shut() {
 	e.once.Do(func() {
 		close(e.done)
-		delete(e.m.w.ears, e.addr)
+		delete(e.m.w.listeners, e.addr)
 	})
 }
 
-func (e *ear) Accept() (net.Conn, error) {
+func (e *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-e.ch:
 		return c, nil
@@ -156,29 +156,29 @@
 	}
 }
 
-func (e *ear) Close() error {
+func (e *listener) Close() error {
 	e.m.w.mu.Lock()
 	defer e.m.w.mu.Unlock()
 	e.shut()
 	return nil
 }
 
-func (e *ear) Addr() net.Addr { return spot(e.addr) }
+func (e *listener) Addr() net.Addr { return address(e.addr) }
 
-type spot string
+type address string
 
-func (spot) Network() string  { return "sim" }
-func (s spot) String() string { return string(s) }
+func (address) Network() string  { return "sim" }
+func (s address) String() string { return string(s) }
 
 // Listen binds an address of the world.
 func (m *machine) Listen(addr string) (net.Listener, error) {
 	m.w.mu.Lock()
 	defer m.w.mu.Unlock()
-	if m.dead || m.w.ears[addr] != nil {
+	if m.dead || m.w.listeners[addr] != nil {
 		return nil, errors.New("sim: address in use")
 	}
-	e := &ear{m: m, addr: addr, ch: make(chan *con, 64), done: make(chan struct{})}
-	m.w.ears[addr] = e
+	e := &listener{m: m, addr: addr, ch: make(chan *connection, 64), done: make(chan struct{})}
+	m.w.listeners[addr] = e
 	return e, nil
 }
 
@@ -206,17 +206,17 @@
 			wait = 50 * time.Millisecond
 			continue
 		}
-		e := m.w.ears[addr]
+		e := m.w.listeners[addr]
 		if e == nil {
 			m.w.mu.Unlock()
 			return nil, ErrRefused
 		}
-		a, b := &con{w: m.w, m: m, to: addr}, &con{w: m.w, m: e.m, to: m.addr}
+		a, b := &connection{w: m.w, m: m, to: addr}, &connection{w: m.w, m: e.m, to: m.addr}
 		a.far, b.far = b, a
 		a.more, b.more = make(chan struct{}, 1), make(chan struct{}, 1)
 		a.gone, b.gone = make(chan struct{}), make(chan struct{})
-		a.ring, b.ring = newStoppedTimer(), newStoppedTimer()
-		m.w.cons[a], m.w.cons[b] = true, true
+		a.wakeTimer, b.wakeTimer = newStoppedTimer(), newStoppedTimer()
+		m.w.connections[a], m.w.connections[b] = true, true
 		m.w.mu.Unlock()
 		select {
 		case e.ch <- b:
@@ -230,7 +230,7 @@
 func (w *World) delay() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Duration(w.rnd.Int64N(int64(w.lag)) + 1)
+	return time.Duration(w.rnd.Int64N(int64(w.maxDelay)) + 1)
 }
 
 type piece struct {
@@ -238,20 +238,20 @@
 	at   time.Time
 }
 
-// con is one end of a connection. What arrives stands in its own queue.
-type con struct {
-	w     *World
-	m     *machine
-	to    string
-	far   *con
-	in    []piece
-	last  time.Time
-	more  chan struct{}
-	until time.Time   // of reading
-	ring  *time.Timer // wakes the reader when the next piece arrives or its time is up
-	gone  chan struct{}
-	down  bool
-	eof   bool
+// connection is one end of a connection. What arrives stands in its own queue.
+type connection struct {
+	w         *World
+	m         *machine
+	to        string
+	far       *connection
+	in        []piece
+	last      time.Time
+	more      chan struct{}
+	until     time.Time   // of reading
+	wakeTimer *time.Timer // wakes the reader when the next piece arrives or its time is up
+	gone      chan struct{}
+	down      bool
+	eof       bool
 }
 
 func newStoppedTimer() *time.Timer {
@@ -260,7 +260,7 @@
 	return timer
 }
 
-func (c *con) poke() {
+func (c *connection) wakeReader() {
 	select {
 	case c.more <- struct{}{}:
 	default:
@@ -268,16 +268,16 @@
 }
 
 // fail breaks the end; the caller holds the world's lock.
-func (c *con) fail() {
+func (c *connection) fail() {
 	if !c.down {
 		c.down = true
 		close(c.gone)
-		c.ring.Stop()
-		delete(c.w.cons, c)
+		c.wakeTimer.Stop()
+		delete(c.w.connections, c)
 	}
 }
 
-func (c *con) Read(b []byte) (int, error) {
+func (c *connection) Read(b []byte) (int, error) {
 	for {
 		c.w.mu.Lock()
 		if c.down {
@@ -303,19 +303,19 @@
 			c.w.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
-		c.setRing()
+		c.setWakeTimer()
 		c.w.mu.Unlock()
 		select {
 		case <-c.more:
-		case <-c.ring.C:
+		case <-c.wakeTimer.C:
 		case <-c.gone:
 		}
 	}
 }
 
-// setRing sets the timer to when the reader has to look again: as the first piece arrives, or at the deadline. The
+// setWakeTimer sets the timer to when the reader has to look again: as the first piece arrives, or at the deadline. The
 // caller holds the world's lock.
-func (c *con) setRing() {
+func (c *connection) setWakeTimer() {
 	var next time.Time
 	if len(c.in) > 0 && !c.w.cut(c.to, c.m.addr) {
 		next = c.in[0].at
@@ -324,13 +324,13 @@
 		next = c.until
 	}
 	if next.IsZero() {
-		c.ring.Stop()
+		c.wakeTimer.Stop()
 		return
 	}
-	c.ring.Reset(time.Until(next))
+	c.wakeTimer.Reset(time.Until(next))
 }
 
-func (c *con) Write(b []byte) (int, error) {
+func (c *connection) Write(b []byte) (int, error) {
 	d := c.w.delay()
 	c.w.mu.Lock()
 	defer c.w.mu.Unlock()
@@ -348,29 +348,29 @@
 	c.far.in = append(c.far.in, piece{append([]byte{}, b...), at})
 	c.w.sent++
 	if len(c.far.in) == 1 {
-		c.far.setRing() // the reader need not wake before the piece is there
+		c.far.setWakeTimer() // the reader need not wake before the piece is there
 	}
 	return len(b), nil
 }
 
-func (c *con) Close() error {
+func (c *connection) Close() error {
 	c.w.mu.Lock()
 	defer c.w.mu.Unlock()
 	c.fail()
 	c.far.eof = true
-	c.far.poke()
+	c.far.wakeReader()
 	return nil
 }
 
-func (c *con) LocalAddr() net.Addr                { return spot(c.m.addr) }
-func (c *con) RemoteAddr() net.Addr               { return spot(c.to) }
-func (c *con) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
-func (c *con) SetWriteDeadline(t time.Time) error { return nil } // a write never waits
+func (c *connection) LocalAddr() net.Addr                { return address(c.m.addr) }
+func (c *connection) RemoteAddr() net.Addr               { return address(c.to) }
+func (c *connection) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+func (c *connection) SetWriteDeadline(t time.Time) error { return nil } // a write never waits
 
-func (c *con) SetReadDeadline(t time.Time) error {
+func (c *connection) SetReadDeadline(t time.Time) error {
 	c.w.mu.Lock()
 	defer c.w.mu.Unlock()
 	c.until = t
-	c.poke()
+	c.wakeReader()
 	return nil
 }
--- a/internal/wire/caller.go
+++ b/internal/wire/caller.go
@@ -120,7 +120,7 @@
 
 // connect dials. A dark machine must not eat a caller's whole time: there may be another to ask.
 func (c *Caller) connect(ctx context.Context, addr string, d *dial) {
-	ctx, end := context.WithTimeout(ctx, dialWait)
+	ctx, end := context.WithTimeout(ctx, dialTimeout)
 	defer end()
 	con, err := c.dialUntil(ctx, addr)
 	c.mu.Lock()
@@ -160,7 +160,7 @@
 			}
 		}
 	}
-	again := time.NewTicker(dialAgain)
+	again := time.NewTicker(dialRetryPause)
 	defer again.Stop()
 	go try()
 	for {
@@ -179,7 +179,7 @@
 // just asked for is not idle, so no call meets a connection that is closed under it.
 func (c *Caller) closeIdle() {
 	for addr, l := range c.open {
-		if l.dead.Load() || time.Since(l.used) > idleAfter && l.idle() {
+		if l.dead.Load() || time.Since(l.used) > idleTimeout && l.idle() {
 			go l.kill()
 			delete(c.open, addr)
 		}
--- a/internal/wire/dial_test.go
+++ b/internal/wire/dial_test.go
@@ -53,7 +53,7 @@
 		{"up", 0, false, 5 * time.Millisecond, true},
 		{"starts", 70 * time.Millisecond, false, 110 * time.Millisecond, true},
 		{"starts without a process", 70 * time.Millisecond, true, 110 * time.Millisecond, false},
-		{"dark", time.Hour, false, dialWait + 5*time.Millisecond, false},
+		{"dark", time.Hour, false, dialTimeout + 5*time.Millisecond, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -27,8 +27,8 @@
 	if err != nil {
 		return eris.Wrap(err, "wire: compressed body unread")
 	}
-	if size > Most {
-		return eris.Errorf("wire: compressed body of %d bytes, at most %d expected", size, Most)
+	if size > MaxFrameBytes {
+		return eris.Errorf("wire: compressed body of %d bytes, at most %d expected", size, MaxFrameBytes)
 	}
 	if f.Body, err = s2.Decode(nil, f.Body); err != nil {
 		return eris.Wrap(err, "wire: compressed body unread")
--- a/internal/wire/pack_test.go
+++ b/internal/wire/pack_test.go
@@ -104,7 +104,7 @@
 	if f.pack(); f.Packed {
 		t.Error("noise was compressed")
 	}
-	for _, body := range [][]byte{nil, {0xff}, s2.Encode(nil, make([]byte, Most+1)), s2.Encode(nil, bytes.Repeat([]byte("x"), 9000))[:9]} {
+	for _, body := range [][]byte{nil, {0xff}, s2.Encode(nil, make([]byte, MaxFrameBytes+1)), s2.Encode(nil, bytes.Repeat([]byte("x"), 9000))[:9]} {
 		f := Frame{Fmt: Fmt, Body: body, Packed: true}
 		var b bytes.Buffer
 		if err := write(&b, &f); err != nil {
--- a/internal/wire/traffic_test.go
+++ b/internal/wire/traffic_test.go
@@ -54,11 +54,11 @@
 }
 
 // pipeNet opens connections that are served in memory.
-type pipeNet struct{ hand Hand }
+type pipeNet struct{ handler Handler }
 
 func (p pipeNet) Dial(ctx context.Context, _ string) (net.Conn, error) {
 	near, far := net.Pipe()
-	go serve(context.WithoutCancel(ctx), far, p.hand)
+	go serve(context.WithoutCancel(ctx), far, p.handler)
 	return near, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,20 +17,20 @@
 	"yarrowridge/internal/tcp"
 )
 
-// Most is the largest frame body read, in bytes.
-const Most = 8 << 20
+// MaxFrameBytes is the largest frame body read, in bytes.
+const MaxFrameBytes = 8 << 20
 
-// dialWait is the most that opening a connection may take. The opening packet to a machine that is just starting
+// dialTimeout is the most that opening a connection may take. The opening packet to a machine that is just starting
 // is lost, and the system sends it again after a second only: the next try comes sooner.
-const dialWait = 250 * time.Millisecond
+const dialTimeout = 250 * time.Millisecond
 
-// dialAgain is between the tries of one dial, which go on side by side: a machine that starts meanwhile answers
+// dialRetryPause is between the tries of one dial, which go on side by side: a machine that starts meanwhile answers
 // the next one.
-const dialAgain = 50 * time.Millisecond
+const dialRetryPause = 50 * time.Millisecond
 
-// idleAfter is how long a connection is kept unused once others are opened. Digests go to random nodes: without
+// idleTimeout is how long a connection is kept unused once others are opened. Digests go to random nodes: without
 // a bound every router would in time hold a connection to every other.
-const idleAfter = 10 * time.Second
+const idleTimeout = 10 * time.Second
 
 // unacknowledgedLimit is how long bytes may stay without an acknowledgement before TCP gives a connection up. A
 // machine that lost power knows nothing of its connections once it is back, and says so only to the next byte: TCP
@@ -99,8 +99,8 @@
 	return errors.As(err, &f) && f.Code == code
 }
 
-// Hand carries out one call: kind and body in, answer out.
-type Hand func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error)
+// Handler carries out one call: kind and body in, answer out.
+type Handler func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error)
 
 func write(w io.Writer, f *Frame) error {
 	buf := make([]byte, 4, 64+len(f.Body))
@@ -120,8 +120,8 @@
 		return err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > Most+1024 {
-		return eris.Errorf("wire: frame of %d bytes, at most %d expected", n, Most)
+	if n > MaxFrameBytes+1024 {
+		return eris.Errorf("wire: frame of %d bytes, at most %d expected", n, MaxFrameBytes)
 	}
 	f.size = len(head) + int(n)
 	buf := make([]byte, n)
@@ -139,8 +139,8 @@
 
 // Serve answers calls on l until ctx ends. Each call runs as its own task.
 //
-//	go wire.Serve(ctx, l, hand)
-func Serve(ctx context.Context, l net.Listener, hand Hand) {
+//	go wire.Serve(ctx, l, handler)
+func Serve(ctx context.Context, l net.Listener, handler Handler) {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	var all sync.WaitGroup
@@ -160,17 +160,17 @@
 			}
 			continue
 		}
-		all.Go(func() { serve(ctx, con, hand) })
+		all.Go(func() { serve(ctx, con, handler) })
 	}
 }
 
-func serve(ctx context.Context, con net.Conn, hand Hand) {
+func serve(ctx context.Context, con net.Conn, handler Handler) {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	stop := context.AfterFunc(ctx, func() { con.Close() })
 	defer stop()
 	defer con.Close()
-	answers := &answerer{con: con, hand: hand, spare: make(chan struct{}, mostIdle)}
+	answers := &answerer{con: con, handler: handler, spare: make(chan struct{}, maxIdleTasks)}
 	idle := make(chan Frame)
 	for {
 		var f Frame
@@ -186,15 +186,15 @@
 	}
 }
 
-// mostIdle is how many tasks of one connection wait for its next calls.
-const mostIdle = 8
+// maxIdleTasks is how many tasks of one connection wait for its next calls.
+const maxIdleTasks = 8
 
 // answerer carries out the calls of one connection.
 type answerer struct {
-	con   net.Conn
-	hand  Hand
-	spare chan struct{} // one entry for each idle task
-	mu    sync.Mutex    // held while an answer is written
+	con     net.Conn
+	handler Handler
+	spare   chan struct{} // one entry for each idle task
+	mu      sync.Mutex    // held while an answer is written
 }
 
 // work carries out a call, and then as many more as come while it is idle. A task that has carried out a call has a
@@ -219,7 +219,7 @@
 // answer carries out one call and writes its answer.
 func (a *answerer) answer(ctx context.Context, f *Frame) {
 	out := Frame{Fmt: Fmt, Id: f.Id, Kind: f.Kind, Unpacks: true}
-	ans, err := a.hand(ctx, f.Kind, f.Body)
+	ans, err := a.handler(ctx, f.Kind, f.Body)
 	if err == nil && ans != nil {
 		out.Body, err = ans.MarshalMsg(nil)
 	}
@@ -243,15 +243,15 @@
 	traffic.of(f.Kind).answersSent.add(out.size)
 }
 
-// Hands sends each call to the hand that owns the part of its kind before the dot.
+// Handlers sends each call to the handler that owns the part of its kind before the dot.
 //
-//	wire.Hands{"core": a, "view": b}.Do
-type Hands map[string]Hand
+//	wire.Handlers{"core": a, "view": b}.Do
+type Handlers map[string]Handler
 
-// Do is the Hand that splits by owner.
+// Do is the Handler that splits by owner.
 //
 //	wire.Serve(ctx, l, hands.Do)
-func (h Hands) Do(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+func (h Handlers) Do(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
 	for i := range len(kind) {
 		if kind[i] == '.' {
 			if own := h[kind[:i]]; own != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -91,7 +91,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var out Frame
-		if err := read(bytes.NewReader(raw), &out); err == nil && len(out.Body) > Most+1024 {
+		if err := read(bytes.NewReader(raw), &out); err == nil && len(out.Body) > MaxFrameBytes+1024 {
 			t.Error("a frame over the bound was read")
 		}
 	})
