Core: a write that waits for a new backup looks for the lease each 5 ms, not 50

Cause: while the run loop replaces a backup inside a commit nothing wakes it when the new epoch's lease stands; it slept a whole tick.

--- a/internal/core/backups.go
+++ b/internal/core/backups.go
@@ -55,6 +55,7 @@
 	}
 	backups := s.copyAll(v, slices.Concat(keep, chosen))
 	if len(backups) < s.settings.backupCount(v) {
+		s.wake() // those that failed are not chosen again: the next attempt need not wait
 		return false
 	}
 	if sameMembers(backups, v.Backups()) {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -191,7 +191,7 @@
 		if next.Epoch != current.Epoch {
 			continue // a step was made, and the next one need not wait
 		}
-		if !env.Wait(s.ctx, tickEvery) {
+		if !env.Wait(s.ctx, replaceStepPause) {
 			return false
 		}
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -28,6 +28,7 @@
 	suspectAfter      = 100 * time.Millisecond  // one that has not stored a write by then is asked for a sign of life
 	signOfLifeTimeout = 150 * time.Millisecond  // and let go if it gives none within this
 	replaceTimeout    = 3 * time.Second         // a write waits so long for a new backup
+	replaceStepPause  = 5 * time.Millisecond    // between two looks whether the lease of the new epoch stands: all writes wait
 	nodeLeaseTerm     = 2 * time.Second         // a node's lease
 	maxBatchBytes     = 1 << 20                 // bytes of state in one SnapshotRequest
 	maxBatchJobs      = 256                     // writes synced together
