--- a/internal/sim/secondloss_test.go
+++ b/internal/sim/secondloss_test.go
@@ -18,6 +18,17 @@
 	f.w.Split([]string{c.addr}, others)
 }
 
+// acknowledged makes the first write of a fleet that has no trouble.
+func (f *fleet) acknowledged(o *operator, b *book) put {
+	f.t.Helper()
+	p := o.put(1, 0, "")
+	b.add(p)
+	if p.code != 200 {
+		f.t.Fatalf("a write was answered %d", p.code)
+	}
+	return p
+}
+
 // loseDisk crashes a core and takes its disk away.
 func (f *fleet) loseDisk(c *coreProc) {
 	f.crashCore(c)
@@ -46,11 +57,7 @@
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f := grown(t, seed, 5, 1)
 		o, b := f.operator(), &book{}
-		acknowledged := o.put(1, 0, "")
-		b.add(acknowledged)
-		if acknowledged.code != 200 {
-			t.Fatalf("a write was answered %d", acknowledged.code)
-		}
+		acknowledged := f.acknowledged(o, b)
 		old := f.primary()
 		f.cutOff(old, o)
 		var next *coreProc
@@ -77,11 +84,7 @@
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f := grown(t, seed, 5, 1)
 		o, b := f.operator(), &book{}
-		acknowledged := o.put(1, 0, "")
-		b.add(acknowledged)
-		if acknowledged.code != 200 {
-			t.Fatalf("a write was answered %d", acknowledged.code)
-		}
+		acknowledged := f.acknowledged(o, b)
 		primary := f.primary()
 		backup := f.at(primary.srv.View().Backups()[0])
 		f.cutOff(backup, o)
