--- a/internal/modelcheck/vote_test.go
+++ b/internal/modelcheck/vote_test.go
@@ -266,13 +266,12 @@
 
 // exploration walks through all courses of the vote within bounds.
 type exploration struct {
-	bounds   voteBounds
-	seen     map[string]bool
-	played   int
-	deepest  int
-	failed   []string // the moves of a course that decides two views
-	problem  string
-	deadline time.Time
+	bounds  voteBounds
+	seen    map[string]bool
+	played  int
+	deepest int
+	failed  []string // the moves of a course that decides two views
+	problem string
 }
 
 // explore plays the course of the given moves, and all that may follow.
