Reread: one end of a vote's writing, one search for an identity, one form of an operator's address

Found in the reread of this work's change; behaviour as it was, assertions untouched. - view: the strike of the vote's writing repeated the two lines after it; it now only leaves out the write. - sim: at and holds searched the cores by the same loop; at calls holds. - modelcheck: a line that set a voter to itself is gone; operators' addresses are formed in one place. Looked at and left: runnerHealth and runnerPauses fade by the same three lines, over fields whose names say what they are; the sync in settleBase also where nothing was removed (a run before may have removed without a sync).

--- a/internal/modelcheck/operator_test.go
+++ b/internal/modelcheck/operator_test.go
@@ -30,7 +30,7 @@
 func (f *fleet) newOperator(number int) *operator {
 	o := &operator{fleet: f, number: number}
 	for i := range o.clients {
-		network, _ := f.world.Net(fmt.Sprintf("10.0.9.%d:%d", number+1, i+1))
+		network, _ := f.world.Net(operatorAddr(number, i))
 		where := env.Ctx{Context: f.ctx, Name: "operator", Log: f.log, Net: network}
 		o.clients[i] = core.NewClient(where, wire.NewCaller(network), f.seeds())
 	}
--- a/internal/modelcheck/schedule_test.go
+++ b/internal/modelcheck/schedule_test.go
@@ -150,7 +150,10 @@
 }
 
 // operatorHost is the address of an operator's machine.
-func operatorHost(number int) string { return fmt.Sprintf("10.0.9.%d:1", number+1) }
+func operatorHost(number int) string { return operatorAddr(number, 0) }
+
+// operatorAddr is the address of one of an operator's clients.
+func operatorAddr(number, client int) string { return fmt.Sprintf("10.0.9.%d:%d", number+1, client+1) }
 
 func cutProcess(f *fleet, event Event) {
 	if p := f.pick(event); p != nil {
--- a/internal/modelcheck/vote_test.go
+++ b/internal/modelcheck/vote_test.go
@@ -213,7 +213,7 @@
 	synctest.Wait()
 }
 
-// state describes all that what follows depends on.
+// state describes all that what follows depends on. The course ends with it: its voters lose their disks.
 func (v *vote) state() string {
 	var state strings.Builder
 	fmt.Fprint(&state, v.bounds, v.decided, v.chosen)
@@ -221,9 +221,8 @@
 		raw, err := call.request.MarshalMsg(nil)
 		fmt.Fprintf(&state, "|%s %x %v", call.name(), raw, err)
 	}
-	for i, voter := range v.voters {
-		raw, err := v.disks[i].Use().Read("ballot")
-		v.voters[i] = voter
+	for _, disk := range v.disks {
+		raw, err := disk.Use().Read("ballot")
 		fmt.Fprintf(&state, "|%x %v", raw, err)
 	}
 	return state.String()
--- a/internal/sim/membership_test.go
+++ b/internal/sim/membership_test.go
@@ -60,13 +60,11 @@
 
 // at is the core process that holds an identity.
 func (f *fleet) at(id string) *coreProc {
-	for _, c := range f.cores {
-		if c.up && c.srv.State().Id == id {
-			return c
-		}
+	c := f.holds(id)
+	if c == nil {
+		f.t.Fatalf("no core holds identity %s", id)
 	}
-	f.t.Fatalf("no core holds identity %s", id)
-	return nil
+	return c
 }
 
 // wipe gives cores empty disks; they are down.
--- a/internal/view/voter.go
+++ b/internal/view/voter.go
@@ -92,13 +92,11 @@
 	if err != nil {
 		return err
 	}
-	if strike.Out("vote-on-disk") && v.state.Id != "" && state.View.Epoch == v.state.View.Epoch {
-		v.state = state
-		v.published.Store(&state)
-		return nil
-	}
-	if err := v.disk.Write(ballotFile, store.Seal(raw)); err != nil {
-		return eris.Wrap(err, "view: ballot not kept")
+	isVote := v.state.Id != "" && state.View.Epoch == v.state.View.Epoch
+	if !isVote || !strike.Out("vote-on-disk") {
+		if err := v.disk.Write(ballotFile, store.Seal(raw)); err != nil {
+			return eris.Wrap(err, "view: ballot not kept")
+		}
 	}
 	v.state = state
 	v.published.Store(&state)
