Test: TestShorterRun gives the second run fewer pieces than were handed over

Cause: the test heard the first run for one second and gave the second run 6 to 15 pieces, taking it that 19 had been heard. About one course in ten starts some 250 ms late, 13 to 15 pieces are heard then, and a second run of 14 or 15 pieces has repeated all of them: its end is rightly the stream's.

--- a/internal/sim/stream_test.go
+++ b/internal/sim/stream_test.go
@@ -429,7 +429,10 @@
 	others, everyb []string // addresses of the other routers; of all other processes but runners
 }
 
-// course founds a fleet with second tries earned, and begins a stream of 200 pieces at 50 ms.
+// courseTokens is how many pieces the stream of a course has, unless its run is shorter.
+const courseTokens = 200
+
+// course founds a fleet with second tries earned, and begins a stream of courseTokens pieces at 50 ms.
 func course(t *testing.T, seed uint64, first time.Duration, pause func(int) time.Duration) *play {
 	var all []*simRunner
 	for range 4 {
@@ -460,7 +463,7 @@
 
 // hear has the origin listen at a router for a while.
 func (p *play) hear(r *fullRouter, d time.Duration) {
-	req := httptest.NewRequestWithContext(p.ctx, "POST", "/ask", strings.NewReader(`{"model":"m","prompt":"a","stream":true,"max_tokens":200}`))
+	req := httptest.NewRequestWithContext(p.ctx, "POST", "/ask", strings.NewReader(fmt.Sprintf(`{"model":"m","prompt":"a","stream":true,"max_tokens":%d}`, courseTokens)))
 	if p.o.id != "" {
 		req = httptest.NewRequestWithContext(p.ctx, "GET", fmt.Sprintf("/v1/streams/%s?after=%d", p.o.id, len(p.o.pieces)), nil)
 	}
@@ -541,9 +544,13 @@
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		p := course(t, seed, time.Second, nil)
+		heard := len(p.o.pieces) // fewer where the start was slow; the second run has 1 to 10 pieces less
+		if heard <= 10 {
+			t.Fatalf("%d pieces heard before the second run", heard)
+		}
 		for _, s := range p.runners {
 			s.mu.Lock()
-			s.odd, s.bare = 185+p.chance(10), true
+			s.odd, s.bare = courseTokens-heard+1+p.chance(10), true
 			s.mu.Unlock()
 		}
 		for _, s := range p.seen() {
