Metrics: the platform's roles serve their own figures as text where the line says so

The flag -metrics opens a listener of its own, after all others, so that it can take no port that they need; a port that cannot be bound is logged and stops nothing.

Requests are counted since the start now, the log tells what is new since its last line as before. The older router's registry and the new ones are made by one function.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -9,6 +9,7 @@
 
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
+	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/web"
 	"yarrowridge/internal/wire"
@@ -28,6 +29,7 @@
 	Term        time.Duration   // lease of the primacy; 0: the default
 	MemoryLimit int64           // bytes; 0: none
 	Codec       core.Codec
+	Metrics     metrics.Endpoint                                    // where the core's own figures are served
 	Handler     func(primary *core.Forwarder) (http.Handler, error) // serves Control
 }
 
@@ -72,6 +74,7 @@
 		return err
 	}
 	go control.Run()
+	settings.Metrics.Start(process.Ctx, metricsHandler(server.Figures))
 	done := make(chan struct{})
 	go func() {
 		server.Run()
--- /dev/null
+++ b/internal/core/figures.go
@@ -0,0 +1,31 @@
+package core
+
+import "time"
+
+// Figures are what a core counts of itself, for those who watch it. Unlike State they cost next to nothing to read.
+type Figures struct {
+	Epoch         uint64 // of the newest view that it knows; 0: no fleet yet
+	Members       int    // cores that vote in that view
+	Primary       bool   // it leads that epoch, under a lease that stands
+	Ready         bool   // and takes writes
+	DiskFailed    bool
+	StoreVersion  uint64 // the newest write in its store
+	ConfigVersion uint64 // the newest configuration committed, as the primary knows it
+	Nodes         int    // routers whose lease runs, as the primary knows them
+	Runners       int    // as the primary knows them
+}
+
+// Figures gives what this core counts of itself now.
+//
+//	primary := server.Figures().Primary
+func (s *Server) Figures() Figures {
+	v := s.voter.View()
+	figures := Figures{Epoch: v.Epoch, Members: len(v.Members), Primary: s.isPrimary(v), StoreVersion: s.store.Load().Seq(),
+		Runners: len(s.registry.List(time.Now()))}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpiredNodes()
+	figures.Ready = s.ready && figures.Primary
+	figures.DiskFailed, figures.ConfigVersion, figures.Nodes = s.diskFailed, s.config.Version, len(s.nodes)
+	return figures
+}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -1,21 +1,28 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"sort"
 	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
-// counters count how requests ended, by route and outcome.
+// counters count how requests ended, by route and outcome, since the start.
 type counters struct {
 	mu       *sync.Mutex
-	outcomes map[outcome]int
+	ended    map[outcome]int
+	reported map[outcome]int // of these, in the log by now
 }
 
 type outcome struct{ Route, Code string }
 
+// codeDone is the outcome of a request that was answered with its runner's whole answer.
+const codeDone = "done"
+
 func newCounters() counters {
-	return counters{mu: &sync.Mutex{}, outcomes: map[outcome]int{}}
+	return counters{mu: &sync.Mutex{}, ended: map[outcome]int{}, reported: map[outcome]int{}}
 }
 
 func (c counters) add(r *request, code string) {
@@ -25,26 +32,44 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outcomes[outcome{name, code}]++
+	c.ended[outcome{name, code}]++
 }
 
-// Report logs how many requests ended how since the last report, if any did.
-func (g *Gateway) Report() {
-	g.counts.mu.Lock()
-	var all []outcome
-	for key := range g.counts.outcomes {
-		all = append(all, key)
+// unreported gives what has been counted since it was last asked, in the order of routes and codes.
+func (c counters) unreported() []slog.Attr {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var news []slog.Attr
+	for key, count := range c.ended {
+		if fresh := count - c.reported[key]; fresh > 0 {
+			news = append(news, slog.Int(key.Route+"/"+key.Code, fresh))
+			c.reported[key] = count
+		}
 	}
-	sort.Slice(all, func(i, j int) bool {
-		return all[i].Route < all[j].Route || all[i].Route == all[j].Route && all[i].Code < all[j].Code
-	})
-	var args []any
-	for _, key := range all {
-		args = append(args, slog.Int(key.Route+"/"+key.Code, g.counts.outcomes[key]))
+	sort.Slice(news, func(i, j int) bool { return news[i].Key < news[j].Key })
+	return news
+}
+
+var requestsEnded = prometheus.NewDesc("yarrowridge_requests_total", "Requests ended, by route and code.", []string{"route", "code"}, nil)
+
+// Describe names the metric, as prometheus asks for.
+func (c counters) Describe(out chan<- *prometheus.Desc) { out <- requestsEnded }
+
+// Collect reads the counts, as prometheus asks for.
+func (c counters) Collect(out chan<- prometheus.Metric) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, count := range c.ended {
+		out <- prometheus.MustNewConstMetric(requestsEnded, prometheus.CounterValue, float64(count), key.Route, key.Code)
 	}
-	clear(g.counts.outcomes)
-	g.counts.mu.Unlock()
-	if len(args) > 0 {
-		g.Log.Info("Requests ended.", args...)
+}
+
+// Counts tells how requests ended since the start, for metrics.
+func (g *Gateway) Counts() prometheus.Collector { return g.counts }
+
+// Report logs how many requests ended how since the last report, if any did.
+func (g *Gateway) Report() {
+	if news := g.counts.unreported(); len(news) > 0 {
+		g.Log.LogAttrs(context.Background(), slog.LevelInfo, "Requests ended.", news...)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	request := &request{gateway: g, writer: w, client: r, received: time.Now()}
 	err := request.run()
 	if err == nil {
-		g.counts.add(request, "done")
+		g.counts.add(request, codeDone)
 		return
 	}
 	refusal, known := err.(*Refusal)
--- /dev/null
+++ b/internal/metrics/endpoint.go
@@ -0,0 +1,59 @@
+package metrics
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/rest"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/web"
+)
+
+// Endpoint is where a process serves its metrics. The zero value: nowhere.
+type Endpoint struct {
+	Address string // ip:port
+	Path    string // with its leading slash
+}
+
+// ParseEndpoint reads "PORT/PATH", such as "9464/metrics", for a process with that IP number. The error tells what is
+// wrong with the text.
+func ParseEndpoint(ip, text string) (Endpoint, error) {
+	port, path, hasPath := strings.Cut(text, "/")
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 || !hasPath || path == "" || strings.ContainsAny(path, " ?#:*") || strings.HasSuffix(path, "/") {
+		return Endpoint{}, eris.Errorf("metrics: %q is not PORT/PATH, as in 9464/metrics", text)
+	}
+	return Endpoint{Address: net.JoinHostPort(ip, port), Path: "/" + path}, nil
+}
+
+// Start serves the metrics until the context ends. A process does its work without them: where the address cannot be
+// bound, the log says so and nothing else happens.
+func (e Endpoint) Start(ctx env.Ctx, handler http.Handler) {
+	if e.Address == "" {
+		return
+	}
+	if err := e.start(ctx, handler); err != nil {
+		ctx.Log.Warn("Metrics are not served.", "address", e.Address, "error", err.Error())
+	}
+}
+
+func (e Endpoint) start(ctx env.Ctx, handler http.Handler) error {
+	routes, err := web.Handler([]rest.Route{{Method: http.MethodGet, Path: e.Path, Handler: handler.ServeHTTP}}, nil)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return eris.Wrap(err, "metrics: listener")
+	}
+	go web.NewServer(listener, routes).Run()
+	go func() {
+		<-ctx.Done()
+		listener.Close()
+	}()
+	return nil
+}
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -15,6 +15,7 @@
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/gateway"
+	"yarrowridge/internal/metrics"
 	"yarrowridge/internal/node"
 	"yarrowridge/internal/registry"
 	"yarrowridge/internal/relay"
@@ -40,6 +41,7 @@
 	Dialect     gateway.Dialect
 	Parse       func(raw []byte) (*routing.Table, []routing.Flaw)
 	Ready       func(why func() string) (http.Handler, error) // answers readiness probes
+	Metrics     metrics.Endpoint                              // where the router's own figures are served
 
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // reaches runners; nil: TCP
 	Listen func(address string) (net.Listener, error)                  // for clients and probes; nil: TCP
@@ -245,6 +247,7 @@
 	}
 	server := gateway.NewServer(data, g.Front, startLimits)
 	go server.Run()
+	settings.Metrics.Start(ctx, g.metricsHandler()) // last: it must not take a port that the others need
 	<-p.Stop
 	g.stop(ctx, server)
 	return nil
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -83,10 +83,10 @@
 	r := &Router{ctx: ctx, Scheduler: place.NewScheduler(ctx.Zone, place.NewPrefixMemory(1<<18)), Log: request.NewLog(256), sender: runner.NewSender(dial)}
 	r.Runners = runner.NewPool(ctx.Name, r.Scheduler.Wake)
 	r.Hub = node.NewHub(ctx.Part("node"), addr, clientAddr, seeds, r.Runners.Apply)
-	r.Metrics = metrics.New(map[string]func() float64{
+	r.Metrics = metrics.New(metrics.Gauges{
 		"yarrowridge_queued":          func() float64 { n, _ := r.Scheduler.Waiting(); return float64(n) },
 		"yarrowridge_layout_sequence": func() float64 { return float64(r.Hub.Me().ConfigVersion) },
-		"yarrowridge_stale":           func() float64 { return map[bool]float64{true: 1}[r.Hub.Stale()] },
+		"yarrowridge_stale":           func() float64 { return metrics.FlagValue(r.Hub.Stale()) },
 	})
 	r.QuotaShares = share.NewQuotaShares(ctx.Part("share"), share.Ways{Move: newMoveQueue(ctx, r.Hub).move, Nodes: func() int { return len(r.Hub.Nodes()) },
 		Short: r.Hub.ScarceTenants, Rules: quotaRules(r.Hub), Fresh: r.Hub.Fresh, Live: func() bool { return !r.Hub.Stale() }})
