--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 		h.Set("Test-Tenant", m.Tenant)
 	}
 	h.Set("Test-Runner", m.RunnerID)
+	h.Set("Test-Urgency", strconv.Itoa(m.Urgency))
 	h.Set("Test-Left", strconv.FormatInt(m.Deadline.Milliseconds(), 10))
 	if m.LastEventID != "" {
 		h.Set("Last-Event-Id", m.LastEventID)
@@ -388,6 +389,7 @@
 func TestClientLeaves(t *testing.T) {
 	f := newFleet(t, route(routing.Unsafe, 1, false))
 	began, left := make(chan bool, 1), make(chan bool, 1)
+	var closed time.Time
 	f.runner("slow", func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		began <- true
@@ -400,12 +402,16 @@
 	request.Header.Set("Test-Key", "k1")
 	go func() {
 		<-began
+		closed = time.Now()
 		cancel()
 	}()
 	if _, err := http.DefaultTransport.RoundTrip(request); !errors.Is(err, context.Canceled) {
 		t.Fatal(err)
 	}
 	<-left
+	if took := time.Since(closed); took > slack {
+		t.Errorf("the runner learnt of it %s after the client had left", took)
+	}
 }
 
 // The deadline ends a request whose runner says nothing, as one that may have run.
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"yarrowridge/internal/routing"
+)
+
+// An answer that is not a success goes to the client as the runner gave it: status, seal, other headers and body.
+func TestFailureKeepsStatusAndSeal(t *testing.T) {
+	for _, status := range []int{400, 404, 409, 422, 429, 499, 500, 501, 507} {
+		f := newFleet(t, route(routing.Unsafe, 3, false))
+		f.runner("one", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+			w.Header().Set("Test-Seal", "s")
+			w.Header().Set("X-Reason", "as told")
+			w.WriteHeader(status)
+			io.WriteString(w, "why it failed")
+		})
+		answer, text, err := f.send("1", "/a/x", "k1", "asked")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.StatusCode != status || answer.Header.Get("Test-Seal") != "s" || answer.Header.Get("X-Reason") != "as told" || text != "why it failed" {
+			t.Errorf("status %d, headers %v and %q in place of the runner's %d", answer.StatusCode, answer.Header, text, status)
+		}
+	}
+}
+
+// Runners are told how urgent a request is: by its tenant's priority first, then by its route's, 0 the most urgent.
+func TestUrgencyByTenantAndRoute(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	var seen string
+	f.runner("one", func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Get("Test-Urgency")
+		good("text")(w, r)
+	})
+	for _, c := range []struct{ tenant, route, want int }{{0, 0, 0}, {0, 2, 2}, {1, 0, 3}, {1, 2, 5}, {2, 2, 8}, {3, 3, 9}, {0, -1, 0}} {
+		asked := route(routing.Unsafe, 1, false)
+		asked.Priority = c.route
+		table, flaws := routing.Build(routing.Spec{Revision: 1, Routes: []routing.RouteSpec{asked}, Services: []routing.Service{{Name: "desk"}},
+			Tenants: []routing.TenantSpec{{Name: "yard", Keys: []string{"k1"}, Rate: 100, Priority: c.tenant}}, Limits: routing.Limits{BodyBytes: 1000}})
+		if len(flaws) > 0 {
+			t.Fatal(flaws)
+		}
+		f.table.Store(table)
+		if answer, _, err := f.send("1", "/a/x", "k1", ""); err != nil || answer.StatusCode != http.StatusOK {
+			t.Fatal(answer, err)
+		}
+		if seen != fmt.Sprint(c.want) {
+			t.Errorf("tenant of priority %d, route of %d: the runner was told %q, %d expected", c.tenant, c.route, seen, c.want)
+		}
+	}
+}
--- a/internal/sim/membership_test.go
+++ b/internal/sim/membership_test.go
@@ -732,3 +732,40 @@
 		}
 	})
 }
+
+// A seed that starts with an empty disk, alone and still told to found, founds nothing: the fleet that it cannot
+// reach may hold acknowledged writes. It joins once the others are back.
+func TestBlankSeedFoundsNothingAlone(t *testing.T) {
+	t.Parallel()
+	for _, others := range []string{"down", "cut off"} {
+		t.Run(others, func(t *testing.T) {
+			overSeeds(t, func(t *testing.T, seed uint64) {
+				f := grown(t, seed, 5, 1)
+				o, b := f.operator(), &book{}
+				acknowledged := f.acknowledged(o, b)
+				blank := f.cores[0] // the seed with the lowest address proposes the first view
+				f.loseDisk(blank)
+				for _, c := range f.cores[1:] {
+					if others == "down" {
+						f.crashCore(c)
+					}
+				}
+				f.w.Split([]string{blank.addr}, f.rest(blank))
+				f.startCore(blank)
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					if v := blank.srv.View(); v.Epoch > 0 {
+						t.Fatalf("a blank seed founded epoch %d alone", v.Epoch)
+					}
+				}
+				f.w.Heal()
+				for _, c := range f.cores[1:] {
+					if !c.up {
+						f.startCore(c)
+					}
+				}
+				f.readsBack(b, acknowledged)
+			})
+		})
+	}
+}
