--- a/internal/core/quotapools.go
+++ b/internal/core/quotapools.go
@@ -5,6 +5,7 @@
 
 	"yarrowridge/internal/share"
 	"yarrowridge/internal/store"
+	"yarrowridge/internal/strike"
 )
 
 // poolCache keeps the decoded pools of tenants: each has an entry for every router, and is read and written with
@@ -31,7 +32,7 @@
 	if !ok {
 		return &share.QuotaPool{}, nil
 	}
-	if known := c.pools[tenant]; known != nil && sameBytes(raw, known.raw) {
+	if known := c.pools[tenant]; known != nil && (sameBytes(raw, known.raw) || strike.Out("pool-cache")) {
 		return &known.pool, nil
 	}
 	pool, err := decodePool(raw, func(number uint64) (string, error) { return c.holders.name(tx, number) })
--- /dev/null
+++ b/internal/modelcheck/draws_test.go
@@ -0,0 +1,140 @@
+package modelcheck
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"yarrowridge/internal/core"
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/wire"
+)
+
+// The tenant whose units holders draw. Its window outlasts every run: no unit becomes free by itself.
+const (
+	quotaTenant  = "yard"
+	quotaUnits   = 400
+	quotaHolders = 3
+	quotaSetting = `"tenants":{"yard":{"quota":{"units":400,"window_s":3600}}}`
+	drawDivisor  = 8 // a draw gets this part of the free units at most, as in package core
+)
+
+// move is a draw or a gift of units by one holder.
+type move struct {
+	holder int
+	give   bool
+	units  int
+}
+
+// moved is what a holder was told of a move.
+type moved struct {
+	known bool // it got an answer
+	held  int  // its units after the move
+}
+
+// quotaPool is the units that each holder has.
+type quotaPool [quotaHolders]int
+
+// free is how many units nobody holds.
+func (p quotaPool) free() int {
+	free := quotaUnits
+	for _, units := range p {
+		free -= units
+	}
+	return free
+}
+
+// after is the pool after a move.
+func (p quotaPool) after(asked move) quotaPool {
+	if asked.give {
+		p[asked.holder] -= min(asked.units, p[asked.holder])
+	} else {
+		p[asked.holder] += min(asked.units, (p.free()+drawDivisor-1)/drawDivisor)
+	}
+	return p
+}
+
+// quotaModel is the pool that the core has to be: a move takes effect once, however often it is sent, and what it gives
+// depends on what all holders have at that moment. A pool read from an older state would give units twice.
+var quotaModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{quotaPool{}} },
+	Step: func(state, input, output any) []any {
+		before, told := state.(quotaPool), output.(moved)
+		after := before.after(input.(move))
+		switch {
+		case !told.known:
+			return []any{before, after}
+		case after[input.(move).holder] == told.held:
+			return []any{after}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+// holder draws units of the tenant's quota and gives some back, as a router does.
+type holder struct {
+	fleet  *fleet
+	number int
+	client *core.Client
+	turn   uint64
+	held   int
+}
+
+// newHolder makes a holder on a machine of its own.
+func (f *fleet) newHolder(number int) *holder {
+	network, _ := f.world.Net(holderAddr(number))
+	where := env.Ctx{Context: f.ctx, Name: "holder", Log: f.log, Net: network}
+	return &holder{fleet: f, number: number, client: core.NewClient(where, wire.NewCaller(network), f.seeds())}
+}
+
+func holderAddr(number int) string { return fmt.Sprintf("10.0.8.%d:1", number+1) }
+
+// work makes moves until the time is up, each until it is answered. It begins once a configuration is in force.
+func (h *holder) work(until time.Time) {
+	for !h.fleet.isConfigured() && time.Now().Before(until) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	for time.Now().Before(until) {
+		asked := move{holder: h.number, units: 1 + h.fleet.chance(20)}
+		if h.held > 0 && h.fleet.chance(5) < 2 {
+			asked = move{holder: h.number, give: true, units: 1 + h.fleet.chance(h.held)}
+		}
+		if !h.move(asked, until.Add(orderTimeout)) {
+			return // nobody knows what it holds now
+		}
+		time.Sleep(time.Duration(h.fleet.chance(int(120 * time.Millisecond))))
+	}
+}
+
+// move sends one move until it is answered or the time is up, and tells whether it was.
+func (h *holder) move(asked move, until time.Time) bool {
+	h.turn++
+	request := core.QuotaMovesRequest{Holder: fmt.Sprint("holder-", h.number),
+		Moves: []core.QuotaMove{{Tenant: quotaTenant, Turn: h.turn, Units: asked.units, Give: asked.give}}}
+	begun := h.fleet.history.begin()
+	var told moved
+	for !told.known && time.Now().Before(until) {
+		told = h.try(&request)
+		time.Sleep(time.Duration(h.fleet.chance(int(30 * time.Millisecond))))
+	}
+	h.fleet.history.endMove(h.number, begun, asked, told)
+	h.held = told.held
+	return told.known
+}
+
+// try sends a move once.
+func (h *holder) try(request *core.QuotaMovesRequest) moved {
+	ctx, cancel := context.WithTimeout(h.fleet.ctx, callTimeout)
+	defer cancel()
+	var response core.QuotaMovesResponse
+	if h.client.Call(ctx, "core.moves", request, &response, true) != nil || len(response.Results) != 1 {
+		return moved{}
+	}
+	return moved{known: true, held: response.Results[0].Held}
+}
--- a/internal/modelcheck/fleet_test.go
+++ b/internal/modelcheck/fleet_test.go
@@ -38,6 +38,7 @@
 
 	mu        sync.Mutex
 	random    *rand.Rand
+	holders   []*holder  // of quota units
 	processes []*process // of the machines that stay
 	machines  []*process // all that there ever were
 	losing    bool       // disks are being lost
@@ -164,6 +165,13 @@
 	return nil
 }
 
+// isConfigured tells whether some operator knows a configuration in force.
+func (f *fleet) isConfigured() bool {
+	f.history.mu.Lock()
+	defer f.history.mu.Unlock()
+	return f.history.configured
+}
+
 // isServing tells whether a primary takes writes.
 func (f *fleet) isServing() bool {
 	for _, p := range f.processes {
--- a/internal/modelcheck/history_test.go
+++ b/internal/modelcheck/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,8 +93,10 @@
 type history struct {
 	mu         sync.Mutex
 	clock      int64
+	configured bool // a configuration was acknowledged or read
 	operations []porcupine.Operation
-	broken     []string // what is wrong whatever the order
+	moves      []porcupine.Operation // of quota units
+	broken     []string              // what is wrong whatever the order
 }
 
 // begin notes the begin of an operation.
@@ -109,9 +112,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.clock++
+	h.configured = h.configured || told.outcome == done && told.version > 0
 	h.operations = append(h.operations, porcupine.Operation{ClientId: operator, Input: asked, Call: begun, Output: told, Return: h.clock})
 }
 
+// endMove notes a move of quota units and its result.
+func (h *history) endMove(holder int, begun int64, asked move, told moved) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.clock++
+	h.moves = append(h.moves, porcupine.Operation{ClientId: holder, Input: asked, Call: begun, Output: told, Return: h.clock})
+}
+
 // fail notes what is wrong whatever the order.
 func (h *history) fail(format string, args ...any) {
 	h.mu.Lock()
@@ -119,8 +131,8 @@
 	h.broken = append(h.broken, fmt.Sprintf(format, args...))
 }
 
-// counts tells how many writes were acknowledged, and how many operations there are.
-func (h *history) counts() (acknowledged, all int) {
+// counts tells how many writes were acknowledged, how many operations of operators there are, and how many moves.
+func (h *history) counts() (acknowledged, all, moves int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, one := range h.operations {
@@ -128,7 +140,7 @@
 			acknowledged++
 		}
 	}
-	return acknowledged, len(h.operations)
+	return acknowledged, len(h.operations), len(h.moves)
 }
 
 // searchTimeout bounds the search for an order, in real time.
@@ -139,23 +151,34 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	broken := h.broken
-	operations := make([]porcupine.Operation, len(h.operations))
-	copy(operations, h.operations)
-	for i := range operations {
-		if operations[i].Output.(result).outcome == inDoubt {
-			operations[i].Return = h.clock + 1 // it may take effect at any time
-		}
-	}
-	model := configModel.ToModel()
-	switch porcupine.CheckOperationsTimeout(model, operations, searchTimeout) {
+	operations := h.open(h.operations, func(output any) bool { return output.(result).outcome == inDoubt })
+	switch porcupine.CheckOperationsTimeout(configModel.ToModel(), operations, searchTimeout) {
 	case porcupine.Illegal:
 		broken = append(broken, "the history is not linearizable: "+h.firstOddity())
 	case porcupine.Unknown:
 		broken = append(broken, "no order was found in time")
 	}
+	moves := h.open(h.moves, func(output any) bool { return !output.(moved).known })
+	switch porcupine.CheckOperationsTimeout(quotaModel.ToModel(), moves, searchTimeout) {
+	case porcupine.Illegal:
+		broken = append(broken, "the moves of quota units are not linearizable")
+	case porcupine.Unknown:
+		broken = append(broken, "no order of the moves of quota units was found in time")
+	}
 	return broken
 }
 
+// open copies operations; those in doubt may take effect at any time from their begin on.
+func (h *history) open(all []porcupine.Operation, isInDoubt func(output any) bool) []porcupine.Operation {
+	operations := slices.Clone(all)
+	for i := range operations {
+		if isInDoubt(operations[i].Output) {
+			operations[i].Return = h.clock + 1
+		}
+	}
+	return operations
+}
+
 // firstOddity describes the plainest contradiction, for a reader of the failure.
 func (h *history) firstOddity() string {
 	type acknowledged struct {
--- a/internal/modelcheck/operator_test.go
+++ b/internal/modelcheck/operator_test.go
@@ -79,7 +79,7 @@
 // write sends one order, again and again until it gets a clear answer, and tells what came of it.
 func (o *operator) write(base uint64) outcome {
 	o.orders++
-	value := fmt.Sprintf(`{"limits":{"queue":%d}}`, 1000*(o.number+1)+o.orders)
+	value := fmt.Sprintf(`{"limits":{"queue":%d},%s}`, 1000*(o.number+1)+o.orders, quotaSetting)
 	asked := operation{kind: writeConfig, base: base, value: value}
 	request := core.WriteRequest{Id: fmt.Sprintf("order-%d-%d", o.number, o.orders), BaseVersion: base, Raw: []byte(value)}
 	begun := o.fleet.history.begin()
--- a/internal/modelcheck/planted_test.go
+++ b/internal/modelcheck/planted_test.go
@@ -35,7 +35,11 @@
 	{"only-holders-lead", nil, false},                            // a takeover by a member that holds no copy
 	{"copy-first", nil, false},                                   // a new primary that does not bring its backups to its state
 	{"former-primary", nil, true},                                // a view without the former primary before others hold a copy
+	{"resumed-epoch", nil, true},                                 // a run that leads on in the epoch of the run before it
+	{"takeover", nil, false},                                     // backups that never take over
 	{"race", nil, false},                                         // a change carried out although it lost its race
+	{"draw-turn", nil, false},                                    // a repeated draw of quota units counted twice
+	{"pool-cache", nil, false},                                   // a quota pool kept in memory, whatever the store says
 }
 
 // TestStruckMechanisms strikes out one mechanism after the other: the walks have to find what it guards against.
--- a/internal/modelcheck/walk_test.go
+++ b/internal/modelcheck/walk_test.go
@@ -26,8 +26,8 @@
 
 // verdict is what came of a run.
 type verdict struct {
-	violations               []string
-	acknowledged, operations int
+	violations                      []string
+	acknowledged, operations, moves int
 }
 
 // play runs a schedule in simulated time.
@@ -45,7 +45,7 @@
 		}
 		f.playEvents(s)
 		v.violations = f.recover()
-		v.acknowledged, v.operations = f.history.counts()
+		v.acknowledged, v.operations, v.moves = f.history.counts()
 		v.violations = append(v.violations, f.history.violations()...)
 	})
 	return v
@@ -60,6 +60,11 @@
 		o := f.newOperator(i)
 		all.Go(func() { o.work(until) })
 	}
+	for i := range quotaHolders {
+		h := f.newHolder(i)
+		f.holders = append(f.holders, h)
+		all.Go(func() { h.work(until) })
+	}
 	for _, event := range s.Events {
 		time.Sleep(time.Duration(event.AtMs)*time.Millisecond - time.Since(begun))
 		all.Go(func() { faultKinds[event.Kind](f, event) })
@@ -81,6 +86,9 @@
 		broken = append(broken, fmt.Sprintf("not all cores are members after %s; view %+v", wholeSpan, f.current()))
 	}
 	last.read()
+	for _, h := range f.holders {
+		h.move(move{holder: h.number}, time.Now().Add(recoverySpan)) // it draws nothing: what does it hold?
+	}
 	return broken
 }
 
@@ -135,10 +143,14 @@
 				defer mu.Unlock()
 				total.acknowledged += v.acknowledged
 				total.operations += v.operations
+				total.moves += v.moves
 			})
 		}
 	})
-	t.Logf("%d schedules, %d operations, %d writes acknowledged", *walks, total.operations, total.acknowledged)
+	t.Logf("%d schedules, %d operations, %d writes acknowledged, %d moves of quota units", *walks, total.operations, total.acknowledged, total.moves)
+	if total.moves < 10**walks {
+		t.Errorf("only %d moves of quota units were made in %d schedules", total.moves, *walks)
+	}
 	if total.acknowledged < *walks {
 		t.Errorf("only %d writes were acknowledged in %d schedules", total.acknowledged, *walks)
 	}
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -3,7 +3,11 @@
 // units move, giver first: so no rolling window sees more than the quota, whoever is cut off.
 package share
 
-import "slices"
+import (
+	"slices"
+
+	"yarrowridge/internal/strike"
+)
 
 // Out is how many units are not free: held, or cooling.
 //
@@ -98,7 +102,7 @@
 //	have, changed := pool.Draw("n1/7", 3, 10, 600)
 func (p *QuotaPool) Draw(who string, turn uint64, want, quota int) (int, bool) {
 	h := p.Held[who]
-	if turn <= h.Turn {
+	if turn <= h.Turn && !strike.Out("draw-turn") {
 		return h.Units, false
 	}
 	h.Turn = turn
