--- a/internal/modelcheck/planted_test.go
+++ b/internal/modelcheck/planted_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -106,3 +107,23 @@
 		})
 	}
 }
+
+// TestStruckReplication strikes out what keeps a backup's copy: the exploration of all courses has to find an acknowledged
+// write lost, or a copy that differs.
+func TestStruckReplication(t *testing.T) {
+	struck := map[string]replicationBounds{
+		"late-snapshot": {writes: 1, parts: 1, givenUp: 1},                                      // a backup that takes snapshots in any order
+		"old-epoch":     {writes: 1, parts: 1, givenUp: 1, primaryRestarts: 1},                  // a backup that takes calls of an older epoch
+		"":              {writes: 1, parts: 1, givenUp: 1, primaryRestarts: 1, sameEpoch: true}, // a run that leads on in the epoch of the run before it
+	}
+	for name, bounds := range struck {
+		t.Run(fmt.Sprintf("%s same epoch %v", name, bounds.sameEpoch), func(t *testing.T) {
+			t.Setenv("YARROWRIDGE_STRIKE", name)
+			e := exploreReplication(t, bounds)
+			if e.problem == "" {
+				t.Fatalf("nothing was found in %d courses", e.played)
+			}
+			t.Logf("found after %d courses: %s by %q", e.played, e.problem, e.failed)
+		})
+	}
+}
