Core: the configuration read last is known by its text, not by its version

A version does not name a configuration before it is committed. A primary reads a change within its batch (moves of quota units in the same batch ask for it), the batch ends in doubt, another core leads and acknowledges another change under the same number; when the first core leads again, its quotas and the keep of claims follow the change that never was in force, until the next one.

TestUncommittedConfigurationLeavesNothing, red before: version 7 had the lost one's quota. Now there is one cache, by the text; the bytes of the stored record are a short cut, as before (TestMovesDecodeTheConfigurationOnce holds that).

Ruled out: pools and holders' numbers are kept by the stored bytes (strike pool-cache), finished keys and the announced configuration are taken up after the commit only.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -180,28 +181,31 @@
 	return nil
 }
 
-// decodedConfig is a configuration and the stored bytes that it was decoded from.
+// decodedConfig is the last configuration that was read. Its version does not name it: one that was never committed may
+// have had the same.
 type decodedConfig struct {
-	raw      []byte
+	record   []byte    // as stored, where it was read from the store or a batch
+	raw      []byte    // its text
 	document *Document // nil: it is not understood
 }
 
 // documentIn gives the configuration as the batch under way has it. Nil: none was put yet, or it is not
 // understood. It is decoded once, since each move of quota units asks for it. Only the run loop calls it.
 func (s *Server) documentIn(tx *Tx) (*Document, error) {
-	raw, ok := tx.Get(configKey)
+	record, ok := tx.Get(configKey)
 	if !ok {
 		return nil, nil
 	}
-	if sameBytes(raw, s.decoded.raw) {
+	if sameBytes(record, s.decoded.record) {
 		return s.decoded.document, nil
 	}
 	config, err := tx.config()
 	if err != nil {
 		return nil, err
 	}
-	s.decoded = decodedConfig{raw: raw, document: s.parsedConfig(config)}
-	return s.decoded.document, nil
+	document := s.parsedConfig(config)
+	s.decoded.record = record
+	return document, nil
 }
 
 // sameBytes tells whether two slices are the same memory: what was decoded from one is good for the other.
@@ -209,18 +213,20 @@
 	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
 }
 
-// parsedConfig keeps the last document read, since quota moves ask for it often. Only the run loop calls it.
+// parsedConfig reads a configuration, or gives it as it was read last. Nil: none was put yet, or it is not understood.
+// Only the run loop calls it.
 func (s *Server) parsedConfig(config StoredConfig) *Document {
 	if config.Version == 0 {
-		return nil // none was put yet
+		return nil
 	}
-	if s.document == nil || s.documentVersion != config.Version {
-		document, configErrors := s.settings.Codec.Check(config.Raw)
-		if len(configErrors) > 0 {
-			return nil
-		}
+	if s.decoded.raw != nil && bytes.Equal(config.Raw, s.decoded.raw) {
+		return s.decoded.document
+	}
+	s.decoded = decodedConfig{raw: config.Raw}
+	document, configErrors := s.settings.Codec.Check(config.Raw)
+	if len(configErrors) == 0 {
 		document.Claims = document.Claims.withDefaults()
-		s.document, s.documentVersion = &document, config.Version
+		s.decoded.document = &document
 	}
-	return s.document
+	return s.decoded.document
 }
--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -46,3 +46,28 @@
 		}
 	}
 }
+
+// A configuration that was read within a batch and never committed leaves nothing behind: another one that got its
+// version later is read by its own text.
+func TestUncommittedConfigurationLeavesNothing(t *testing.T) {
+	s, committed := quotaServer(t)
+	s.settings.Codec = wholeCodec{}
+	lost := &Tx{store: committed, newest: map[string]*store.Put{}}
+	if err := lost.Put(configKey, &StoredConfig{Version: 7, Raw: []byte("lost")}); err != nil {
+		t.Fatal(err)
+	}
+	if document, err := s.documentIn(lost); err != nil || document.Quotas["t"] != len("lost") {
+		t.Fatalf("within its batch: %+v, %v", document, err)
+	}
+	acknowledged := StoredConfig{Version: 7, Raw: []byte("acknowledged")}
+	if document := s.parsedConfig(acknowledged); document.Quotas["t"] != len("acknowledged") {
+		t.Errorf("version 7 is read with a quota of %d, the lost one's; %d expected", document.Quotas["t"], len("acknowledged"))
+	}
+	later := &Tx{store: committed, newest: map[string]*store.Put{}}
+	if err := later.Put(configKey, &acknowledged); err != nil {
+		t.Fatal(err)
+	}
+	if document, err := s.documentIn(later); err != nil || document.Quotas["t"] != len("acknowledged") {
+		t.Errorf("moves see %+v, %v", document, err)
+	}
+}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -115,10 +115,8 @@
 	charges         map[string]openCharge // of tenants' tolerances
 	hasCoolingUnits bool                  // units of some quota cool
 	finishedKeys    finishedKeys
-	finishedParts   int           // parts put by this run
-	document        *Document     // the last document read
-	documentVersion uint64        // and its version
-	decoded         decodedConfig // as moves of quota units last had it
+	finishedParts   int // parts put by this run
+	decoded         decodedConfig
 }
 
 // liveNode is a node whose lease runs.
