Model check: configuration and quota units are one history

The quota that units are drawn under is the one of the configuration in force, and both come from one log. They were two histories with one quota in all configurations; now each write gives one of five quotas, and porcupine looks for one order of reads, writes, draws and gifts.

--- a/internal/modelcheck/draws_test.go
+++ b/internal/modelcheck/draws_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/wire"
@@ -14,11 +12,13 @@
 
 // The tenant whose units holders draw. Its window outlasts every run: no unit becomes free by itself.
 const (
-	quotaTenant  = "yard"
-	quotaUnits   = 400
-	quotaHolders = 3
-	quotaSetting = `"tenants":{"yard":{"quota":{"units":400,"window_s":3600}}}`
-	drawDivisor  = 8 // a draw gets this part of the free units at most, as in package core
+	quotaTenant   = "yard"
+	quotaHolders  = 3
+	quotaFormat   = `"tenants":{"yard":{"quota":{"units":%d,"window_s":3600}}}`
+	drawDivisor   = 8 // a draw gets this part of the free units at most, as in package core
+	leastQuota    = 300
+	quotaStep     = 50 // between the quotas that configurations give
+	quotasOfWrite = 5  // how many there are
 )
 
 // move is a draw or a gift of units by one holder.
@@ -37,44 +37,38 @@
 // quotaPool is the units that each holder has.
 type quotaPool [quotaHolders]int
 
-// free is how many units nobody holds.
-func (p quotaPool) free() int {
-	free := quotaUnits
+// sum is how many units are out.
+func (p quotaPool) sum() int {
+	sum := 0
 	for _, units := range p {
-		free -= units
+		sum += units
 	}
-	return free
+	return sum
 }
 
-// after is the pool after a move.
-func (p quotaPool) after(asked move) quotaPool {
+// after is the pool after a move under a quota.
+func (p quotaPool) after(asked move, quota int) quotaPool {
 	if asked.give {
 		p[asked.holder] -= min(asked.units, p[asked.holder])
-	} else {
-		p[asked.holder] += min(asked.units, (p.free()+drawDivisor-1)/drawDivisor)
+	} else if free := quota - p.sum(); free > 0 {
+		p[asked.holder] += min(asked.units, (free+drawDivisor-1)/drawDivisor)
 	}
 	return p
 }
 
-// quotaModel is the pool that the core has to be: a move takes effect once, however often it is sent, and what it gives
-// depends on what all holders have at that moment. A pool read from an older state would give units twice.
-var quotaModel = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{quotaPool{}} },
-	Step: func(state, input, output any) []any {
-		before, told := state.(quotaPool), output.(moved)
-		after := before.after(input.(move))
-		switch {
-		case !told.known:
-			return []any{before, after}
-		case after[input.(move).holder] == told.held:
-			return []any{after}
-		}
-		return nil
-	},
-	Equal: func(a, b any) bool { return a == b },
-	DescribeOperation: func(input, output any) string {
-		return fmt.Sprintf("%+v -> %+v", input, output)
-	},
+// moves gives the states that a move may leave behind; none: its result is impossible in this state. A move takes effect
+// once, however often it is sent, and what it gives depends on what all holders have at that moment and on the quota in
+// force. A pool read from an older state would give units twice.
+func (before coreState) moves(asked move, told moved) []any {
+	after := before
+	after.pool = before.pool.after(asked, before.quota)
+	switch {
+	case !told.known:
+		return []any{before, after}
+	case after.pool[asked.holder] == told.held:
+		return []any{after}
+	}
+	return nil
 }
 
 // holder draws units of the tenant's quota and gives some back, as a router does.
@@ -95,11 +89,8 @@
 
 func holderAddr(number int) string { return fmt.Sprintf("10.0.8.%d:1", number+1) }
 
-// work makes moves until the time is up, each until it is answered. It begins once a configuration is in force.
+// work makes moves until the time is up, each until it is answered.
 func (h *holder) work(until time.Time) {
-	for !h.fleet.isConfigured() && time.Now().Before(until) {
-		time.Sleep(50 * time.Millisecond)
-	}
 	for time.Now().Before(until) {
 		asked := move{holder: h.number, units: 1 + h.fleet.chance(20)}
 		if h.held > 0 && h.fleet.chance(5) < 2 {
@@ -123,7 +114,7 @@
 		told = h.try(&request)
 		time.Sleep(time.Duration(h.fleet.chance(int(30 * time.Millisecond))))
 	}
-	h.fleet.history.endMove(h.number, begun, asked, told)
+	h.fleet.history.end(operatorCount+1+h.number, begun, asked, told)
 	h.held = told.held
 	return told.known
 }
--- a/internal/modelcheck/fleet_test.go
+++ b/internal/modelcheck/fleet_test.go
@@ -165,13 +165,6 @@
 	return nil
 }
 
-// isConfigured tells whether some operator knows a configuration in force.
-func (f *fleet) isConfigured() bool {
-	f.history.mu.Lock()
-	defer f.history.mu.Unlock()
-	return f.history.configured
-}
-
 // isServing tells whether a primary takes writes.
 func (f *fleet) isServing() bool {
 	for _, p := range f.processes {
--- a/internal/modelcheck/history_test.go
+++ b/internal/modelcheck/history_test.go
@@ -33,6 +33,7 @@
 	kind  operationKind
 	base  uint64 // of a write: the version that it builds on
 	value string // of a write
+	quota int    // of a write: the units that the value gives to quotaTenant
 }
 
 // result is what an operator was told.
@@ -42,18 +43,23 @@
 	value   string // of a read
 }
 
-// register is the configuration in force.
-type register struct {
+// coreState is what the core keeps: the configuration in force, and the units drawn under its quota.
+type coreState struct {
 	version uint64
 	value   string
+	quota   int
+	pool    quotaPool
 }
 
-// configModel is the register that the core has to be: a write takes effect once, on the version that it names, or not
-// at all; a read gives what is in force.
-var configModel = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{register{}} },
+// coreModel is what the core has to be. Its configuration is a register: a write takes effect once, on the version that
+// it names, or not at all; a read gives what is in force. Its pool of quota units is ruled by that configuration.
+var coreModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{coreState{}} },
 	Step: func(state, input, output any) []any {
-		return step(state.(register), input.(operation), output.(result))
+		if asked, isMove := input.(move); isMove {
+			return state.(coreState).moves(asked, output.(moved))
+		}
+		return state.(coreState).step(input.(operation), output.(result))
 	},
 	Equal: func(a, b any) bool { return a == b },
 	DescribeOperation: func(input, output any) string {
@@ -61,9 +67,10 @@
 	},
 }
 
-// step gives the states that an operation may leave behind; none: its result is impossible in this state.
-func step(before register, asked operation, told result) []any {
-	written := register{version: before.version + 1, value: asked.value}
+// step gives the states that an operator's operation may leave behind; none: its result is impossible in this state.
+func (before coreState) step(asked operation, told result) []any {
+	written := before
+	written.version, written.value, written.quota = before.version+1, asked.value, asked.quota
 	matches := asked.base == before.version
 	switch {
 	case asked.kind == readConfig:
@@ -93,10 +100,8 @@
 type history struct {
 	mu         sync.Mutex
 	clock      int64
-	configured bool // a configuration was acknowledged or read
 	operations []porcupine.Operation
-	moves      []porcupine.Operation // of quota units
-	broken     []string              // what is wrong whatever the order
+	broken     []string // what is wrong whatever the order
 }
 
 // begin notes the begin of an operation.
@@ -107,21 +112,12 @@
 	return h.clock
 }
 
-// end notes an operation and its result.
-func (h *history) end(operator int, begun int64, asked operation, told result) {
+// end notes an operation or a move of quota units, and its result.
+func (h *history) end(client int, begun int64, asked, told any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.clock++
-	h.configured = h.configured || told.outcome == done && told.version > 0
-	h.operations = append(h.operations, porcupine.Operation{ClientId: operator, Input: asked, Call: begun, Output: told, Return: h.clock})
-}
-
-// endMove notes a move of quota units and its result.
-func (h *history) endMove(holder int, begun int64, asked move, told moved) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.clock++
-	h.moves = append(h.moves, porcupine.Operation{ClientId: holder, Input: asked, Call: begun, Output: told, Return: h.clock})
+	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: asked, Call: begun, Output: told, Return: h.clock})
 }
 
 // fail notes what is wrong whatever the order.
@@ -136,11 +132,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, one := range h.operations {
-		if one.Input.(operation).kind == writeConfig && one.Output.(result).outcome == done {
+		asked, isOperation := one.Input.(operation)
+		if !isOperation {
+			moves++
+		} else if asked.kind == writeConfig && one.Output.(result).outcome == done {
 			acknowledged++
 		}
 	}
-	return acknowledged, len(h.operations), len(h.moves)
+	return acknowledged, len(h.operations) - moves, moves
 }
 
 // searchTimeout bounds the search for an order, in real time.
@@ -151,32 +150,27 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	broken := h.broken
-	operations := h.open(h.operations, func(output any) bool { return output.(result).outcome == inDoubt })
-	switch porcupine.CheckOperationsTimeout(configModel.ToModel(), operations, searchTimeout) {
+	operations := slices.Clone(h.operations)
+	for i := range operations {
+		if isInDoubt(operations[i].Output) {
+			operations[i].Return = h.clock + 1 // it may take effect at any time
+		}
+	}
+	switch porcupine.CheckOperationsTimeout(coreModel.ToModel(), operations, searchTimeout) {
 	case porcupine.Illegal:
 		broken = append(broken, "the history is not linearizable: "+h.firstOddity())
 	case porcupine.Unknown:
 		broken = append(broken, "no order was found in time")
 	}
-	moves := h.open(h.moves, func(output any) bool { return !output.(moved).known })
-	switch porcupine.CheckOperationsTimeout(quotaModel.ToModel(), moves, searchTimeout) {
-	case porcupine.Illegal:
-		broken = append(broken, "the moves of quota units are not linearizable")
-	case porcupine.Unknown:
-		broken = append(broken, "no order of the moves of quota units was found in time")
-	}
 	return broken
 }
 
-// open copies operations; those in doubt may take effect at any time from their begin on.
-func (h *history) open(all []porcupine.Operation, isInDoubt func(output any) bool) []porcupine.Operation {
-	operations := slices.Clone(all)
-	for i := range operations {
-		if isInDoubt(operations[i].Output) {
-			operations[i].Return = h.clock + 1
-		}
+// isInDoubt tells whether nobody knows if an operation or a move took effect.
+func isInDoubt(output any) bool {
+	if told, isMove := output.(moved); isMove {
+		return !told.known
 	}
-	return operations
+	return output.(result).outcome == inDoubt
 }
 
 // firstOddity describes the plainest contradiction, for a reader of the failure.
@@ -187,13 +181,17 @@
 		end   int64
 	}
 	var writes []acknowledged
-	for _, one := range h.operations {
+	operations := slices.DeleteFunc(slices.Clone(h.operations), func(one porcupine.Operation) bool {
+		_, isMove := one.Input.(move)
+		return isMove
+	})
+	for _, one := range operations {
 		asked, told := one.Input.(operation), one.Output.(result)
 		if asked.kind == writeConfig && told.outcome == done {
 			writes = append(writes, acknowledged{asked, told, one.Return})
 		}
 	}
-	for _, one := range h.operations {
+	for _, one := range operations {
 		asked, told := one.Input.(operation), one.Output.(result)
 		for _, write := range writes {
 			switch {
@@ -206,5 +204,5 @@
 			}
 		}
 	}
-	return "no single pair of operations shows it"
+	return "no pair of operators' operations shows it"
 }
--- a/internal/modelcheck/operator_test.go
+++ b/internal/modelcheck/operator_test.go
@@ -79,8 +79,9 @@
 // write sends one order, again and again until it gets a clear answer, and tells what came of it.
 func (o *operator) write(base uint64) outcome {
 	o.orders++
-	value := fmt.Sprintf(`{"limits":{"queue":%d},%s}`, 1000*(o.number+1)+o.orders, quotaSetting)
-	asked := operation{kind: writeConfig, base: base, value: value}
+	quota := leastQuota + quotaStep*o.fleet.chance(quotasOfWrite)
+	value := fmt.Sprintf(`{"limits":{"queue":%d},`+quotaFormat+`}`, 1000*(o.number+1)+o.orders, quota)
+	asked := operation{kind: writeConfig, base: base, value: value, quota: quota}
 	request := core.WriteRequest{Id: fmt.Sprintf("order-%d-%d", o.number, o.orders), BaseVersion: base, Raw: []byte(value)}
 	begun := o.fleet.history.begin()
 	told := result{outcome: notTaken}
