Gateway: a request that is late already, and can wait, is the least urgent

So a request past its route's aim, with more time left than it has waited, is told as the least urgent.

Tests: TestUrgencyOfLateRequests, red with each condition struck out. The largest output and the longest time of a route are remembered by one type.

--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"sync"
-
 	"yarrowridge/internal/allow"
 	"yarrowridge/internal/fleetconfig"
 	"yarrowridge/internal/routing"
@@ -18,23 +16,6 @@
 	assumedRate        = 10 // tokens a second of a runner that has completed no stream
 )
 
-// largestOutputs remembers the most output that was asked for on each route.
-type largestOutputs struct {
-	mu     sync.Mutex
-	routes map[string]int
-}
-
-// note takes an output that is asked for and tells the largest so far.
-func (l *largestOutputs) note(route string, tokens int) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.routes == nil {
-		l.routes = map[string]int{}
-	}
-	l.routes[route] = max(l.routes[route], tokens)
-	return l.routes[route]
-}
-
 // judgeAllowance decides once, when the request arrives, whether an unfunded tenant may ask for so much.
 func (r *request) judgeAllowance() error {
 	if r.meta.OutputTokens == 0 || r.service.Engine == nil {
--- a/internal/gateway/allowance_test.go
+++ b/internal/gateway/allowance_test.go
@@ -24,16 +24,3 @@
 		}
 	}
 }
-
-// The most that was asked for on a route is remembered for each route by itself.
-func TestLargestOutputs(t *testing.T) {
-	var largest largestOutputs
-	for _, c := range []struct {
-		route        string
-		tokens, most int
-	}{{"a", 10, 10}, {"b", 500, 500}, {"a", 4, 10}, {"a", 30, 30}, {"b", 1, 500}} {
-		if got := largest.note(c.route, c.tokens); got != c.most {
-			t.Errorf("route %s: %d after %d, %d expected", c.route, got, c.tokens, c.most)
-		}
-	}
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,20 +121,6 @@
 	return max(1, r.gateway.Part(r.service.MaxConnections*9/10))
 }
 
-// Ranks of urgency: a tenant's priority goes before the route's.
-const (
-	urgencyPerTenantRank = 3
-	urgencyLowest        = 9
-)
-
-func (r *request) urgency() int {
-	rank := r.route.Priority
-	if r.tenant != nil {
-		rank += urgencyPerTenantRank * r.tenant.Priority
-	}
-	return min(urgencyLowest, max(0, rank))
-}
-
 // sendFailed judges an attempt whose request did not leave whole.
 func (r *request) sendFailed(chosen *balance.Attempt, err error) (outcomeKind, error) {
 	var failure *upstream.SendError
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,11 +47,12 @@
 // Gateway answers clients.
 type Gateway struct {
 	Options
-	budget   *retry.Budget
-	draining atomic.Bool
-	open     atomic.Int64
-	counts   counters
-	outputs  largestOutputs
+	budget    *retry.Budget
+	draining  atomic.Bool
+	open      atomic.Int64
+	counts    counters
+	outputs   routeMaxima[int]           // the most output that was asked for, in tokens
+	deadlines routeMaxima[time.Duration] // the longest time that a client has told
 }
 
 // New makes a gateway.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"yarrowridge/internal/routing"
 )
@@ -55,3 +56,57 @@
 		}
 	}
 }
+
+// A request whose client has waited for longer than the route aims at is the least urgent, unless its time is short or it
+// carries a stream on.
+func TestUrgencyOfLateRequests(t *testing.T) {
+	aimed := route(routing.Safe, 1, true)
+	aimed.Priority, aimed.Timeout, aimed.TargetLatency = 2, 5*time.Second, 500*time.Millisecond
+	for _, c := range []struct {
+		name     string
+		longest  string // time in milliseconds that another client has told before; "": none
+		deadline string
+		lastID   string
+		aim      time.Duration
+		startsIn time.Duration // the router is not ready for so long
+		want     string
+	}{
+		{"first try", "3000", "3000", "", aimed.TargetLatency, 0, "2"},
+		{"nobody else is known", "", "1000", "", aimed.TargetLatency, 0, "2"},
+		{"soon after the first", "3000", "2600", "", aimed.TargetLatency, 0, "2"},
+		{"late", "3000", "2400", "", aimed.TargetLatency, 0, "9"},
+		{"late, with little time left", "3000", "1400", "", aimed.TargetLatency, 0, "2"},
+		{"a longer time than the route's is not the measure", "5600", "4800", "", aimed.TargetLatency, 0, "2"},
+		{"no time told", "3000", "", "", aimed.TargetLatency, 0, "2"},
+		{"a stream carried on", "3000", "2400", "7", aimed.TargetLatency, 0, "2"},
+		{"no aim", "3000", "2400", "", 0, 0, "2"},
+		{"waited for the router's start", "3000", "3000", "", 100 * time.Millisecond, 200 * time.Millisecond, "9"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			aimed.TargetLatency = c.aim
+			f := newFleet(t, aimed)
+			var seen string
+			f.runner("one", func(w http.ResponseWriter, r *http.Request) {
+				seen = r.Header.Get("Test-Urgency")
+				good("text")(w, r)
+			})
+			if c.longest != "" {
+				f.send("1", "/a/x", "k1", "", "Test-Deadline", c.longest)
+			}
+			begun := time.Now()
+			f.gateway.Ready = func() string {
+				if time.Since(begun) < c.startsIn {
+					return "starting"
+				}
+				return ""
+			}
+			answer, _, err := f.send("2", "/a/x", "k1", "", "Test-Deadline", c.deadline, "Last-Event-Id", c.lastID)
+			if err != nil || answer.StatusCode != http.StatusOK {
+				t.Fatal(answer, err)
+			}
+			if seen != c.want {
+				t.Errorf("the runner was told %q, %s expected", seen, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/maxima.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"cmp"
+	"sync"
+)
+
+// routeMaxima remembers the largest value seen on each route.
+type routeMaxima[T cmp.Ordered] struct {
+	mu     sync.Mutex
+	routes map[string]T
+}
+
+// note takes a value and tells the largest so far.
+func (m *routeMaxima[T]) note(route string, value T) T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.routes == nil {
+		m.routes = map[string]T{}
+	}
+	m.routes[route] = max(m.routes[route], value)
+	return m.routes[route]
+}
--- /dev/null
+++ b/internal/gateway/maxima_test.go
@@ -0,0 +1,16 @@
+package gateway
+
+import "testing"
+
+// The largest value of a route is remembered for each route by itself.
+func TestRouteMaxima(t *testing.T) {
+	var largest routeMaxima[int]
+	for _, c := range []struct {
+		route       string
+		value, most int
+	}{{"a", 10, 10}, {"b", 500, 500}, {"a", 4, 10}, {"a", 30, 30}, {"b", 1, 500}} {
+		if got := largest.note(c.route, c.value); got != c.most {
+			t.Errorf("route %s: %d after %d, %d expected", c.route, got, c.value, c.most)
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -106,6 +106,7 @@
 	wait := r.route.Timeout
 	if meta.Deadline > 0 {
 		wait = min(wait, meta.Deadline)
+		r.gateway.deadlines.note(r.route.Name, meta.Deadline)
 	}
 	r.until = r.received.Add(wait)
 	return nil
