--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -19,40 +18,15 @@
 // seldom: alone, each would lose a request of its own before it knows that the runner fails.
 type runnerHealth struct {
 	mu      sync.Mutex
-	runners map[string]*weightedTally
-}
-
-// weightedTally is the weighted sum of attempts at one runner, as of a moment.
-type weightedTally struct {
-	attempts, failures float64
-	at                 time.Time
-}
-
-// decay is what is left of a weight after some time, where it halves in each span of another.
-func decay(age, half time.Duration) float64 { return math.Exp2(-float64(age) / float64(half)) }
-
-// fade lowers the weights to a moment's.
-func (r *weightedTally) fade(now time.Time) {
-	factor := decay(now.Sub(r.at), healthHalf)
-	r.attempts, r.failures, r.at = r.attempts*factor, r.failures*factor, now
+	runners weightedSums // of attempts, and of failures among them
 }
 
 // note adds one router's tallies.
 func (h *runnerHealth) note(tallies []RunnerTally, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.runners == nil {
-		h.runners = map[string]*weightedTally{}
-	}
 	for _, tally := range tallies {
-		known := h.runners[tally.ID]
-		if known == nil {
-			known = &weightedTally{at: now}
-			h.runners[tally.ID] = known
-		}
-		known.fade(now)
-		known.attempts += float64(max(tally.Attempts, tally.Failures))
-		known.failures += float64(tally.Failures)
+		h.runners.add(tally.ID, healthHalf, max(tally.Attempts, tally.Failures), tally.Failures, now)
 	}
 }
 
@@ -63,11 +37,11 @@
 	var out []FailingRunner
 	for id, known := range h.runners {
 		known.fade(now)
-		if known.attempts < healthForget {
+		if known.count < healthForget {
 			delete(h.runners, id)
 			continue
 		}
-		if share := known.failures / known.attempts; known.failures >= failingLeast && share >= failingShare {
+		if share := known.mean(); known.amount >= failingLeast && share >= failingShare {
 			out = append(out, FailingRunner{ID: id, Share: share})
 		}
 	}
--- a/internal/core/pauses.go
+++ b/internal/core/pauses.go
@@ -21,42 +21,19 @@
 // a stream shows in its pauses; in a large fleet one router sees too few of them to tell the runners apart.
 type runnerPauses struct {
 	mu      sync.Mutex
-	runners map[string]*weightedPauses
-	list    []string // of calm runners, as last told
+	runners weightedSums // of pauses, and of their milliseconds
+	list    []string     // of calm runners, as last told
 	listed  time.Time
 }
 
-// weightedPauses is the weighted sum of pauses at one runner, as of a moment.
-type weightedPauses struct {
-	count, ms float64
-	at        time.Time
-}
-
-// fade lowers the weights to a moment's.
-func (p *weightedPauses) fade(now time.Time) {
-	factor := decay(now.Sub(p.at), pausesHalf)
-	p.count, p.ms, p.at = p.count*factor, p.ms*factor, now
-}
-
 // note adds one router's tallies.
 func (p *runnerPauses) note(tallies []RunnerTally, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, tally := range tallies {
-		if tally.Pauses <= 0 || tally.PausesMs < 0 {
-			continue
-		}
-		known := p.runners[tally.ID]
-		if known == nil {
-			if p.runners == nil {
-				p.runners = map[string]*weightedPauses{}
-			}
-			known = &weightedPauses{at: now}
-			p.runners[tally.ID] = known
+		if tally.Pauses > 0 && tally.PausesMs >= 0 {
+			p.runners.add(tally.ID, pausesHalf, tally.Pauses, tally.PausesMs, now)
 		}
-		known.fade(now)
-		known.count += float64(tally.Pauses)
-		known.ms += float64(tally.PausesMs)
 	}
 }
 
@@ -77,7 +54,7 @@
 			continue
 		}
 		if seen.fade(now); seen.count >= pausesLeast {
-			byService[runner.Service] = append(byService[runner.Service], pausingRunner{runner.ID, seen.ms / seen.count})
+			byService[runner.Service] = append(byService[runner.Service], pausingRunner{runner.ID, seen.mean()})
 		}
 	}
 	p.list, p.listed = nil, now
