Model check: holders of quota units are cut off as operators are

Cause: the walks cut a primary off together with one operator, who goes on reading there; the holders, new beside them, reached both sides. Their moves failed at the cut off primary, it stopped being ready, and no stale read could show. So the walks had become blind for reads of a deposed primary, in the sound code as well. My fault: after adding the holders I had run only some of the strikes.

--- a/internal/modelcheck/schedule_test.go
+++ b/internal/modelcheck/schedule_test.go
@@ -133,18 +133,22 @@
 	}
 }
 
-// others are the addresses of all cores but one, and of the operators.
-func (f *fleet) others(p *process, operators bool) []string {
+// others are the addresses of all cores but one, and of all their clients where these are asked for too.
+func (f *fleet) others(p *process, clients bool) []string {
 	var others []string
 	for _, other := range f.processes {
 		if other != p {
 			others = append(others, other.addr)
 		}
 	}
+	if !clients {
+		return others
+	}
 	for i := range operatorCount {
-		if operators {
-			others = append(others, operatorHost(i))
-		}
+		others = append(others, operatorHost(i))
+	}
+	for i := range quotaHolders {
+		others = append(others, holderAddr(i))
 	}
 	return others
 }
