Reread: a core's figures are read once for each page of metrics

Nine gauges each asked for all figures, and each time the runners were listed and two locks taken. One collector reads them once, which also makes a page of one moment.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -3,21 +3,53 @@
 import (
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/metrics"
 )
 
+// coreGauge is one of a core's figures, as a metric.
+type coreGauge struct {
+	description *prometheus.Desc
+	value       func(core.Figures) float64
+}
+
+func newCoreGauge(name string, value func(core.Figures) float64) coreGauge {
+	return coreGauge{prometheus.NewDesc(name, "See docs/metrics.md.", nil, nil), value}
+}
+
+var coreGauges = []coreGauge{
+	newCoreGauge("yarrowridge_core_epoch", func(f core.Figures) float64 { return float64(f.Epoch) }),
+	newCoreGauge("yarrowridge_core_members", func(f core.Figures) float64 { return float64(f.Members) }),
+	newCoreGauge("yarrowridge_core_primary", func(f core.Figures) float64 { return metrics.FlagValue(f.Primary) }),
+	newCoreGauge("yarrowridge_core_ready", func(f core.Figures) float64 { return metrics.FlagValue(f.Ready) }),
+	newCoreGauge("yarrowridge_core_disk_failed", func(f core.Figures) float64 { return metrics.FlagValue(f.DiskFailed) }),
+	newCoreGauge("yarrowridge_core_store_version", func(f core.Figures) float64 { return float64(f.StoreVersion) }),
+	newCoreGauge("yarrowridge_config_version", func(f core.Figures) float64 { return float64(f.ConfigVersion) }),
+	newCoreGauge("yarrowridge_core_nodes", func(f core.Figures) float64 { return float64(f.Nodes) }),
+	newCoreGauge("yarrowridge_runners", func(f core.Figures) float64 { return float64(f.Runners) }),
+}
+
+// figuresCollector gives a core's figures as metrics. They are read once for each page, so that all are of one moment.
+type figuresCollector func() core.Figures
+
+// Describe names the metrics, as prometheus asks for.
+func (read figuresCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, gauge := range coreGauges {
+		out <- gauge.description
+	}
+}
+
+// Collect reads the figures, as prometheus asks for.
+func (read figuresCollector) Collect(out chan<- prometheus.Metric) {
+	figures := read()
+	for _, gauge := range coreGauges {
+		out <- prometheus.MustNewConstMetric(gauge.description, prometheus.GaugeValue, gauge.value(figures))
+	}
+}
+
 // metricsHandler serves a core's own figures.
 func metricsHandler(figures func() core.Figures) http.Handler {
-	return metrics.NewHandler(metrics.Gauges{
-		"yarrowridge_core_epoch":         func() float64 { return float64(figures().Epoch) },
-		"yarrowridge_core_members":       func() float64 { return float64(figures().Members) },
-		"yarrowridge_core_primary":       func() float64 { return metrics.FlagValue(figures().Primary) },
-		"yarrowridge_core_ready":         func() float64 { return metrics.FlagValue(figures().Ready) },
-		"yarrowridge_core_disk_failed":   func() float64 { return metrics.FlagValue(figures().DiskFailed) },
-		"yarrowridge_core_store_version": func() float64 { return float64(figures().StoreVersion) },
-		"yarrowridge_config_version":     func() float64 { return float64(figures().ConfigVersion) },
-		"yarrowridge_core_nodes":         func() float64 { return float64(figures().Nodes) },
-		"yarrowridge_runners":            func() float64 { return float64(figures().Runners) },
-	})
+	return metrics.NewHandler(nil, figuresCollector(figures))
 }
