Core: a primary whose decision ended in doubt leads that epoch no more

Cause (docs/control.md, "Open"): a primary asked for a view with another backup, did not learn what came of it, and led on in the epoch before with the old backups. The view could still be decided, and its newcomer led without what was acknowledged since. Ruled out: a decision that failed at its first step, since no voter was asked to accept anything then. Now a proposal says whether voters were asked to accept (ErrInDoubt); the primary ends its epoch, takes no writes, and decides the next one, by which it learns what was accepted. Test: TestPrimaryEndsItsEpochInDoubt, red before (it took writes and led on in epoch 1).

--- a/internal/core/disk.go
+++ b/internal/core/disk.go
@@ -93,6 +93,6 @@
 	defer s.mu.Unlock()
 	s.diskFailed = false
 	s.epoch = 0 // leading starts over, in a new epoch and with a fresh snapshot to the backups
-	s.epochAtOpen = s.voter.View().Epoch
+	s.endedEpoch = s.voter.View().Epoch
 	return true
 }
--- /dev/null
+++ b/internal/core/doubt_test.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"yarrowridge/internal/env"
+	"yarrowridge/internal/sim"
+	"yarrowridge/internal/view"
+	"yarrowridge/internal/wire"
+)
+
+// loopbackNet lets the cores of one test reach one another by names of their own.
+type loopbackNet map[string]net.Listener
+
+// Dial reaches the core with that name.
+func (n loopbackNet) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return wire.TCP{}.Dial(ctx, n[addr].Addr().String())
+}
+
+// Listen is not called: the listeners are there before the cores.
+func (n loopbackNet) Listen(addr string) (net.Listener, error) { return n[addr], nil }
+
+// restingCores are cores that answer calls and run no loop; the first is primary, the second its backup. acceptsLost has
+// all but the first lose what asks them to accept a view.
+func restingCores(t *testing.T, count int, acceptsLost *atomic.Bool) ([]*Server, view.View) {
+	t.Helper()
+	reach := loopbackNet{}
+	var cores []*Server
+	v := view.View{Epoch: 1}
+	for i := range count {
+		addr := string(rune('a' + i))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		reach[addr] = listener
+		ctx := env.Ctx{Context: t.Context(), Name: addr, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: reach}
+		core, err := Open(ctx, Settings{Addr: addr, Losses: 1}.WithDefaults(), sim.NewDisk().Use())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go wire.Serve(ctx, listener, func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+			if kind == "view.pick" && acceptsLost.Load() {
+				return nil, wire.Fault{Code: "lost"}
+			}
+			return core.handlers.Do(ctx, kind, body)
+		})
+		cores = append(cores, core)
+		v.Members = append(v.Members, view.Member{Id: core.voter.Id(), Addr: addr})
+	}
+	v.Primary = v.Members[0].Id
+	v = v.WithBackups([]string{v.Members[1].Id})
+	for _, core := range cores {
+		core.learn(v)
+	}
+	return cores, v
+}
+
+// A primary asks for a view with another backup and does not learn what came of it. That view may be decided later, and
+// its backup does not hold what the primary would acknowledge with the old one.
+func TestPrimaryEndsItsEpochInDoubt(t *testing.T) {
+	var acceptsLost atomic.Bool
+	cores, v := restingCores(t, 3, &acceptsLost)
+	primary := cores[0]
+	primary.setReady(true)
+	asked := v.WithBackups([]string{v.Members[2].Id})
+	acceptsLost.Store(true)
+	if primary.decide(v, asked, false) {
+		t.Fatal("a view was decided by one voter of three")
+	}
+	if primary.isReady() || primary.mayLeadEpoch(v.Epoch) {
+		t.Errorf("the primary takes writes: %v; leads on in epoch %d: %v", primary.isReady(), v.Epoch, primary.mayLeadEpoch(v.Epoch))
+	}
+	acceptsLost.Store(false)
+	primary.beginEpoch(v)
+	decided := primary.voter.View()
+	if decided.Epoch != v.Epoch+1 || !decided.IsBackup(v.Members[2].Id) {
+		t.Errorf("epoch %d was decided with backups %v, not the view that was accepted", decided.Epoch, decided.Backups())
+	}
+	if !primary.mayLeadEpoch(decided.Epoch) {
+		t.Error("the primary does not lead the epoch that it has decided")
+	}
+}
+
+// Where too few voters have promised anything, none was asked to accept the view: the primary leads on.
+func TestPrimaryLeadsOnWithoutPromises(t *testing.T) {
+	var acceptsLost atomic.Bool
+	cores, v := restingCores(t, 3, &acceptsLost)
+	primary := cores[0]
+	alone := v
+	alone.Members = append(alone.Members[:1:1], view.Member{Id: "x", Addr: "b"}, view.Member{Id: "y", Addr: "c"})
+	if primary.decide(alone, alone, false) {
+		t.Fatal("a view was decided by strangers")
+	}
+	if !primary.mayLeadEpoch(v.Epoch) {
+		t.Error("the primary ended its epoch though nobody was asked to accept another view")
+	}
+}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -95,15 +95,25 @@
 	s.sweep()
 }
 
-// mayLeadEpoch tells whether an epoch began in this run of the process, with the disk as it was last read. An earlier
-// one is led on by nobody: messages of the run before may still be under way, and are known by their epoch only.
+// mayLeadEpoch tells whether an epoch is ours to lead on. One that began before this run of the process, or before the
+// disk was last read, is not: messages of the run before may still be under way, and are known by their epoch only. Nor is
+// one after which we asked for another view without learning what came of it: that view may be decided at any time, and
+// its backups do not hold what we would acknowledge with ours.
 func (s *Server) mayLeadEpoch(epoch uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return epoch > s.epochAtOpen || strike.Out("resumed-epoch")
+	return epoch > s.endedEpoch || strike.Out("resumed-epoch")
 }
 
-// beginEpoch decides the same view once more, for an epoch that is ours from its beginning.
+// endEpoch leads an epoch no more, and takes no writes until the next one.
+func (s *Server) endEpoch(epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = false
+	s.endedEpoch = max(s.endedEpoch, epoch)
+}
+
+// beginEpoch decides the next epoch, by our own view or by one that was accepted for it already.
 func (s *Server) beginEpoch(v view.View) {
 	s.setReady(false)
 	if s.attemptDue(proposePause) {
--- a/internal/core/primary.go
+++ b/internal/core/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -88,6 +89,9 @@
 	s.highestBallot = proposal.HighestBallot
 	if err != nil {
 		s.ctx.Log.Warn("View not decided.", "after", current.Epoch, "error", err.Error())
+		if errors.Is(err, view.ErrInDoubt) && !strike.Out("decision-in-doubt") {
+			s.endEpoch(current.Epoch)
+		}
 		return false
 	}
 	s.learn(decided)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -65,7 +65,7 @@
 
 	mu            sync.Mutex
 	epoch         uint64       // the one that we lead; 0: none
-	epochAtOpen   uint64       // the newest when the disk was last read: it is not ours to lead on
+	endedEpoch    uint64       // up to here no epoch is ours to lead on: see mayLeadEpoch
 	ledSince      time.Time    // without a break
 	lease         *lease.Lease // of the epoch that we lead
 	renewRounds   uint64       // rounds of requests for the lease
@@ -182,7 +182,7 @@
 		scarceSince:  map[string]time.Time{},
 		candidates:   map[string]candidate{},
 	}
-	s.epochAtOpen = voter.View().Epoch
+	s.endedEpoch = voter.View().Epoch
 	s.registry = NewRunnerRegistry(settings.RunnerSilentAfter, s.announce)
 	s.store.Store(opened)
 	s.seeds.Store(&settings.Seeds)
--- a/internal/view/proposal.go
+++ b/internal/view/proposal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,10 @@
 // another ballot went ahead, or the primary's lease still stands.
 var ErrNotDecided = errors.New("view: not decided")
 
+// ErrInDoubt means that voters were asked to accept a view, and too few are known to have done so: whoever proposes next
+// may find it accepted, and decide it. It is an ErrNotDecided too.
+var ErrInDoubt = fmt.Errorf("%w, and may yet be", ErrNotDecided)
+
 // Proposal is one proposer's attempt to decide the epoch after Current.
 type Proposal struct {
 	Proposer      string
@@ -39,7 +44,7 @@
 type quorum func(agreed map[string]bool) bool
 
 // Run makes the proposal. It returns the view now decided for the epoch, which may be another's,
-// or a newer view that a voter knew of; ErrNotDecided where nothing was learnt.
+// or a newer view that a voter knew of; ErrNotDecided where nothing was learnt, ErrInDoubt where voters may have accepted.
 //
 //	v, err := (&view.Proposal{Proposer: id, Call: call, Current: cur, Next: next, StepTimeout: time.Second}).Run(ctx)
 func (p *Proposal) Run(ctx context.Context) (View, error) {
@@ -58,7 +63,7 @@
 	if newer.Epoch > 0 {
 		return newer, nil
 	}
-	return View{}, eris.Wrap(err, "view: accept")
+	return View{}, eris.Wrap(ErrInDoubt, "view: accept")
 }
 
 // prepare is the first step: it asks the current members for their promises. next is the view to propose then: the
