Quotas: counted in tokens where a tenant's billing unit says so

A request costs both numbers of its token count, or uncachedTokens without one. Each unit has a pool and shares of its own, so that a change of the unit mixes nothing; a request keeps what it reserved, whatever a later table says. Costs differ by a factor of hundreds, so: a draw names the costs that wait, and each gets all of its units or none (parts held by many routers would serve nobody); for a second after a refusal half of what becomes free is saved for costs as large; idle units go back whole once they are scarce. Tokens are counted over the whole window: a third of it can be less than one request. Ruled out: a third of the window (a tenant of 60,000 tokens a second has 180,000 in one, and a request costs up to 93,000).

--- a/internal/core/msgs.go
+++ b/internal/core/msgs.go
@@ -206,6 +206,10 @@
 	Turn   uint64 `msg:"k"`
 	Units  int    `msg:"u"`
 	Give   bool   `msg:"g"`
+
+	// Costs are those of the requests that wait for a draw, where they differ: each gets all of its units or none. The
+	// rest of Units is to be kept at hand.
+	Costs []int `msg:"c,omitempty"`
 }
 
 // QuotaMoveResult says what the holder has now.
--- a/internal/core/msgs_gen.go
+++ b/internal/core/msgs_gen.go
@@ -1245,22 +1245,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaMove) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "t"
-	o = append(o, 0x85, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Tenant)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Holder)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendUint64(o, z.Turn)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt(o, z.Units)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Give)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Costs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Tenant)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Holder)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendUint64(o, z.Turn)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendInt(o, z.Units)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendBool(o, z.Give)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Costs)))
+			for za0001 := range z.Costs {
+				o = msgp.AppendInt(o, z.Costs[za0001])
+			}
+		}
+	}
 	return
 }
 
@@ -1316,6 +1337,29 @@
 				err = msgp.WrapError(err, "Give")
 				return
 			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Costs")
+				return
+			}
+			if zb0002 > z78411aa4limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Costs) >= int(zb0002) {
+				z.Costs = (z.Costs)[:zb0002]
+			} else {
+				z.Costs = make([]int, zb0002)
+			}
+			for za0001 := range z.Costs {
+				z.Costs[za0001], bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Costs", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1330,7 +1374,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuotaMove) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Costs) * (msgp.IntSize))
 	return
 }
 
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -54,11 +54,11 @@
 		result.Held, changed = pool.Give(holder, move.Turn, move.Units)
 	} else {
 		before := pool.Held[holder].Units
-		free := pool.Most(quota, tolerance) - pool.Out()
-		units := min(move.Units, maxDraw(free))
+		free := max(0, pool.Most(quota, tolerance)-pool.Out())
+		units, short := s.drawUnits(move, free, quota)
 		result.Held, changed = pool.DrawAbove(holder, move.Turn, units, quota, tolerance, s.chargeFor(move.Tenant))
 		if move.Units > 0 {
-			s.noteScarce(move.Tenant, result.Held == before, quota, pool.Most(quota, tolerance)-pool.Out())
+			s.noteScarce(move, short || result.Held == before, quota, free-(result.Held-before))
 		}
 	}
 	result.Ceiling = pool.Under(quota)
@@ -68,6 +68,22 @@
 	return result, err
 }
 
+// drawUnits is how many of the free units a draw gets. short: a request that waits for them gets none.
+func (s *Server) drawUnits(move *QuotaMove, free, quota int) (units int, short bool) {
+	if len(move.Costs) == 0 {
+		return min(move.Units, maxDraw(free)), false
+	}
+	if s.savings == nil {
+		s.savings = map[string]*share.Saving{}
+	}
+	saving := s.savings[move.Tenant]
+	if saving == nil {
+		saving = &share.Saving{}
+		s.savings[move.Tenant] = saving
+	}
+	return saving.Draw(time.Now(), free, quota, move.Costs, move.Units)
+}
+
 // openCharge is the charge to which what is drawn of a tenant's tolerance is added for a while.
 type openCharge struct {
 	id    uint64
@@ -93,12 +109,8 @@
 	return open.id
 }
 
-// drawDivisor is the part of the free units that one draw may take: after a restart all routers draw at once, and
-// the first must not leave the others without any.
-const drawDivisor = 8
-
 // maxDraw is the most that one draw gets of what is free.
-func maxDraw(free int) int { return (free + drawDivisor - 1) / drawDivisor }
+func maxDraw(free int) int { return (free + share.DrawDivisor - 1) / share.DrawDivisor }
 
 // coolHolder sets a holder's units cooling: its process is surely gone.
 func (s *Server) coolHolder(ctx context.Context, holder string) error {
--- a/internal/core/quotascarce.go
+++ b/internal/core/quotascarce.go
@@ -11,12 +11,17 @@
 // units, and each that has some idle keeps them from many others.
 const smallQuotaDivisor = 2
 
-// noteScarce notes that idle units of a tenant are wanted back: since a draw got none, or soon may get none.
-func (s *Server) noteScarce(tenant string, none bool, quota, free int) {
+// unevenQuotaDivisor is that part of a quota whose requests cost unequal numbers of units: one of them may want more than
+// a draw's usual part of what is left.
+const unevenQuotaDivisor = 4
+
+// noteScarce notes that idle units of a tenant are wanted back: since a draw got too few, or soon may get too few.
+func (s *Server) noteScarce(move *QuotaMove, short bool, quota, free int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if none || share.IsSmall(quota, len(s.nodes)) && free < quota/smallQuotaDivisor {
-		s.scarceSince[tenant] = time.Now()
+	low := share.IsSmall(quota, len(s.nodes)) && free < quota/smallQuotaDivisor || len(move.Costs) > 0 && free < quota/unevenQuotaDivisor
+	if short || low {
+		s.scarceSince[move.Tenant] = time.Now()
 	}
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -13,6 +13,7 @@
 
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/lease"
+	"yarrowridge/internal/share"
 	"yarrowridge/internal/store"
 	"yarrowridge/internal/view"
 	"yarrowridge/internal/wire"
@@ -112,8 +113,9 @@
 	claimsSeen    map[string]time.Time // since when this run knows each claim, and each part of the finished keys
 
 	poolCache       poolCache
-	charges         map[string]openCharge // of tenants' tolerances
-	hasCoolingUnits bool                  // units of some quota cool
+	charges         map[string]openCharge    // of tenants' tolerances
+	savings         map[string]*share.Saving // of quotas whose requests cost unequal numbers of units
+	hasCoolingUnits bool                     // units of some quota cool
 	finishedKeys    finishedKeys
 	finishedParts   int // parts put by this run
 	decoded         decodedConfig
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -44,5 +44,5 @@
 
 // funded tells whether the tenant's quota is not nearly spent.
 func (r *request) funded() bool {
-	return r.tenant == nil || r.tenant.Rate <= 0 || !r.gateway.Quotas.Scarce(r.tenant.Name)
+	return r.tenant == nil || r.tenant.Rate <= 0 || !r.gateway.Quotas.Scarce(r.tenant.QuotaName())
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,10 +147,7 @@
 // leave notes that bytes have left for a runner.
 func (r *request) leave() {
 	r.sends++
-	if r.reserved && !r.spent {
-		r.gateway.Quotas.Spend(r.tenant.Name)
-		r.spent = true
-	}
+	r.spendQuota()
 	r.journey.advance(Sent)
 }
 
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -12,6 +12,7 @@
 	Model        string
 	InputTokens  int
 	OutputTokens int           // the most that may come out; 0: not told
+	TokensTold   bool          // both numbers of tokens were given
 	Prefix       []PromptPart  // in order
 	Deadline     time.Duration // how long the client will wait from now; 0: not told
 	LastEventID  string        // the client takes a stream up after this event
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,14 +15,14 @@
 
 // Quotas keeps tenants within their limits.
 type Quotas interface {
-	// Reserve holds one request of the tenant's quota. False: none is left for now; when to ask again.
-	Reserve(ctx context.Context, tenant string) (bool, time.Duration)
-	// Spend turns a reservation into a spent request: it leaves for a runner now.
-	Spend(tenant string)
+	// Reserve holds so many units of a quota. False: too few are left for now; when to ask again.
+	Reserve(ctx context.Context, quota string, units int) (bool, time.Duration)
+	// Spend turns a reservation into spent units: the request leaves for a runner now.
+	Spend(quota string, units int)
 	// Release ends a reservation unspent.
-	Release(tenant string)
-	// Scarce tells whether the tenant's quota is nearly spent over all routers.
-	Scarce(tenant string) bool
+	Release(quota string, units int)
+	// Scarce tells whether the quota is nearly spent over all routers.
+	Scarce(quota string) bool
 }
 
 // RetryBounds bound the second attempts of the whole fleet at one service.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,16 +56,16 @@
 	reserved, spent, released atomic.Int64
 }
 
-func (q *freeQuotas) Reserve(_ context.Context, tenant string) (bool, time.Duration) {
+func (q *freeQuotas) Reserve(_ context.Context, tenant string, _ int) (bool, time.Duration) {
 	if q.empty[tenant] {
 		return false, time.Second
 	}
 	q.reserved.Add(1)
 	return true, 0
 }
-func (q *freeQuotas) Release(string)     { q.released.Add(1) }
-func (q *freeQuotas) Scarce(string) bool { return false }
-func (q *freeQuotas) Spend(string)       { q.spent.Add(1) }
+func (q *freeQuotas) Release(string, int) { q.released.Add(1) }
+func (q *freeQuotas) Scarce(string) bool  { return false }
+func (q *freeQuotas) Spend(string, int)   { q.spent.Add(1) }
 
 // fleet is a gateway before runners of the test's making.
 type fleet struct {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,19 +22,18 @@
 	received time.Time
 	journey  journey
 
-	meta     RequestMeta
-	table    *routing.Table
-	route    *routing.Route
-	service  *routing.Service
-	tenant   *routing.Tenant // nil: the route is public, or there are no tenants
-	body     []byte
-	until    time.Time // the client or the operator waits no longer
-	reserved bool      // one request of the tenant's quota is held
-	spent    bool      // and was spent
-	begun    bool      // a byte of an answer was written
-	tried    map[int]bool
-	sends    int  // attempts that may have reached a runner
-	ran      bool // one of them may have run it, and its answer is lost
+	meta    RequestMeta
+	table   *routing.Table
+	route   *routing.Route
+	service *routing.Service
+	tenant  *routing.Tenant // nil: the route is public, or there are no tenants
+	body    []byte
+	until   time.Time // the client or the operator waits no longer
+	quota   quotaHold // what is held of the tenant's quota
+	begun   bool      // a byte of an answer was written
+	tried   map[int]bool
+	sends   int  // attempts that may have reached a runner
+	ran     bool // one of them may have run it, and its answer is lost
 }
 
 // run takes the request its whole way. The error is a *Refusal where an answer of ours is due.
@@ -148,12 +147,14 @@
 func (r *request) admit() error {
 	if r.tenant != nil && r.tenant.Rate > 0 {
 		ctx, cancel := context.WithDeadline(r.client.Context(), r.received.Add(r.until.Sub(r.received)*quotaWaitPart/100))
-		ok, again := r.gateway.Quotas.Reserve(ctx, r.tenant.Name)
+		hold := quotaHold{name: r.tenant.QuotaName(), units: r.tenant.Cost(r.meta.InputTokens+r.meta.OutputTokens, r.meta.TokensTold)}
+		ok, again := r.gateway.Quotas.Reserve(ctx, hold.name, hold.units)
 		cancel()
 		if !ok {
 			return overQuota(again)
 		}
-		r.reserved = true
+		hold.reserved = true
+		r.quota = hold
 	}
 	err := r.judgeAllowance()
 	if err == nil {
@@ -165,12 +166,28 @@
 	return err
 }
 
+// quotaHold is what a request holds of a quota. A later configuration may count in another unit: it stays what it was when
+// the request was let in.
+type quotaHold struct {
+	name     string
+	units    int
+	reserved bool // and neither spent nor released
+}
+
+// spendQuota spends what is held: the request leaves for its first runner.
+func (r *request) spendQuota() {
+	if r.quota.reserved {
+		r.gateway.Quotas.Spend(r.quota.name, r.quota.units)
+	}
+	r.quota.reserved = false
+}
+
 // release gives back what of the quota was held and not spent.
 func (r *request) release() {
-	if r.reserved && !r.spent {
-		r.gateway.Quotas.Release(r.tenant.Name)
+	if r.quota.reserved {
+		r.gateway.Quotas.Release(r.quota.name, r.quota.units)
 	}
-	r.reserved = false
+	r.quota.reserved = false
 }
 
 func (r *request) readBody() error {
--- a/internal/router/gateway.go
+++ b/internal/router/gateway.go
@@ -181,7 +181,7 @@
 	for _, tenant := range table.Tenants {
 		if tenant.Rate > 0 {
 			quota := g.settings.Quota.For(&tenant)
-			rules = append(rules, share.Rule{Tenant: tenant.Name, Units: quota.Requests, Window: quota.Period})
+			rules = append(rules, share.Rule{Tenant: tenant.QuotaName(), Units: quota.Units, Window: quota.Period})
 		}
 	}
 	return rules
@@ -190,19 +190,19 @@
 // quotas spends tenants' quotas from this router's shares of them.
 type quotas struct{ quotaShares *share.QuotaShares }
 
-// Reserve holds one request of the tenant's quota.
-func (q quotas) Reserve(ctx context.Context, tenant string) (bool, time.Duration) {
-	return q.quotaShares.Keep(ctx, tenant, 1)
+// Reserve holds units of a quota.
+func (q quotas) Reserve(ctx context.Context, quota string, units int) (bool, time.Duration) {
+	return q.quotaShares.Keep(ctx, quota, units)
 }
 
-// Spend turns a reservation into a spent request.
-func (q quotas) Spend(tenant string) { q.quotaShares.For(tenant).Spend(1) }
+// Spend turns a reservation into spent units.
+func (q quotas) Spend(quota string, units int) { q.quotaShares.For(quota).Spend(units) }
 
 // Release ends a reservation unspent.
-func (q quotas) Release(tenant string) { q.quotaShares.For(tenant).Loose(1) }
+func (q quotas) Release(quota string, units int) { q.quotaShares.For(quota).Loose(units) }
 
-// Scarce tells whether the core lately had too little left of the tenant's quota.
-func (q quotas) Scarce(tenant string) bool { return q.quotaShares.For(tenant).Scarce() }
+// Scarce tells whether the core lately had too little left of the quota.
+func (q quotas) Scarce(quota string) bool { return q.quotaShares.For(quota).Scarce() }
 
 // Start begins all parts but the clients' listener; they end with the context.
 func (g *Gateway) Start() {
--- a/internal/router/moves.go
+++ b/internal/router/moves.go
@@ -10,6 +10,7 @@
 	"yarrowridge/internal/core"
 	"yarrowridge/internal/env"
 	"yarrowridge/internal/node"
+	"yarrowridge/internal/share"
 )
 
 // moveTime is how long one call with moves may take; its moves are made again after it.
@@ -47,8 +48,8 @@
 }
 
 // move is the share.Mover: it makes one move and tells what is held after it, and under what sum.
-func (q *moveQueue) move(ctx context.Context, tenant string, turn uint64, units int, give bool) (int, int, error) {
-	queued := &queuedMove{core.QuotaMove{Tenant: tenant, Turn: turn, Units: units, Give: give}, make(chan moveResult, 1)}
+func (q *moveQueue) move(ctx context.Context, move share.Move) (int, int, error) {
+	queued := &queuedMove{core.QuotaMove{Tenant: move.Tenant, Turn: move.Turn, Units: move.Units, Costs: move.Costs, Give: move.Give}, make(chan moveResult, 1)}
 	q.mu.Lock()
 	q.waiting = append(q.waiting, queued)
 	start := !q.sending
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -72,8 +72,11 @@
 	Name     string
 	Keys     []string
 	Priority int     // goes before the route's
-	Rate     float64 // requests a second over all nodes; 0: not limited
-	Burst    float64 // requests on top of the rate
+	Rate     float64 // units a second over all nodes; 0: not limited
+	Burst    float64 // units on top of the rate
+	Unit     QuotaUnit
+
+	UncachedTokens int // what a request counts that does not tell its tokens, where tokens are counted
 }
 
 // Limits bound what one client may send.
@@ -116,6 +119,9 @@
 	Priority int
 	Rate     float64
 	Burst    float64
+	Unit     QuotaUnit
+
+	UncachedTokens int
 }
 
 // Flaw is one reason why a configuration is invalid.
@@ -230,7 +236,8 @@
 			}
 			b.table.keys[key] = i
 		}
-		b.table.Tenants = append(b.table.Tenants, Tenant{Name: spec.Name, Priority: spec.Priority, Rate: spec.Rate, Burst: spec.Burst})
+		b.table.Tenants = append(b.table.Tenants, Tenant{Name: spec.Name, Priority: spec.Priority, Rate: spec.Rate, Burst: spec.Burst,
+			Unit: spec.Unit, UncachedTokens: spec.UncachedTokens})
 	}
 }
 
@@ -275,38 +282,3 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
-
-// roundingSlack keeps a sum of fractions that comes to a whole number from being rounded to the one below.
-const roundingSlack = 1e-9
-
-// quotaPeriods is into how many periods the window of a quota is cut. A third of the requests in each third
-// of the window keeps the whole window's limit, and what a router that died may have spent is known to be
-// past after a third of the time.
-const quotaPeriods = 3
-
-// QuotaRule tells how tenants' rates are judged.
-type QuotaRule struct {
-	Window    time.Duration // any window sees at most rate x window + burst requests
-	Overshoot float64       // part of that by which a window may exceed it
-	Allowance float64       // and requests on top
-}
-
-// Quota is how many requests of a tenant any period may see.
-type Quota struct {
-	Requests  int
-	Period    time.Duration
-	Tolerance int // requests on top in any window, while it is not known what a router that died has spent
-}
-
-// toleranceUse is the part of the overshoot that may be used in any window.
-const toleranceUse = 0.99
-
-// For gives a tenant's quota. Its rate must be set.
-func (q QuotaRule) For(t *Tenant) Quota {
-	whole := t.Rate*q.Window.Seconds() + t.Burst + roundingSlack
-	tolerance := int(toleranceUse * (whole*q.Overshoot + q.Allowance))
-	if whole < quotaPeriods*2 {
-		return Quota{Requests: max(1, int(whole)), Period: q.Window, Tolerance: tolerance}
-	}
-	return Quota{Requests: int(whole / quotaPeriods), Period: q.Window / quotaPeriods, Tolerance: tolerance}
-}
--- a/internal/share/grown_test.go
+++ b/internal/share/grown_test.go
@@ -30,7 +30,8 @@
 	for i := range holders {
 		name := string(rune('A' + i))
 		ps := NewQuotaShares(env.Ctx{Context: ctx}, Ways{
-			Move: func(_ context.Context, _ string, turn uint64, n int, give bool) (int, int, error) {
+			Move: func(_ context.Context, move Move) (int, int, error) {
+				turn, n, give := move.Turn, move.Units, move.Give
 				c.moves.Add(1)
 				time.Sleep(5 * time.Millisecond)
 				mu.Lock()
@@ -135,7 +136,8 @@
 		defer time.Sleep(time.Second)
 		defer end()
 		ps := NewQuotaShares(env.Ctx{Context: ctx}, Ways{
-			Move: func(_ context.Context, _ string, _ uint64, n int, _ bool) (int, int, error) {
+			Move: func(_ context.Context, move Move) (int, int, error) {
+				n := move.Units
 				time.Sleep(600 * time.Millisecond)
 				return n, 40, nil
 			},
@@ -258,7 +260,8 @@
 		defer end()
 		var gone atomic.Bool
 		ps := NewQuotaShares(env.Ctx{Context: ctx}, Ways{
-			Move: func(ctx context.Context, _ string, _ uint64, n int, _ bool) (int, int, error) {
+			Move: func(ctx context.Context, move Move) (int, int, error) {
+				n := move.Units
 				if gone.Load() {
 					<-ctx.Done()
 					return 0, 0, ctx.Err()
--- a/internal/share/quotashare.go
+++ b/internal/share/quotashare.go
@@ -1,6 +1,8 @@
 package share
 
 import (
+	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,8 @@
 	first  chan struct{} // closed by the core's first word
 	need   int           // the largest cost that was lately turned away or near the edge
 	queue  int           // units that requests are waiting for now
+	costs  []int         // of these requests
+	uneven bool          // requests cost more than a unit, and differ
 	asked  int           // what the draw under way asks for
 	moved  time.Time     // when the last move ended
 	dry    time.Time     // until then the core is not asked again: it had too little
@@ -84,7 +88,9 @@
 	if p.under <= p.quota {
 		return p.units
 	}
-	return p.units * p.quota / p.under
+	high, low := bits.Mul64(uint64(p.units), uint64(max(0, p.quota)))
+	part, _ := bits.Div64(high, low, uint64(p.under)) // units are at most under, so that the result fits
+	return int(part)
 }
 
 // Keep reserves n units for a query that has been let in. False: not enough, and the time
@@ -95,6 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.uneven = p.uneven || n > 1
 	if now.Sub(p.heard) > Term {
 		return false, time.Minute
 	}
@@ -130,6 +137,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.queue += n
+	if n > 0 {
+		p.costs = append(p.costs, n)
+		return
+	}
+	if i := slices.Index(p.costs, -n); i >= 0 {
+		p.costs = slices.Delete(p.costs, i, i+1)
+	}
+	if p.uneven && p.queue == 0 {
+		p.need = 0 // units that nobody waits for would lie idle here
+	}
+}
+
+// maxCosts bounds how many costs a draw tells one by one.
+const maxCosts = 64
+
+// Waiting lists what the requests cost that wait now, in the order in which they came; nil where each costs a unit.
+func (p *QuotaShare) Waiting() []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.uneven {
+		return nil
+	}
+	return slices.Clone(p.costs[:min(len(p.costs), maxCosts)])
 }
 
 // Busy tells whether the core has been asked and has not answered yet.
@@ -277,7 +307,7 @@
 	switch {
 	case short:
 		n = idle / 2
-		if small {
+		if small || p.uneven {
 			n = idle - max(p.need, p.queue) // a part too small to be kept: all that is idle is wanted elsewhere
 		} else if p.out == 0 && p.need == 0 {
 			n = (idle + 1) / 2
--- a/internal/share/quotashares.go
+++ b/internal/share/quotashares.go
@@ -9,8 +9,17 @@
 	"yarrowridge/internal/env"
 )
 
-// Mover asks the core for a draw or a give and tells what is held after it, and under what sum.
-type Mover func(ctx context.Context, tenant string, turn uint64, units int, give bool) (have, under int, err error)
+// Move is a draw or a give of units.
+type Move struct {
+	Tenant string
+	Turn   uint64 // of this holder and tenant: one that was taken already changes nothing
+	Units  int
+	Costs  []int // of the requests that wait for the draw, where these differ; the rest of Units is to be kept at hand
+	Give   bool
+}
+
+// Mover asks the core for a move and tells what is held after it, and under what sum.
+type Mover func(ctx context.Context, move Move) (have, under int, err error)
 
 // Ways are what the quotaShares of a node ask of the rest of it.
 type Ways struct {
@@ -115,7 +124,7 @@
 func (ps *QuotaShares) draw(tenant string, p *QuotaShare) bool {
 	turn, n, ok := p.Want(ps.ways.Nodes())
 	if ok {
-		go ps.carry(tenant, p, turn, n, false)
+		go ps.carry(p, Move{Tenant: tenant, Turn: turn, Units: n, Costs: p.Waiting()})
 	}
 	return ok
 }
@@ -180,7 +189,7 @@
 			continue // units given now would be lost here, and no core could hand them on
 		}
 		if turn, n, ok := p.Spare(short[t], ps.ways.Nodes()); ok {
-			go ps.carry(t, p, turn, n, true)
+			go ps.carry(p, Move{Tenant: t, Turn: turn, Units: n, Give: true})
 		}
 	}
 }
@@ -193,13 +202,13 @@
 }
 
 // carry repeats one turn until the core has answered it: a lost answer changes nothing.
-func (ps *QuotaShares) carry(t string, p *QuotaShare, turn uint64, n int, give bool) {
+func (ps *QuotaShares) carry(p *QuotaShare, move Move) {
 	for {
 		ctx, end := context.WithTimeout(ps.ctx, 5*time.Second)
-		have, under, err := ps.ways.Move(ctx, t, turn, n, give)
+		have, under, err := ps.ways.Move(ctx, move)
 		end()
 		if err == nil {
-			p.Got(turn, have, under)
+			p.Got(move.Turn, have, under)
 			return
 		}
 		if !env.Wait(ps.ctx, 500*time.Millisecond) {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -156,7 +156,8 @@
 		var mu sync.Mutex
 		var pool QuotaPool
 		ps := NewQuotaShares(env.Ctx{Context: ctx}, Ways{
-			Move: func(_ context.Context, _ string, turn uint64, n int, give bool) (int, int, error) {
+			Move: func(_ context.Context, move Move) (int, int, error) {
+				turn, n := move.Turn, move.Units
 				mu.Lock()
 				defer mu.Unlock()
 				if !live.Load() {
