--- a/internal/share/saving_test.go
+++ b/internal/share/saving_test.go
@@ -50,11 +50,11 @@
 	for step := range 20_000 {
 		now = now.Add(2 * time.Millisecond)
 		free = min(most, free+back)
-		cost := small
+		cost, costs := small, []int{small, small, small, small} // more than becomes free meanwhile
 		if step%5 == 0 {
-			cost = large // asked for again and again, as by clients that come back
+			cost, costs = large, []int{large} // asked for again and again, as by clients that come back
 		}
-		units, _ := saving.Draw(now, free, most, []int{cost}, cost)
+		units, _ := saving.Draw(now, free, most, costs, cost*len(costs))
 		free -= units
 		got[cost] += units
 	}
