Gateway: a runner's silence does not end the last attempt of a stream

Silence ends an attempt only where another may follow. Test: TestSilenceOfTheLastRunner, red before (502 after 0.4 s).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,9 +43,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.client.Context(), r.until.Add(deadlineSlack))
 	defer cancel()
-	if stream != nil && r.route.Repeatable() {
-		stream.guard = newSilenceGuard(chosen.Runner(), cancel)
-		defer stream.guard.stop()
+	if stream != nil {
+		stream.guard = nil
+		if r.mayBeTakenUp() {
+			stream.guard = newSilenceGuard(chosen.Runner(), cancel)
+			defer stream.guard.stop()
+		}
 	}
 	exchange, err := r.send(ctx, chosen, stream)
 	if err != nil {
@@ -76,6 +79,12 @@
 	return r.carryWhole(chosen, exchange, head, stream)
 }
 
+// mayBeTakenUp tells, before an attempt, whether the stream could go on at another runner if it is ended: a runner's silence
+// is no reason to end the last attempt that a request has.
+func (r *request) mayBeTakenUp() bool {
+	return r.route.Repeatable() && r.sends+1 < r.route.MaxAttempts
+}
+
 // noRunner says why the request ends for want of a runner.
 func (r *request) noRunner() error {
 	if r.sends > 0 && !r.journey.unrun {
