Balance: patience with a runner follows the silences that its service lately had

Cause: a runner counted as silent 0.4 s after its last word to this router, unless what this router had sent it explained more. Hypothesis: silences that ended tell how long a runner of this service may say nothing. Patience is now twice the longest of them, which fades by half in 5 s (0.75 s before any was seen), and 0.4 s or four times what the requests explain at the least.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -45,7 +45,7 @@
 	mu        sync.Mutex // over changes of the set
 	next      int
 	byID      map[string]*Runner
-	speeds    map[string]*speed // of services
+	services  map[string]*serviceHabits
 	byService atomic.Pointer[map[string][]*Runner]
 	turn      atomic.Uint64
 	calm      atomic.Pointer[calmRunners]
@@ -53,7 +53,7 @@
 
 // New makes a balancer of a router in a zone.
 func New(zone string) *Balancer {
-	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, speeds: map[string]*speed{},
+	b := &Balancer{zone: zone, cache: NewPrefixCache(prefixEntries), byID: map[string]*Runner{}, services: map[string]*serviceHabits{},
 		Sessions: session.New(directoryMost), recent: newRecentSessions(recentMost), wake: make(chan struct{}, 1)}
 	b.byService.Store(&map[string][]*Runner{})
 	return b
@@ -74,7 +74,7 @@
 		known[info.ID] = true
 		runner := b.byID[info.ID]
 		if runner == nil {
-			runner = newRunner(b.next, info, b.speedOf(info.Service), now)
+			runner = newRunner(b.next, info, b.habitsOf(info.Service), now)
 			b.next++
 			b.byID[info.ID] = runner
 		}
@@ -100,12 +100,18 @@
 	b.byService.Store(&services)
 }
 
-// speedOf gives the speed of a service's runners. The caller holds the lock.
-func (b *Balancer) speedOf(service string) *speed {
-	known := b.speeds[service]
+// serviceHabits is what this router has seen of all runners of one service together.
+type serviceHabits struct {
+	speed    speed
+	silences silences
+}
+
+// habitsOf gives what was seen of a service's runners. The caller holds the lock.
+func (b *Balancer) habitsOf(service string) *serviceHabits {
+	known := b.services[service]
 	if known == nil {
-		known = &speed{}
-		b.speeds[service] = known
+		known = &serviceHabits{}
+		b.services[service] = known
 	}
 	return known
 }
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -15,7 +15,6 @@
 	waitFade     = 400 * time.Millisecond // the measured wait halves in this time without new samples
 	sampleWeight = 0.3                    // weight of a new sample in a moving average
 	firstRate    = 100.0                  // prompt tokens a millisecond, until it was measured
-	silenceFloor = 400 * time.Millisecond // a runner is never called silent sooner
 )
 
 // Runner is one life of one runner with what this router has seen of it.
@@ -34,7 +33,7 @@
 	failAt      time.Time
 	waitMs      float64 // moving average of the wait that the prompt's own work does not explain
 	waitAt      time.Time
-	speed       *speed  // of all runners of its service
+	service     *serviceHabits
 	serviceMs   float64 // moving average of whole answers of ordinary services
 	gapMs       float64 // moving average of the pause between events
 	full        time.Time
@@ -138,8 +137,8 @@
 	context  sessionRef // of the session that the request belongs to
 }
 
-func newRunner(index int, info routing.Runner, speed *speed, now time.Time) *Runner {
-	return &Runner{Index: index, speed: speed, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
+func newRunner(index int, info routing.Runner, service *serviceHabits, now time.Time) *Runner {
+	return &Runner{Index: index, service: service, info: info, since: now, lastByte: now, open: map[*Attempt]struct{}{}}
 }
 
 // Info is what the runner last said of itself.
@@ -178,7 +177,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := a.first.IsZero()
-	r.lastByte = now
+	r.heard(now)
 	if first {
 		a.first = now
 		r.promptOpen -= a.prompt
@@ -198,10 +197,10 @@
 	r, now := a.runner, time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.heard(now)
 	if !r.end(a) {
 		return
 	}
-	r.lastByte = now
 	r.failures = 0
 	r.barredUntil = time.Time{}
 	r.noteFailure(0, now)
@@ -213,8 +212,8 @@
 	r, now := a.runner, time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.heard(now)
 	if r.end(a) {
-		r.lastByte = now
 		r.full = now
 	}
 }
@@ -287,7 +286,7 @@
 // wait. The caller holds the lock.
 func (r *Runner) sampleFirst(ms float64, prompt int, now time.Time) {
 	if prompt >= rateSample && ms > 0 {
-		r.speed.sample(float64(prompt) / ms)
+		r.service.speed.sample(float64(prompt) / ms)
 	}
 	wait := max(0, ms-float64(prompt)/r.rate())
 	r.waitMs = average(r.fadedWait(now), wait)
@@ -301,7 +300,7 @@
 // rate is how many prompt tokens the runner reads in a millisecond. It is measured over all runners of the
 // service: a single slow answer must not keep a router from a runner for good, and what a runner is slower
 // than the others shows in its measured wait.
-func (r *Runner) rate() float64 { return r.speed.rate() }
+func (r *Runner) rate() float64 { return r.service.speed.rate() }
 
 // How the speed of a service's runners is learnt: nearly the fastest readings count, since the others waited.
 const (
@@ -337,22 +336,3 @@
 		s.measured += rateFall * (rate - s.measured)
 	}
 }
-
-// silent tells whether requests are under way and nothing has come for far longer than it should.
-func (r *Runner) silent(now time.Time) bool {
-	return len(r.open) > 0 && now.Sub(r.lastByte) > r.patience()
-}
-
-// patience is how long a runner with requests under way may say nothing.
-func (r *Runner) patience() time.Duration {
-	expect := 4 * max(r.serviceMs, r.gapMs, float64(r.promptOpen)/r.rate())
-	return max(silenceFloor, time.Duration(expect)*time.Millisecond)
-}
-
-// Silent tells whether requests are under way and nothing has come from the runner for far longer than
-// it should.
-func (r *Runner) Silent() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.silent(time.Now())
-}
