Model check: every course of a vote together with a write, and its strike

The explorations looked at the vote and at replication each by itself, so that neither could show the write that a decision in doubt lost. It covers three voters and one backup; two backups are not covered.

--- a/internal/modelcheck/planted_test.go
+++ b/internal/modelcheck/planted_test.go
@@ -127,3 +127,14 @@
 		})
 	}
 }
+
+// TestStruckDoubt has a primary lead on after a decision in doubt: the exploration of votes together with writes has to find
+// a holder without an acknowledged write.
+func TestStruckDoubt(t *testing.T) {
+	t.Setenv("YARROWRIDGE_STRIKE", "decision-in-doubt")
+	e := exploreAllWrites(t, voteBounds{attempts: 1, lost: 2})
+	if e.problem == "" {
+		t.Fatalf("nothing was found in %d courses", e.played)
+	}
+	t.Logf("found after %d courses: %s by %q", e.played, e.problem, e.failed)
+}
--- a/internal/modelcheck/vote_test.go
+++ b/internal/modelcheck/vote_test.go
@@ -62,15 +62,30 @@
 	current  view.View
 	mu       sync.Mutex
 	pending  []*pendingCall
+	next     func(current view.View, proposer int) view.View
 	decided  []string                // what each proposer was told
+	promised map[int]int             // by voter: the proposer that it last said yes to
+	ended    []error                 // how each proposer's last attempt ended without a decision
 	accepted map[string]map[int]bool // by ballot and view: the voters that ever accepted it
 	chosen   map[string]bool         // views that a majority accepted under one ballot
 	running  sync.WaitGroup
 }
 
 // newVote begins a course: nothing has been proposed yet.
-func newVote(t *testing.T, bounds voteBounds) *vote {
-	v := &vote{bounds: bounds, decided: make([]string, proposersExplored), accepted: map[string]map[int]bool{}, chosen: map[string]bool{}}
+func newVote(t *testing.T, bounds voteBounds) *vote { return newVoteOn(t, bounds, proposeItself) }
+
+// proposeItself is the view in which a proposer is the primary.
+func proposeItself(current view.View, proposer int) view.View {
+	current.Primary = current.Members[proposer].Id
+	return current
+}
+
+// nameOf tells views apart by who holds the state.
+func nameOf(v view.View) string { return fmt.Sprint(v.Primary, v.Backups()) }
+
+// newVoteOn begins a course in which the proposers propose given views.
+func newVoteOn(t *testing.T, bounds voteBounds, next func(current view.View, proposer int) view.View) *vote {
+	v := &vote{bounds: bounds, next: next, ended: make([]error, proposersExplored), promised: map[int]int{}, decided: make([]string, proposersExplored), accepted: map[string]map[int]bool{}, chosen: map[string]bool{}}
 	v.current = view.View{Epoch: 1}
 	for i := range votersExplored {
 		member := view.Member{Id: fmt.Sprint("member-", i), Addr: fmt.Sprint(i)}
@@ -112,11 +127,10 @@
 
 // propose has one member propose itself as primary until something is decided or its attempts are over.
 func (v *vote) propose(proposer int) {
-	next := v.current
-	next.Primary = v.current.Members[proposer].Id
+	next := v.next(v.current, proposer)
 	highest := uint64(0)
 	for attempt := range v.bounds.attempts {
-		proposal := view.Proposal{Proposer: next.Primary, Current: v.current, Next: next, StepTimeout: time.Hour, HighestBallot: highest,
+		proposal := view.Proposal{Proposer: v.current.Members[proposer].Id, Current: v.current, Next: next, StepTimeout: time.Hour, HighestBallot: highest,
 			Call: func(_ context.Context, addr, _ string, in msgp.Marshaler, out msgp.Unmarshaler) error {
 				return v.send(proposer, attempt, addr, in, out)
 			}}
@@ -124,10 +138,13 @@
 		highest = proposal.HighestBallot
 		if err == nil {
 			v.mu.Lock()
-			v.decided[proposer] = decided.Primary
+			v.decided[proposer] = nameOf(decided)
 			v.mu.Unlock()
 			return
 		}
+		v.mu.Lock()
+		v.ended[proposer] = err
+		v.mu.Unlock()
 	}
 }
 
@@ -156,6 +173,9 @@
 	}
 	if err == nil {
 		*call.response = *response
+		if response.Ok {
+			v.promised[call.voter] = call.proposer
+		}
 	}
 	return err
 }
@@ -168,7 +188,7 @@
 	}
 	v.accepted[key][voter] = true
 	if 2*len(v.accepted[key]) > votersExplored {
-		v.chosen[request.Proposed.Primary] = true
+		v.chosen[nameOf(request.Proposed)] = true
 	}
 }
 
