--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -3,9 +3,7 @@
 package balance
 
 import (
-	"hash/fnv"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,22 +98,6 @@
 	b.byService.Store(&services)
 }
 
-// serviceHabits is what this router has seen of all runners of one service together.
-type serviceHabits struct {
-	speed    speed
-	silences silences
-}
-
-// habitsOf gives what was seen of a service's runners. The caller holds the lock.
-func (b *Balancer) habitsOf(service string) *serviceHabits {
-	known := b.services[service]
-	if known == nil {
-		known = &serviceHabits{}
-		b.services[service] = known
-	}
-	return known
-}
-
 // Runners lists the known runners of a service.
 func (b *Balancer) Runners(service string) []*Runner { return (*b.byService.Load())[service] }
 
@@ -212,141 +194,3 @@
 	}
 	return out
 }
-
-// usable tells whether the runner may be sent a request at all, and whether only as a last resort. The
-// caller holds the lock.
-func (r *Runner) usable(model string, now time.Time) (usable, barred bool) {
-	if r.info.State != routing.RunnerReady && r.info.State != routing.RunnerSilent {
-		return false, false
-	}
-	if !servesModel(&r.info, model) {
-		return false, false
-	}
-	barred = r.info.State == routing.RunnerSilent || now.Before(r.barredUntil) || r.silent(now) || r.failingElsewhere(now) >= fleetBarred ||
-		r.failures > 0 && len(r.open) > 0 // after its failure one request tries whether it serves again
-	return true, barred
-}
-
-// servesModel tells whether a runner serves the model; "": any.
-func servesModel(info *routing.Runner, model string) bool {
-	return model == "" || len(info.Models) == 0 || slices.ContainsFunc(info.Models, func(m routing.RunnerModel) bool { return m.Name == model })
-}
-
-// Weights of what the cost adds up, in milliseconds.
-const (
-	failureCostMs  = 400.0 // of a runner that fails each request
-	fullCostMs     = 200.0 // of one that just said it is full
-	fleetBarred    = 0.5   // share of failures of all routers from which on a runner is a last resort
-	fullSpan       = 150 * time.Millisecond
-	otherZoneMs    = 1.5      // a request to another zone costs bytes between zones and a longer way
-	decodeCostMs   = 1.5      // for each stream under way there
-	lastResortMs   = 100000.0 // of a runner that failed lately, is silent or on trial
-	secondChoice   = 0.9      // of readAgainMs at the second choice: all routers leave a full runner for the same one
-	homeward       = 0.5      // of readAgainMs at the first choice of a session that others hold: under load it comes home
-	requestCostMs  = 4.0      // for each whole answer under way on an ordinary service
-	warmupCostPart = 0.6
-	// longGapWeight is what a millisecond between events costs where more comes out than goes in: such an
-	// answer is late by its pauses rather than by its first event.
-	longGapWeight = 4.0
-	// restlessMs is what such an answer costs at a runner that is not one of the calm ones.
-	restlessMs = 40.0
-	// readAgainMs is what a shared token costs that the runner has to read though another one keeps it: more
-	// than the time of the reading, since it takes that time from all other requests of the fleet. A session
-	// of some thousand tokens leaves its runner for a wait that endangers the usual aims, not for a few
-	// milliseconds.
-	readAgainMs = 0.02
-)
-
-// waitCost estimates the time to the first byte but for the reading of the request's own prompt, in
-// milliseconds. The caller holds the lock.
-func (r *Runner) waitCost(request Request, zone string, now time.Time) float64 {
-	cost := r.fadedWait(now) + float64(r.promptOpen)/r.rate()
-	cost += max(r.fadedFailures(now), r.failingElsewhere(now)) * failureCostMs
-	if request.Input > 0 || r.promptOpen > 0 {
-		cost += decodeCostMs * float64(len(r.open))
-	} else {
-		cost += float64(len(r.open)) * max(requestCostMs, r.serviceMs/4)
-	}
-	if now.Sub(r.full) < fullSpan {
-		cost += fullCostMs
-	}
-	if r.info.Zone != zone {
-		cost += otherZoneMs
-	}
-	if r.info.WarmupLeftMs > 0 {
-		cost *= 1 + warmupCostPart
-	}
-	return cost
-}
-
-// pauseCost is what an answer of which more comes out than goes in is expected to suffer by its pauses, in
-// milliseconds. What all routers saw goes before what this one did. The caller holds the lock.
-func (r *Runner) pauseCost(request Request, calm *calmRunners) float64 {
-	switch {
-	case request.Output <= request.Input:
-		return 0
-	case calm == nil:
-		return longGapWeight * r.gapMs
-	case calm.ids[r.info.ID]:
-		return 0
-	}
-	return restlessMs
-}
-
-// affinity gives the key by which all routers pick the same runner for a session, and how many tokens of
-// the prompt that runner is expected to keep.
-func affinity(parts []Part) (key uint64, shared int) {
-	if len(parts) == 0 {
-		return 0, 0
-	}
-	// The last part is the request's own, unless there is no other.
-	for _, part := range parts[:max(1, len(parts)-1)] {
-		shared += part.Tokens
-		key = part.ID
-	}
-	return key, shared
-}
-
-// rendezvous picks the two usable runners with the highest weights for a key: every router works out the same
-// ones, and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or
-// there are too few. home is the ready runner with the highest weight, whatever this router thinks of it.
-func rendezvous(candidates []candidate, key uint64) (first, second *Runner, home string) {
-	if key == 0 {
-		return nil, nil, ""
-	}
-	var firstWeight, secondWeight, homeWeight uint64
-	for i := range candidates {
-		c := &candidates[i]
-		weight := weightOf(key, c.id)
-		if c.ready && (home == "" || weight > homeWeight) {
-			home, homeWeight = c.id, weight
-		}
-		switch {
-		case c.barred:
-		case first == nil || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = c.runner, weight
-		case second == nil || weight > secondWeight:
-			second, secondWeight = c.runner, weight
-		}
-	}
-	return first, second, home
-}
-
-func weightOf(key uint64, id string) uint64 {
-	hash := fnv.New64a()
-	var word [8]byte
-	for i := range word {
-		word[i] = byte(key >> (8 * i))
-	}
-	hash.Write(word[:])
-	hash.Write([]byte(id))
-	return spread.Mix(hash.Sum64())
-}
-
-func fade(value float64, age, half time.Duration) float64 {
-	if value == 0 {
-		return 0
-	}
-	return value * math.Exp2(-float64(age)/float64(half))
-}
--- /dev/null
+++ b/internal/balance/rendezvous.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"hash/fnv"
+
+	"yarrowridge/internal/spread"
+)
+
+// affinity gives the key by which all routers pick the same runner for a session, and how many tokens of
+// the prompt that runner is expected to keep.
+func affinity(parts []Part) (key uint64, shared int) {
+	if len(parts) == 0 {
+		return 0, 0
+	}
+	// The last part is the request's own, unless there is no other.
+	for _, part := range parts[:max(1, len(parts)-1)] {
+		shared += part.Tokens
+		key = part.ID
+	}
+	return key, shared
+}
+
+// rendezvous picks the two usable runners with the highest weights for a key: every router works out the same
+// ones, and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or
+// there are too few. home is the ready runner with the highest weight, whatever this router thinks of it.
+func rendezvous(candidates []candidate, key uint64) (first, second *Runner, home string) {
+	if key == 0 {
+		return nil, nil, ""
+	}
+	var firstWeight, secondWeight, homeWeight uint64
+	for i := range candidates {
+		c := &candidates[i]
+		weight := weightOf(key, c.id)
+		if c.ready && (home == "" || weight > homeWeight) {
+			home, homeWeight = c.id, weight
+		}
+		switch {
+		case c.barred:
+		case first == nil || weight > firstWeight:
+			second, secondWeight = first, firstWeight
+			first, firstWeight = c.runner, weight
+		case second == nil || weight > secondWeight:
+			second, secondWeight = c.runner, weight
+		}
+	}
+	return first, second, home
+}
+
+func weightOf(key uint64, id string) uint64 {
+	hash := fnv.New64a()
+	var word [8]byte
+	for i := range word {
+		word[i] = byte(key >> (8 * i))
+	}
+	hash.Write(word[:])
+	hash.Write([]byte(id))
+	return spread.Mix(hash.Sum64())
+}
--- a/internal/balance/runner.go
+++ b/internal/balance/runner.go
@@ -76,54 +76,6 @@
 	return tally
 }
 
-// fleetFresh is how long the word on failing runners holds: without a core there is no newer one, and a runner
-// must not be left alone for as long as that lasts.
-const fleetFresh = 2 * time.Second
-
-// failingElsewhere is the share of attempts that failed lately for all routers. The caller holds the lock.
-func (r *Runner) failingElsewhere(now time.Time) float64 {
-	if now.After(r.fleetUntil) {
-		return 0
-	}
-	return r.fleetFails
-}
-
-// Failing takes the runners that fail for all routers together, with the share of attempts that fail.
-func (b *Balancer) Failing(shares map[string]float64) {
-	until := time.Now().Add(fleetFresh)
-	for _, runners := range *b.byService.Load() {
-		for _, runner := range runners {
-			runner.mu.Lock()
-			runner.fleetFails, runner.fleetUntil = shares[runner.info.ID], until
-			runner.mu.Unlock()
-		}
-	}
-}
-
-// calmRunners are the runners whose streams have the shortest pauses for all routers together.
-type calmRunners struct {
-	ids   map[string]bool
-	until time.Time
-}
-
-// Calm takes the IDs of the runners whose streams have the shortest pauses for all routers together.
-func (b *Balancer) Calm(ids []string) {
-	calm := &calmRunners{ids: make(map[string]bool, len(ids)), until: time.Now().Add(fleetFresh)}
-	for _, id := range ids {
-		calm.ids[id] = true
-	}
-	b.calm.Store(calm)
-}
-
-// calmNow gives the calm runners; nil: nothing is known of them now.
-func (b *Balancer) calmNow(now time.Time) *calmRunners {
-	calm := b.calm.Load()
-	if calm == nil || len(calm.ids) == 0 || now.After(calm.until) {
-		return nil
-	}
-	return calm
-}
-
 // Attempt is one request sent to a runner.
 type Attempt struct {
 	runner   *Runner
@@ -296,43 +248,3 @@
 func (r *Runner) fadedWait(now time.Time) float64 {
 	return fade(r.waitMs, now.Sub(r.waitAt), waitFade)
 }
-
-// rate is how many prompt tokens the runner reads in a millisecond. It is measured over all runners of the
-// service: a single slow answer must not keep a router from a runner for good, and what a runner is slower
-// than the others shows in its measured wait.
-func (r *Runner) rate() float64 { return r.service.speed.rate() }
-
-// How the speed of a service's runners is learnt: nearly the fastest readings count, since the others waited.
-const (
-	rateSample = 500  // tokens of a prompt that tells something
-	rateRise   = 0.10 // weight of a faster reading
-	rateFall   = 0.02 // weight of a slower one
-)
-
-// speed is how fast the runners of one service read prompts.
-type speed struct {
-	mu       sync.Mutex
-	measured float64 // prompt tokens in a millisecond; 0: not yet
-}
-
-func (s *speed) rate() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.measured == 0 {
-		return firstRate
-	}
-	return s.measured
-}
-
-func (s *speed) sample(rate float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.measured == 0:
-		s.measured = max(rate, firstRate)
-	case rate > s.measured:
-		s.measured += rateRise * (rate - s.measured)
-	default:
-		s.measured += rateFall * (rate - s.measured)
-	}
-}
