Quotas: a few requests' worth of uneven units at hand while the quota is not scarce

Hypothesis: small requests need no core where each router keeps two requests' worth (by the mean of what they cost), up to an eighth of its equal part, and what it spends in a second; nothing beyond need once a draw fell short or an eighth is left. Ruled out: more for large requests; one for each router and tenant would be a third of the quotas. Test: TestUnevenReserve, red before.

--- a/internal/core/quotascarce.go
+++ b/internal/core/quotascarce.go
@@ -13,7 +13,7 @@
 
 // unevenQuotaDivisor is that part of a quota whose requests cost unequal numbers of units: one of them may want more than
 // a draw's usual part of what is left.
-const unevenQuotaDivisor = 4
+const unevenQuotaDivisor = 8
 
 // noteScarce notes that idle units of a tenant are wanted back: since a draw got too few, or soon may get too few.
 func (s *Server) noteScarce(move *QuotaMove, short bool, quota, free int) {
--- a/internal/share/quotashare.go
+++ b/internal/share/quotashare.go
@@ -36,6 +36,7 @@
 	queue  int           // units that requests are waiting for now
 	costs  []int         // of these requests
 	uneven bool          // requests cost more than a unit, and differ
+	usual  float64       // moving average of what they cost
 	asked  int           // what the draw under way asks for
 	moved  time.Time     // when the last move ended
 	dry    time.Time     // until then the core is not asked again: it had too little
@@ -102,6 +103,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.uneven = p.uneven || n > 1
+	if p.usual == 0 {
+		p.usual = float64(n)
+	}
+	p.usual += usualWeight * (float64(n) - p.usual)
 	if now.Sub(p.heard) > Term {
 		return false, time.Minute
 	}
@@ -226,7 +231,14 @@
 	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
 	reserveMin  = 2                      // and this, where an equal part is large enough
 	giveEvery   = time.Second            // idle units go back at most so often
-	dryFor      = 30 * time.Millisecond  // the core is not asked again for so long once it had too little
+	usualWeight = 0.1                    // of the newest cost in the usual one
+
+	// Where costs are uneven and the quota is not scarce, a holder keeps a few requests' worth at hand, up to an eighth of
+	// an equal part: while no core answers, requests that find units here need not wait for one.
+	unevenReserve = 2
+	unevenPart    = 8
+	unevenSpan    = time.Second           // and what is spent in so long
+	dryFor        = 30 * time.Millisecond // the core is not asked again for so long once it had too little
 )
 
 // reserve is how many free units should be at hand. Where the equal parts of all nodes are smaller than a
@@ -247,7 +259,12 @@
 			return wanted // others wait for what would lie idle here
 		}
 	}
-	spent := float64(p.out) * float64(reserveSpan) / float64(max(p.window, reserveSpan))
+	span := reserveSpan
+	if p.uneven && nodes > 0 && !p.scarce(time.Now()) {
+		span = unevenSpan
+		least = max(least, min(int(unevenReserve*p.usual), p.quota/(unevenPart*nodes)))
+	}
+	spent := float64(p.out) * float64(span) / float64(max(p.window, span))
 	return max(least, wanted, int(spent+0.999))
 }
 
@@ -257,8 +274,14 @@
 //	if share.IsSmall(40, 74) { ... }
 func IsSmall(quota, nodes int) bool { return nodes == 0 || quota < idlePart*nodes }
 
-// scarce tells whether the core lately had too little. The caller holds the lock.
-func (p *QuotaShare) scarce(now time.Time) bool { return now.Sub(p.lacked) < p.window }
+// scarce tells whether the core lately had too little: within a window, where costs are even, since units come back with it.
+// Uneven ones come back all the time. The caller holds the lock.
+func (p *QuotaShare) scarce(now time.Time) bool {
+	if p.uneven {
+		return now.Sub(p.lacked) < scarceFor
+	}
+	return now.Sub(p.lacked) < p.window
+}
 
 // Want starts a draw if one is called for: it tells the turn and how much to ask, or ok false.
 // Until Got is called no other move starts: a turn whose answer was lost is asked again as it was.
--- a/internal/share/saving_test.go
+++ b/internal/share/saving_test.go
@@ -125,7 +125,7 @@
 		units, short = c.saving.Draw(time.Now(), free, quota, move.Costs, move.Units)
 	}
 	have, _ := c.pool.Draw(who, move.Turn, units, quota)
-	c.short.Store(short || free-units < quota/4)
+	c.short.Store(short || free-units < quota/8)
 	return have, c.pool.Under(quota), nil
 }
 
@@ -243,3 +243,50 @@
 		}
 	})
 }
+
+// A holder keeps a few requests' worth of uneven units at hand while the quota is not scarce, so that small requests need no
+// core; it takes no more than a part of an equal part, and keeps nothing that nobody waits for once units are scarce.
+func TestUnevenReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quota, nodes, cost = 640_000, 40, 400
+		p := NewQuotaShare()
+		p.Rule(quota, 8*time.Second)
+		draw := func() int {
+			turn, units, ok := p.Want(nodes)
+			if !ok {
+				return 0
+			}
+			held, _, _ := p.Stat()
+			p.Got(turn, held+units, quota)
+			return units
+		}
+		draw()
+		for range 60 { // one request now and then: little is spent in any window
+			time.Sleep(2 * time.Second)
+			if ok, _ := p.Keep(cost); !ok {
+				t.Fatal("a small request found nothing at hand")
+			}
+			p.Spend(cost)
+			draw()
+			if turn, _, ok := p.Spare(false, nodes); ok {
+				held, _, _ := p.Stat()
+				p.Got(turn, held, quota)
+			}
+		}
+		if _, free, _ := p.Stat(); free < cost || free > quota/nodes {
+			t.Errorf("%d units at hand", free)
+		}
+		turn, _, ok := p.Spare(true, nodes)
+		if !ok {
+			t.Fatal("nothing is given back though units are scarce")
+		}
+		held, free, _ := p.Stat()
+		p.Got(turn, held, quota)
+		if free != 0 {
+			t.Errorf("%d units kept though they are scarce", free)
+		}
+		if units := draw(); units >= cost { // what is spent in 0.3 s may be
+			t.Errorf("%d units are drawn though they are scarce", units)
+		}
+	})
+}
