--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -143,8 +143,6 @@
 		switch {
 		case c.runner == expected, context.holds(c.id):
 			kept = max(kept, shared)
-		case c.runner == first:
-			again *= homeward
 		case c.runner == second:
 			again *= secondChoice
 		}
