--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -124,7 +124,7 @@
 	now := time.Now()
 	candidates := b.candidates(request, now)
 	key, shared := affinity(request.Parts)
-	first, second, home := rendezvous(candidates, key)
+	first, home := rendezvous(candidates, key)
 	held := b.cache.Match(request.Parts)
 	context := b.session(&request, key, shared)
 	expected := first
@@ -139,15 +139,11 @@
 	for i := range candidates {
 		c := &candidates[i]
 		kept := held[c.runner.Index]
-		again := readAgainMs
-		switch {
-		case c.runner == expected, context.holds(c.id):
+		if c.runner == expected || context.holds(c.id) {
 			kept = max(kept, shared)
-		case c.runner == second:
-			again *= secondChoice
 		}
 		read := max(0, request.Input-kept)
-		cost := c.wait + float64(read)/c.rate + again*float64(max(0, shared-kept))
+		cost := c.wait + float64(read)/c.rate + readAgainMs*float64(max(0, shared-kept))
 		if c.barred {
 			cost += lastResortMs
 		}
--- a/internal/balance/choose_test.go
+++ b/internal/balance/choose_test.go
@@ -127,30 +127,6 @@
 	}
 }
 
-// A session too hot for its runner goes to one second runner, which is the same for all routers.
-func TestHotSessionHasOneSecondRunner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		spread := map[string]bool{}
-		for key := range uint64(20) {
-			one, other := balancerOf(readyRunners(6)), balancerOf(readyRunners(6))
-			home := chosen(one, sessionOf(key+1))
-			for _, b := range []*Balancer{one, other} {
-				for range 6 { // prompts that the runner has not begun to answer
-					sendTo(b, home, Request{Service: "s", Input: 20000})
-				}
-			}
-			second := chosen(one, sessionOf(key+1))
-			if again := chosen(other, sessionOf(key+1)); second == home || again != second {
-				t.Fatalf("session %d leaves %s for %s at one router, for %s at another", key, home, second, again)
-			}
-			spread[second] = true
-		}
-		if len(spread) < 3 {
-			t.Errorf("20 hot sessions all go to %v", spread)
-		}
-	})
-}
-
 // A runner that failed gets nothing new for a while, longer each time, and then one request to try it.
 func TestFailingRunnerIsTriedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -13,7 +13,6 @@
 	otherZoneMs    = 1.5      // a request to another zone costs bytes between zones and a longer way
 	decodeCostMs   = 1.5      // for each stream under way there
 	lastResortMs   = 100000.0 // of a runner that failed lately, is silent or on trial
-	secondChoice   = 0.9      // of readAgainMs at the second choice: all routers leave a full runner for the same one
 	requestCostMs  = 4.0      // for each whole answer under way on an ordinary service
 	warmupCostPart = 0.6
 	// longGapWeight is what a millisecond between events costs where more comes out than goes in: such an
--- a/internal/balance/rendezvous.go
+++ b/internal/balance/rendezvous.go
@@ -20,30 +20,25 @@
 	return key, shared
 }
 
-// rendezvous picks the two usable runners with the highest weights for a key: every router works out the same
-// ones, and a change of the set moves only the keys of the runner that came or went. Nil: the key is none, or
-// there are too few. home is the ready runner with the highest weight, whatever this router thinks of it.
-func rendezvous(candidates []candidate, key uint64) (first, second *Runner, home string) {
+// rendezvous picks the usable runner with the highest weight for a key: every router works out the same one, and a change of
+// the set moves only the keys of the runner that came or went. Nil: the key is none, or there is no such runner. home is the
+// ready runner with the highest weight, whatever this router thinks of it.
+func rendezvous(candidates []candidate, key uint64) (first *Runner, home string) {
 	if key == 0 {
-		return nil, nil, ""
+		return nil, ""
 	}
-	var firstWeight, secondWeight, homeWeight uint64
+	var firstWeight, homeWeight uint64
 	for i := range candidates {
 		c := &candidates[i]
 		weight := weightOf(key, c.id)
 		if c.ready && (home == "" || weight > homeWeight) {
 			home, homeWeight = c.id, weight
 		}
-		switch {
-		case c.barred:
-		case first == nil || weight > firstWeight:
-			second, secondWeight = first, firstWeight
+		if !c.barred && (first == nil || weight > firstWeight) {
 			first, firstWeight = c.runner, weight
-		case second == nil || weight > secondWeight:
-			second, secondWeight = c.runner, weight
 		}
 	}
-	return first, second, home
+	return first, home
 }
 
 func weightOf(key uint64, id string) uint64 {
