Reread: one wait for what a router is about to learn, its configuration or its keys

awaitKeys had the loop of awaitReady written again, with the same bounds. dryFor had slipped below the comment on uneven costs. Behaviour as it was.

--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -2,13 +2,6 @@
 
 import "time"
 
-// How long a request waits for the word that the keys known here still hold: a router that thaws or is joined again gets
-// it with its next heartbeat.
-const (
-	keysWait  = 500 * time.Millisecond
-	keysCheck = 20 * time.Millisecond
-)
-
 // needsKey tells whether a key decides whether the request may run.
 func (r *request) needsKey() bool { return !r.route.Public && len(r.table.Tenants) > 0 }
 
@@ -18,15 +11,8 @@
 	if !r.needsKey() || !r.gateway.Keys.Stale(time.Now()) {
 		return nil
 	}
-	for r.gateway.Keys.Stale(time.Now()) {
-		if time.Since(r.received) > keysWait {
-			return refuseKeysStale
-		}
-		select {
-		case <-time.After(keysCheck):
-		case <-r.client.Context().Done():
-			return refuseKeysStale
-		}
+	if !r.await(func() bool { return !r.gateway.Keys.Stale(time.Now()) }) {
+		return refuseKeysStale
 	}
 	r.table = r.gateway.Table()
 	return r.findRoute()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -68,17 +68,17 @@
 	return err
 }
 
-// How long a request that comes while the router starts waits for the configuration: a late answer is worth
-// more than a refusal.
+// How long a request waits for what the router is about to learn, from when it came: a late answer is worth more than a
+// refusal. A router that starts awaits the configuration, one that thaws or is joined again the word that its keys still hold.
 const (
 	startWait  = 500 * time.Millisecond
 	startCheck = 20 * time.Millisecond
 )
 
-// awaitReady waits a moment for a router that has just started.
-func (r *request) awaitReady() bool {
-	for r.gateway.Ready() != "" {
-		if time.Since(r.received) > startWait || r.gateway.draining.Load() {
+// await waits a moment until something holds, and tells whether it does.
+func (r *request) await(holds func() bool) bool {
+	for !holds() {
+		if time.Since(r.received) > startWait {
 			return false
 		}
 		select {
@@ -90,6 +90,12 @@
 	return true
 }
 
+// awaitReady waits a moment for a router that has just started, unless it leaves already.
+func (r *request) awaitReady() bool {
+	ready := func() bool { return r.gateway.Ready() == "" }
+	return r.await(func() bool { return ready() || r.gateway.draining.Load() }) && ready()
+}
+
 func (r *request) findRoute() error {
 	meta, err := r.gateway.Dialect.ReadRequest(r.client.Header)
 	if err != nil {
--- a/internal/share/quotashare.go
+++ b/internal/share/quotashare.go
@@ -231,14 +231,14 @@
 	reserveSpan = 300 * time.Millisecond // what is spent in so long is kept at hand
 	reserveMin  = 2                      // and this, where an equal part is large enough
 	giveEvery   = time.Second            // idle units go back at most so often
+	dryFor      = 30 * time.Millisecond  // the core is not asked again for so long once it had too little
 	usualWeight = 0.1                    // of the newest cost in the usual one
 
 	// Where costs are uneven and the quota is not scarce, a holder keeps a few requests' worth at hand, up to an eighth of
 	// an equal part: while no core answers, requests that find units here need not wait for one.
 	unevenReserve = 2
 	unevenPart    = 8
-	unevenSpan    = time.Second           // and what is spent in so long
-	dryFor        = 30 * time.Millisecond // the core is not asked again for so long once it had too little
+	unevenSpan    = time.Second // and what is spent in so long
 )
 
 // reserve is how many free units should be at hand. Where the equal parts of all nodes are smaller than a
