Upstream: a request given up aborts its connection

Cause: a request written before a cut reached its runner after the heal, long after its router had given it up and its unit was free again: one above the quota in a window, and a prompt read for nobody (TestQuotaOfRequestsHeldBackByACut). TCP goes on delivering what was written after an orderly close. Change: an exchange that is given up, cancelled, or finished before its response was read to the end aborts its connection (SO_LINGER 0); so does whatever the product's own sender closes. A response read to its end closes in order. The simulated network tells the two apart: what a cut holds back dies with an abort, and so does the reset itself. Ruled out: counting units as spent until the connection is known to be gone, which would have kept units from others for as long as a cut lasts.

--- a/internal/dataplane/runner/send.go
+++ b/internal/dataplane/runner/send.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/lib/faultinjection"
+	"yarrowridge/internal/transport/tcp"
 	"yarrowridge/internal/transport/wire"
 )
 
@@ -27,6 +28,17 @@
 // DialFrom dials over TCP from an IP number; from the system's choice where it is "".
 func DialFrom(ip string) Dial { return wire.NewDialer(ip, time.Second).DialContext }
 
+// abortingOnClose dials a connection whose Close aborts it. net/http closes the connection of a request that was given up;
+// closed in order, it would deliver the request once a network partition that holds it back heals. Of a connection that is
+// closed because it is idle the runner has acknowledged everything.
+func (d Dial) abortingOnClose(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := d(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return conn, tcp.AbortOnClose(conn)
+}
+
 // NewSender makes a sender. dial may be nil for TCP.
 func NewSender(dial Dial) *Sender {
 	if dial == nil {
@@ -34,7 +46,7 @@
 	}
 	return &Sender{&http.Transport{
 		Proxy:               nil,
-		DialContext:         dial,
+		DialContext:         dial.abortingOnClose,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     2 * time.Second,
--- a/internal/dataplane/runner/send_test.go
+++ b/internal/dataplane/runner/send_test.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -163,3 +165,35 @@
 		t.Errorf("closed upon the query: left %v, error %v", left, err)
 	}
 }
+
+// A request that is given up aborts its connection, so that nothing of it is delivered after a network partition.
+func TestGivenUpRequestAbortsItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			ended <- err
+			return
+		}
+		cancel()
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	if _, _, err := NewSender(nil).Send(ctx, l.Addr().String(), Request{Method: "GET", Path: "/", Header: http.Header{}}); err == nil {
+		t.Fatal("got a response to a cancelled request")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %v at the runner, want %v", err, syscall.ECONNRESET)
+	}
+}
--- a/internal/dataplane/upstream/connection.go
+++ b/internal/dataplane/upstream/connection.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"yarrowridge/internal/transport/tcp"
 )
 
 const (
@@ -28,7 +30,7 @@
 	expires       time.Time // when idle: not to be used from here on
 	closeOnce     sync.Once
 	probe         *socketProbe // nil: the connection is not a socket
-	closeOnCancel func()       // closes it; made once, since each exchange needs it
+	closeOnCancel func()       // aborts it; made once, since each exchange needs it
 
 	headBytesLeft int   // bytes that may still be read of a head; noHeadBound outside a head
 	readErr       error // what the last failed read returned
@@ -39,7 +41,7 @@
 // newConnection wraps what was dialled. pool, peer and generation tell where it is counted.
 func newConnection(conn net.Conn, pool *Pool, peer *peer, generation int) *connection {
 	c := &connection{Conn: conn, pool: pool, peer: peer, generation: generation, probe: newSocketProbe(conn), headBytesLeft: noHeadBound}
-	c.closeOnCancel = c.discard
+	c.closeOnCancel = c.abort
 	return c
 }
 
@@ -75,6 +77,14 @@
 // discard closes a connection that is not used any more: an error in closing it would change nothing.
 func (c *connection) discard() { _ = c.Close() }
 
+// abort discards a connection together with what the runner has not acknowledged of a request that was given up. A network
+// partition may hold the request back: closed in order, the connection would deliver it when the partition heals, and the
+// runner would work on it for nobody, above its tenant's quota.
+func (c *connection) abort() {
+	_ = tcp.AbortOnClose(c.Conn) // it fails on a closed connection only
+	c.discard()
+}
+
 // isUsable reports, without waiting, that the runner has neither closed the idle connection nor sent anything on it.
 func (c *connection) isUsable() bool {
 	if c.probe != nil {
--- a/internal/dataplane/upstream/exchange.go
+++ b/internal/dataplane/upstream/exchange.go
@@ -74,7 +74,8 @@
 }
 
 // Finish ends the exchange. The connection is kept for another if the body was read to its marked end, the
-// runner does not close it, and it has sent nothing more; otherwise it is closed.
+// runner does not close it, and it has sent nothing more; otherwise it is closed, or aborted where the body was not read
+// to its end.
 func (e *Exchange) Finish() {
 	if !e.state.CompareAndSwap(exchangeRunning, exchangeFinished) {
 		if e.state.Load() == exchangeAborted {
@@ -84,16 +85,19 @@
 	}
 	notCancelled := e.detachContext == nil || e.detachContext()
 	ttl := e.idleTTL()
-	if notCancelled && ttl > 0 && e.liftDeadline() {
+	switch {
+	case notCancelled && ttl > 0 && e.liftDeadline():
 		e.connection.pool.putIdle(e.connection, ttl)
-	} else {
+	case e.bodyDone:
 		e.connection.discard()
+	default:
+		e.connection.abort()
 	}
 	e.reader.Reset(nil)
 	responseReaders.Put(e.reader)
 }
 
-// Abort ends the exchange and closes its connection at once. The reader isn't kept: a Read may be running.
+// Abort ends the exchange and aborts its connection at once. The reader isn't kept: a Read may be running.
 func (e *Exchange) Abort() {
 	if !e.state.CompareAndSwap(exchangeRunning, exchangeAborted) {
 		return
@@ -101,7 +105,7 @@
 	if e.detachContext != nil {
 		e.detachContext()
 	}
-	e.connection.discard()
+	e.connection.abort()
 }
 
 // liftDeadline makes the connection fit for the next exchange.
--- a/internal/testing/sim/net.go
+++ b/internal/testing/sim/net.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"yarrowridge/internal/transport/wire"
@@ -22,8 +23,8 @@
 	rnd         *rand.Rand
 	listeners   map[string]*listener
 	connections map[*connection]bool
-	cuts        map[[2]string]bool // from, to: nothing gets through
-	maxDelay    time.Duration      // the most that a piece is under way
+	cuts        map[[2]string]time.Time // from, to: nothing gets through since then
+	maxDelay    time.Duration           // the most that a piece is under way
 	sent        int
 	dial        int
 }
@@ -31,7 +32,7 @@
 // NewWorld makes a world whose delays come from the seed.
 func NewWorld(seed uint64) *World {
 	w := &World{rnd: rand.New(rand.NewPCG(seed, 7)), listeners: map[string]*listener{}, connections: map[*connection]bool{},
-		cuts: map[[2]string]bool{}, maxDelay: 4 * time.Millisecond}
+		cuts: map[[2]string]time.Time{}, maxDelay: 4 * time.Millisecond}
 	return w
 }
 
@@ -69,11 +70,14 @@
 }
 
 // Cut stops all that goes from one address's machine to the other's; Heal lets it through again. What is
-// written meanwhile arrives late, as TCP has it.
+// written meanwhile arrives late, as TCP has it, unless the sender aborts its connection before that.
 func (w *World) Cut(from, to string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cuts[[2]string{host(from), host(to)}] = true
+	between := [2]string{host(from), host(to)}
+	if _, isCut := w.cuts[between]; !isCut {
+		w.cuts[between] = time.Now()
+	}
 }
 
 // host is the machine of an address: a cut concerns all its ports.
@@ -82,7 +86,10 @@
 	return h
 }
 
-func (w *World) cut(from, to string) bool { return w.cuts[[2]string{host(from), host(to)}] }
+func (w *World) cut(from, to string) bool {
+	_, isCut := w.cuts[[2]string{host(from), host(to)}]
+	return isCut
+}
 
 // Heal ends every cut.
 func (w *World) Heal() {
@@ -224,9 +231,10 @@
 	return time.Duration(w.rnd.Int64N(int64(w.maxDelay)) + 1)
 }
 
+// piece is what one write sent. Where a cut holds it back it waits at its sender, and arrives after the heal.
 type piece struct {
 	data []byte
-	at   time.Time
+	at   time.Time // when it arrives, unless a cut holds it back
 }
 
 // connection is one end of a connection. What arrives stands in its own queue.
@@ -243,6 +251,8 @@
 	gone      chan struct{}
 	down      bool
 	eof       bool
+	reset     bool // the other end has aborted the connection, and this end knows
+	aborts    bool // Close aborts the connection
 }
 
 func newStoppedTimer() *time.Timer {
@@ -284,6 +294,9 @@
 				c.w.mu.Unlock()
 				return n, nil
 			}
+		} else if c.reset && len(c.in) == 0 {
+			c.w.mu.Unlock()
+			return 0, syscall.ECONNRESET
 		} else if c.eof && len(c.in) == 0 {
 			c.w.mu.Unlock()
 			return 0, io.EOF
@@ -344,16 +357,45 @@
 	return len(b), nil
 }
 
-// Close ends the connection: the other end reads what is under way, then the end.
+// Close ends the connection. In order, the other end reads what is under way and what waits at this end, then the end of
+// the stream. Aborted, what a cut holds back is discarded and the other end reads what has arrived, then a reset. The reset
+// itself is lost in a cut: the other end learns of it only by writing.
 func (c *connection) Close() error {
 	c.w.mu.Lock()
 	defer c.w.mu.Unlock()
+	if c.down {
+		return nil
+	}
 	c.fail()
-	c.far.eof = true
+	switch since, isCut := c.w.cuts[[2]string{host(c.m.addr), host(c.to)}]; {
+	case !c.aborts:
+		c.far.eof = true
+	case isCut:
+		c.far.discardAfter(since)
+	default:
+		c.far.reset = true
+	}
 	c.far.wakeReader()
 	return nil
 }
 
+// discardAfter drops the pieces that had not arrived at a moment. The caller holds the world's lock.
+func (c *connection) discardAfter(moment time.Time) {
+	arrived := 0
+	for arrived < len(c.in) && !c.in[arrived].at.After(moment) {
+		arrived++
+	}
+	c.in = c.in[:arrived]
+}
+
+// SetLinger sets what Close does, as of a *net.TCPConn: with 0 seconds it aborts the connection.
+func (c *connection) SetLinger(seconds int) error {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.aborts = seconds == 0
+	return nil
+}
+
 // LocalAddr is the address of this end.
 func (c *connection) LocalAddr() net.Addr { return address(c.m.addr) }
 
