Quota pools: a transfer costs its holder, not all; records of a new pool's holders stay

Stored form as it was. Found on the way: DropUnusedHolders looked only at committed pools. A holder that only a pool new in the same batch names lost its record, and that pool could never be read again. TestHoldersOfANewPoolAreKept, red before. Tests: TestTransfersKeepTheStoredPool plays transfers, rollbacks and lost batches against a fresh reader; TestSweepOfPoolsByNames holds what older versions stored.

--- a/internal/controlplane/quotapool/cache.go
+++ b/internal/controlplane/quotapool/cache.go
@@ -1,6 +1,8 @@
 package quotapool
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -24,8 +26,9 @@
 // cachedPool is a pool and the bytes that it was decoded from or encoded to. It is good for as long as the
 // store, or the batch under way, has these very bytes.
 type cachedPool struct {
-	raw  []byte
-	pool quota.Pool
+	raw    []byte
+	pool   quota.Pool
+	stored storedPool // what raw encodes, with allocations sorted by the holders' numbers
 }
 
 // get gives a tenant's pool as the batch under way has it. One that is changed must be put.
@@ -37,18 +40,21 @@
 	if known := c.pools[tenant]; known != nil && (transaction.SameRecord(raw, known.raw) || faultinjection.Disabled("pool-cache")) {
 		return &known.pool, nil
 	}
-	pool, err := decodePool(raw, func(number uint64) (string, error) { return c.holders.name(tx, number) })
+	decoded, err := decodePool(raw, func(number uint64) (string, error) { return c.holders.name(tx, number) })
 	if err != nil {
 		return nil, err
 	}
-	c.pools[tenant] = &cachedPool{raw: raw, pool: pool}
-	return &c.pools[tenant].pool, nil
+	for holder := range decoded.stored.NamedAllocations {
+		c.holders.addUnnumbered(holder)
+	}
+	c.pools[tenant] = decoded
+	return &decoded.pool, nil
 }
 
 // put puts a changed pool.
 func (c poolCache) put(tx *transaction.Tx, tenant string, pool *quota.Pool) error {
 	delete(c.pools, tenant)
-	stored := storedPool{Cooling: pool.Cooling, AboveLimit: pool.AboveLimit, Charges: pool.Charges, Allocations: make([]numberedAllocation, 0, len(pool.Allocations))}
+	stored := storedPool{Allocations: make([]numberedAllocation, 0, len(pool.Allocations))}
 	for holder, allocation := range pool.Allocations {
 		number, err := c.holders.number(tx, holder)
 		if err != nil {
@@ -56,33 +62,79 @@
 		}
 		stored.Allocations = append(stored.Allocations, numberedAllocation{Holder: number, Units: allocation.Units, Sequence: allocation.Sequence})
 	}
-	raw, err := stored.MarshalMsg(nil)
+	stored.sortAllocations()
+	return c.encode(tx, tenant, &cachedPool{pool: *pool, stored: stored})
+}
+
+// putAllocation puts a pool, as get gave it, of which a transfer has changed one holder's allocation and maybe the charges.
+// It takes the others' numbers from what was encoded before: their records are in the state as surely as that is.
+func (c poolCache) putAllocation(tx *transaction.Tx, tenant string, pool *quota.Pool, holder string) error {
+	known := c.pools[tenant]
+	if known == nil || &known.pool != pool {
+		return c.put(tx, tenant, pool)
+	}
+	delete(c.pools, tenant)
+	number, err := c.holders.number(tx, holder)
+	if err != nil {
+		return err
+	}
+	allocation := pool.Allocations[holder]
+	known.stored.setAllocation(numberedAllocation{Holder: number, Units: allocation.Units, Sequence: allocation.Sequence})
+	if len(known.stored.Allocations) != len(pool.Allocations) {
+		return c.put(tx, tenant, pool) // holders went by their names, as older versions stored them
+	}
+	return c.encode(tx, tenant, known)
+}
+
+// encode puts the record of a pool whose stored allocations are those of the pool, and caches it.
+func (c poolCache) encode(tx *transaction.Tx, tenant string, entry *cachedPool) error {
+	entry.stored.NamedAllocations = nil
+	entry.stored.Cooling, entry.stored.AboveLimit, entry.stored.Charges = entry.pool.Cooling, entry.pool.AboveLimit, entry.pool.Charges
+	raw, err := entry.stored.MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
 	tx.PutRaw(poolKey(tenant), raw)
-	c.pools[tenant] = &cachedPool{raw: raw, pool: *pool}
+	entry.raw = raw
+	c.pools[tenant] = entry
 	return nil
 }
 
+// sortAllocations sorts the allocations by the holders' numbers.
+func (s *storedPool) sortAllocations() { slices.SortFunc(s.Allocations, compareHolders) }
+
+// setAllocation sets a holder's allocation. The allocations are sorted.
+func (s *storedPool) setAllocation(allocation numberedAllocation) {
+	index, found := slices.BinarySearchFunc(s.Allocations, allocation, compareHolders)
+	if found {
+		s.Allocations[index] = allocation
+		return
+	}
+	s.Allocations = slices.Insert(s.Allocations, index, allocation)
+}
+
+func compareHolders(a, b numberedAllocation) int { return cmp.Compare(a.Holder, b.Holder) }
+
 // decodePool decodes a stored pool, whose holders the function names by their numbers.
-func decodePool(raw []byte, holderName func(number uint64) (string, error)) (quota.Pool, error) {
-	var stored storedPool
+func decodePool(raw []byte, holderName func(number uint64) (string, error)) (*cachedPool, error) {
+	decoded := &cachedPool{raw: raw}
+	stored := &decoded.stored
 	if _, err := stored.UnmarshalMsg(raw); err != nil {
-		return quota.Pool{}, eris.Wrap(err, "quotapool: decode a pool")
+		return nil, eris.Wrap(err, "quotapool: decode a pool")
 	}
-	pool := quota.Pool{Allocations: stored.NamedAllocations, Cooling: stored.Cooling, AboveLimit: stored.AboveLimit, Charges: stored.Charges}
-	if pool.Allocations == nil {
-		pool.Allocations = make(map[string]quota.Allocation, len(stored.Allocations))
+	stored.sortAllocations()
+	decoded.pool = quota.Pool{Allocations: stored.NamedAllocations, Cooling: stored.Cooling, AboveLimit: stored.AboveLimit, Charges: stored.Charges}
+	if decoded.pool.Allocations == nil {
+		decoded.pool.Allocations = make(map[string]quota.Allocation, len(stored.Allocations))
 	}
 	for _, allocation := range stored.Allocations {
 		name, err := holderName(allocation.Holder)
 		if err != nil {
-			return quota.Pool{}, err
+			return nil, err
 		}
-		pool.Allocations[name] = quota.Allocation{Units: allocation.Units, Sequence: allocation.Sequence}
+		decoded.pool.Allocations[name] = quota.Allocation{Units: allocation.Units, Sequence: allocation.Sequence}
 	}
-	return pool, nil
+	return decoded, nil
 }
 
 // poolPrefix begins the keys of pools.
@@ -91,9 +143,18 @@
 // poolKey is the key of a tenant's pool.
 func poolKey(tenant string) string { return poolPrefix + tenant }
 
-// poolTenants lists the tenants that have a pool in the committed state.
+// poolTenants lists the tenants that have a pool in the state as the batch has it.
 func poolTenants(tx *transaction.Tx) []string {
 	var tenants []string
 	tx.Committed().ForEachWithPrefix(poolPrefix, func(key string, _ []byte) { tenants = append(tenants, strings.TrimPrefix(key, poolPrefix)) })
+	for _, mutation := range tx.Mutations() {
+		tenant, isPool := strings.CutPrefix(mutation.Key, poolPrefix)
+		if !isPool {
+			continue
+		}
+		if _, known := tx.Committed().Get(mutation.Key); !known && !slices.Contains(tenants, tenant) {
+			tenants = append(tenants, tenant)
+		}
+	}
 	return tenants
 }
--- a/internal/controlplane/quotapool/cache_test.go
+++ b/internal/controlplane/quotapool/cache_test.go
@@ -8,13 +8,16 @@
 
 	"github.com/klauspost/compress/s2"
 	"github.com/tinylib/msgp/msgp"
+	"pgregory.net/rapid"
 
+	"yarrowridge/internal/controlplane/configuration"
+	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/store"
 	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/model/quota"
 )
 
-func commitTx(t *testing.T, committed *store.Store, tx *transaction.Tx) {
+func commitTx(t testingT, committed *store.Store, tx *transaction.Tx) {
 	t.Helper()
 	if len(tx.Mutations()) == 0 {
 		return
@@ -212,3 +215,110 @@
 		b.ReportMetric(float64(len(s2.Encode(nil, raw))), "B-compressed")
 	}
 }
+
+// A pool whose record follows each transfer is stored as one that is encoded anew, through rollbacks, batches that are not
+// committed, new holders and holders that leave.
+func TestTransfersKeepTheStoredPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pools, committed := New(), openStore(t)
+		document := &configuration.Document{Quotas: map[string]int{"t": 50}, Tolerances: map[string]int{"t": 5}}
+		sequences := map[string]uint64{}
+		tx := beginTx(committed)
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			holder := fmt.Sprint("holder", rapid.IntRange(0, 5).Draw(t, "holder"))
+			switch rapid.SampledFrom([]string{"transfer", "transfer", "transfer", "rollback", "commit", "lose", "cool"}).Draw(t, "step") {
+			case "transfer":
+				sequences[holder]++
+				transferUnits(t, pools, tx, document, holder, sequences[holder], rapid.IntRange(-5, 9).Draw(t, "units"))
+			case "rollback":
+				savepoint := tx.Savepoint()
+				sequences[holder]++
+				transferUnits(t, pools, tx, document, holder, sequences[holder], 3)
+				tx.Rollback(savepoint)
+			case "commit":
+				commitTx(t, committed, tx)
+				tx = beginTx(committed)
+			case "lose":
+				tx = beginTx(committed)
+			case "cool":
+				if err := pools.StartCooling(tx, holder); err != nil {
+					t.Fatal(err)
+				}
+			}
+			checkStoredPool(t, pools, tx)
+		}
+	})
+}
+
+// transferUnits acquires units, or returns them where they are below 0.
+func transferUnits(t *rapid.T, pools *Pools, tx *transaction.Tx, document *configuration.Document, holder string, sequence uint64, units int) {
+	move := coreapi.QuotaTransfer{Tenant: "t", Sequence: sequence, Units: max(units, -units), Return: units < 0}
+	if _, _, err := pools.Transfer(tx, holder, &move, document); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// checkStoredPool compares the cached pool with what another process reads, and its sum with the sum of its parts.
+func checkStoredPool(t *rapid.T, pools *Pools, tx *transaction.Tx) {
+	cached, err := pools.cache.get(tx, "t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := newPoolCache().get(tx, "t")
+	if err != nil || !samePool(cached, stored) {
+		t.Fatalf("got stored pool %+v, %v, want %+v", stored, err, cached)
+	}
+	units := cached.CoolingUnits()
+	for _, allocation := range cached.Allocations {
+		units += allocation.Units
+	}
+	if got := cached.AllocatedUnits(); got != units {
+		t.Fatalf("got %d allocated units, want %d", got, units)
+	}
+}
+
+// A holder's record stays where only a pool that is new in the same batch names the holder.
+func TestHoldersOfANewPoolAreKept(t *testing.T) {
+	pools, committed := New(), openStore(t)
+	tx := beginTx(committed)
+	gone := &quota.Pool{Allocations: map[string]quota.Allocation{}}
+	for run := range 2 * maxUnusedHolders {
+		gone.Allocations[fmt.Sprint("run", run)] = quota.Allocation{Units: 1}
+	}
+	if err := pools.cache.put(tx, "t", gone); err != nil {
+		t.Fatal(err)
+	}
+	if err := pools.cache.put(tx, "t", &quota.Pool{}); err != nil {
+		t.Fatal(err)
+	}
+	commitTx(t, committed, tx)
+	tx = beginTx(committed)
+	if err := pools.cache.put(tx, "new", &quota.Pool{Allocations: map[string]quota.Allocation{"run7": {Units: 2}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := pools.DropUnusedHolders(tx); err != nil {
+		t.Fatal(err)
+	}
+	commitTx(t, committed, tx)
+	got, err := newPoolCache().get(beginTx(committed), "new")
+	if err != nil || got.Allocations["run7"].Units != 2 {
+		t.Errorf("got %+v, %v, want 2 units of run7", got, err)
+	}
+}
+
+// Units of a holder that an older version stored by its name are taken back like those of any other.
+func TestSweepOfPoolsByNames(t *testing.T) {
+	pools, committed := New(), openStore(t)
+	raw, err := poolByNames(&quota.Pool{Allocations: map[string]quota.Allocation{"node@1/1": {Units: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := committed.Append(store.Batch{Version: 1, Mutations: []store.Mutation{{Key: poolKey("t"), Value: raw}}}); err != nil {
+		t.Fatal(err)
+	}
+	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]bool{"node@1": true}}
+	if pools.Sweep(committed, &configuration.Document{}, live) == nil {
+		t.Error("got nothing due, want the units of the earlier run to cool")
+	}
+}
--- a/internal/controlplane/quotapool/holders.go
+++ b/internal/controlplane/quotapool/holders.go
@@ -32,7 +32,7 @@
 
 // number gives a holder's number. One that has none gets it within the batch.
 func (h holderNumbers) number(tx *transaction.Tx, name string) (uint64, error) {
-	if known, ok := h[name]; ok {
+	if known, ok := h[name]; ok && known.key != "" {
 		if raw, ok := tx.Get(known.key); ok && transaction.SameRecord(raw, known.raw) {
 			return known.number, nil
 		}
@@ -57,6 +57,13 @@
 	return known.number, nil
 }
 
+// addUnnumbered adds a holder that a pool names as older versions did. It gets its number when the pool is put.
+func (h holderNumbers) addUnnumbered(name string) {
+	if _, known := h[name]; !known {
+		h[name] = numberedHolder{}
+	}
+}
+
 // name gives the name of the holder with a number.
 func (h holderNumbers) name(tx *transaction.Tx, number uint64) (string, error) {
 	key := holderKey(number)
@@ -98,8 +105,20 @@
 	if len(names) <= maxUnusedHolders {
 		return nil
 	}
-	for key := range names {
+	for key, name := range names {
 		tx.Delete(key)
+		delete(p.cache.holders, name)
 	}
 	return nil
 }
+
+// absent lists the holders that are known and not live: the only ones of which units may have to be taken back.
+func (h holderNumbers) absent(live LiveHolders) []string {
+	var names []string
+	for name := range h {
+		if !live.Holders[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/internal/controlplane/quotapool/pools.go
+++ b/internal/controlplane/quotapool/pools.go
@@ -53,7 +53,7 @@
 	}
 	result.Limit = pool.LimitBase(limit)
 	if changed {
-		err = p.cache.put(tx, move.Tenant, pool)
+		err = p.cache.putAllocation(tx, move.Tenant, pool, holder)
 	}
 	return result, demand, err
 }
--- a/internal/controlplane/quotapool/pools_test.go
+++ b/internal/controlplane/quotapool/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,10 +14,22 @@
 	"yarrowridge/internal/model/quota"
 )
 
+// testingT is what helpers need of a *testing.T, *testing.B or *rapid.T.
+type testingT interface {
+	Helper()
+	Fatal(arguments ...any)
+	Cleanup(function func())
+}
+
 // openStore makes an empty committed state.
-func openStore(t *testing.T) *store.Store {
+func openStore(t testingT) *store.Store {
 	t.Helper()
-	disk, err := store.OpenFolder(t.TempDir())
+	folder, err := os.MkdirTemp("", "quotapool")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	disk, err := store.OpenFolder(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/quotapool/shares.go
+++ b/internal/controlplane/quotapool/shares.go
@@ -17,10 +17,11 @@
 	names, tx := holderNumbers{}, transaction.New(committed)
 	var shares []coreapi.QuotaShare
 	for tenant, raw := range pools {
-		pool, err := decodePool(raw, func(number uint64) (string, error) { return names.name(tx, number) })
+		decoded, err := decodePool(raw, func(number uint64) (string, error) { return names.name(tx, number) })
 		if err != nil {
 			continue // it was written anew meanwhile
 		}
+		pool := &decoded.pool
 		for holder, allocation := range pool.Allocations {
 			shares = append(shares, coreapi.QuotaShare{Tenant: tenant, Holder: holder, Units: allocation.Units})
 		}
--- a/internal/controlplane/quotapool/sweep.go
+++ b/internal/controlplane/quotapool/sweep.go
@@ -44,14 +44,12 @@
 	ages := &ageTable{firstSeen: p.firstSeen, now: time.Now(), seen: map[string]bool{}}
 	var due dueChanges
 	p.hasCooling = false
-	tx := transaction.New(committed)
-	for _, tenant := range poolTenants(tx) {
-		pool, err := p.cache.get(tx, tenant)
-		if err != nil {
-			continue
-		}
+	pools := p.readAll(committed)
+	absent := p.cache.holders.absent(live) // of all pools together: few, where a look at each pool's holders would be at many
+	for tenant, pool := range pools {
 		p.hasCooling = p.hasCooling || len(pool.Cooling) > 0
-		due.add(tenant, pool, document, live, ages)
+		due.add(tenant, pool, document, ages)
+		due.addDeparted(tenant, pool, absent, live, ages)
 	}
 	ages.forgetUnseen()
 	if len(due.cooled)+len(due.departed)+len(due.charges) == 0 {
@@ -60,8 +58,20 @@
 	return func(tx *transaction.Tx) error { return p.update(tx, due.apply) }
 }
 
-// add adds what is due in one tenant's pool.
-func (d *dueChanges) add(tenant string, pool *quota.Pool, document *configuration.Document, live LiveHolders, ages *ageTable) {
+// readAll reads the pools of a committed state by their tenants. One that can't be read is left out.
+func (p *Pools) readAll(committed *store.Store) map[string]*quota.Pool {
+	tx := transaction.New(committed)
+	pools := map[string]*quota.Pool{}
+	for _, tenant := range poolTenants(tx) {
+		if pool, err := p.cache.get(tx, tenant); err == nil {
+			pools[tenant] = pool
+		}
+	}
+	return pools
+}
+
+// add adds the cooling units and the charges that are due in one tenant's pool.
+func (d *dueChanges) add(tenant string, pool *quota.Pool, document *configuration.Document, ages *ageTable) {
 	window := document.Windows[tenant]
 	for holder := range pool.Cooling {
 		if ages.isOver(coolingKey(tenant, holder), window+quota.Margin) {
@@ -73,8 +83,12 @@
 			d.charges = append(d.charges, expiredCharge{tenant, charge.ID})
 		}
 	}
-	for holder := range pool.Allocations {
-		if live.Holders[holder] {
+}
+
+// addDeparted adds the absent holders whose units in one tenant's pool are to cool.
+func (d *dueChanges) addDeparted(tenant string, pool *quota.Pool, absent []string, live LiveHolders, ages *ageTable) {
+	for _, holder := range absent {
+		if _, holds := pool.Allocations[holder]; !holds {
 			continue
 		}
 		isSilent := ages.isOver("silent/"+tenant+"/"+holder, silentHolderTTL)
--- a/internal/model/quota/pool.go
+++ b/internal/model/quota/pool.go
@@ -5,7 +5,8 @@
 // Pool is the core's state of one tenant's limit: who holds how many units. The core stores it in a form of its own. The
 // zero value is a pool of which nothing is allocated. It has no lock: the core's run loop alone uses it.
 type Pool struct {
-	Allocations map[string]Allocation // by holder
+	// Allocations are by holder. Once a method was called, only methods change it.
+	Allocations map[string]Allocation
 
 	// Cooling is the units of holders that are gone for good. They are not free yet, since what these holders spent last may
 	// still count in a window.
@@ -13,15 +14,26 @@
 
 	AboveLimit int      // units allocated above the limit by the tolerance
 	Charges    []Charge // what of the tolerance was used lately
+
+	// held is the sum of the units of Allocations, where hasHeld is set: a large fleet has hundreds of holders, and each
+	// transfer asks for the sum several times.
+	held    int
+	hasHeld bool
 }
 
 // AllocatedUnits is how many units are not free: held, or cooling.
-func (p *Pool) AllocatedUnits() int {
-	units := 0
-	for _, allocation := range p.Allocations {
-		units += allocation.Units
+func (p *Pool) AllocatedUnits() int { return p.heldUnits() + p.CoolingUnits() }
+
+// heldUnits is how many units the holders have.
+func (p *Pool) heldUnits() int {
+	if !p.hasHeld {
+		p.held = 0
+		for _, allocation := range p.Allocations {
+			p.held += allocation.Units
+		}
+		p.hasHeld = true
 	}
-	return units + p.CoolingUnits()
+	return p.held
 }
 
 // CoolingUnits is how many units holders that are gone may have spent within the window.
@@ -71,6 +83,7 @@
 	if p.Allocations == nil {
 		p.Allocations = map[string]Allocation{}
 	}
+	p.held += allocation.Units - p.Allocations[holder].Units // without effect until hasHeld is set
 	p.Allocations[holder] = allocation
 }
 
@@ -82,6 +95,7 @@
 		return false
 	}
 	delete(p.Allocations, holder)
+	p.held -= allocation.Units
 	if allocation.Units > 0 {
 		if p.Cooling == nil {
 			p.Cooling = map[string]int{}
