Wire: a call carries its time-out; work whose caller has given up is not begun

Cause: a primary behind its calls worked on those whose callers had given up after 1.5 s, for up to 4 s, while they called again: work done twice, for nobody. Change: a call's frame says how long its caller waits (a field that older peers skip, left out where there is no limit); the handler's context ends then, and a call that waited longer is dropped before it is carried out. Found by TestHedgedSearch: a handler that fails at that moment may answer before the caller's own clock runs out, and its error counted as a rejection though the outcome is unknown. Such a failure is not answered. Tests: TestDeadlineReachesTheHandler, TestExpiredCallIsDropped, TestFailureAfterTheDeadlineIsNoRejection, TestFrameTimeout; compat: the recorded frames are as they were.

--- a/internal/transport/wire/connection.go
+++ b/internal/transport/wire/connection.go
@@ -62,7 +62,9 @@
 	call.ID = c.lastID
 	c.pending[call.ID] = responses
 	deadline, ok := ctx.Deadline()
-	if !ok {
+	if ok {
+		call.setTimeout(time.Until(deadline))
+	} else {
 		deadline = time.Now().Add(writeTimeout)
 	}
 	_ = c.conn.SetWriteDeadline(deadline) // it fails on a closed connection only, and so does the write
--- /dev/null
+++ b/internal/transport/wire/deadline_test.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// A handler's context ends when its caller gives up; where the caller sets no time, it goes on.
+func TestDeadlineReachesTheHandler(t *testing.T) {
+	listener := listen(t)
+	deadlines := make(chan bool, 2)
+	ended := make(chan error, 2)
+	handler := func(ctx context.Context, kind string, _ []byte) (msgp.Marshaler, error) {
+		_, bounded := ctx.Deadline()
+		deadlines <- bounded
+		if bounded {
+			<-ctx.Done()
+			ended <- ctx.Err()
+		}
+		return nil, nil
+	}
+	go Serve(t.Context(), listener, handler)
+	caller := newCaller(t, TCP{})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := caller.Call(ctx, listener.Addr().String(), "test.wait", nil, nil); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("got error %v of a call that was given up, want ErrOutcomeUnknown", err)
+	}
+	if bounded := <-deadlines; !bounded {
+		t.Fatal("got a handler without deadline, want the caller's")
+	}
+	if err := <-ended; !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got a context that ended with %v, want its deadline", err)
+	}
+	if err := caller.Call(t.Context(), listener.Addr().String(), "test.wait", nil, nil); err != nil {
+		t.Error(err)
+	}
+	if bounded := <-deadlines; bounded {
+		t.Error("got a deadline of a call without one, want none")
+	}
+}
+
+// A handler that fails for want of time is no rejection: the outcome of the call is unknown, also where the server's clock
+// runs ahead of the caller's.
+func TestFailureAfterTheDeadlineIsNoRejection(t *testing.T) {
+	listener := listen(t)
+	handler := func(ctx context.Context, _ string, _ []byte) (msgp.Marshaler, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	go Serve(t.Context(), listener, handler)
+	for range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		caller := newCaller(t, TCP{})
+		if err := caller.Call(ctx, listener.Addr().String(), "test.wait", nil, nil); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("got error %v, want ErrOutcomeUnknown", err)
+		}
+		cancel()
+	}
+	s := &connectionServer{handler: handler, conn: nil}
+	call := Frame{TimeoutMs: 1}
+	call.setDeadline(time.Now())
+	s.handleCall(t.Context(), &call) // it would write to no connection
+}
+
+// A call whose caller has given up before a goroutine took it up is not carried out.
+func TestExpiredCallIsDropped(t *testing.T) {
+	handled := 0
+	s := &connectionServer{handler: func(context.Context, string, []byte) (msgp.Marshaler, error) {
+		handled++
+		return nil, nil
+	}}
+	call := Frame{TimeoutMs: 20}
+	call.setDeadline(time.Now().Add(-time.Second))
+	s.handleCall(t.Context(), &call)
+	if handled != 0 {
+		t.Errorf("got %d calls carried out, want none", handled)
+	}
+}
+
+func TestFrameTimeout(t *testing.T) {
+	for timeout, want := range map[time.Duration]uint32{-time.Second: 1, 0: 1, time.Microsecond: 1, time.Millisecond: 1, 1500 * time.Microsecond: 2,
+		4 * time.Second: 4000, 100 * 24 * time.Hour: math.MaxUint32} {
+		var call Frame
+		if call.setTimeout(timeout); call.TimeoutMs != want {
+			t.Errorf("timeout of %s: got %d ms, want %d", timeout, call.TimeoutMs, want)
+		}
+	}
+	var call Frame
+	if call.setDeadline(time.Now()); !call.deadline.IsZero() {
+		t.Errorf("without a timeout: got deadline %s, want none", call.deadline)
+	}
+}
--- a/internal/transport/wire/msgs_gen.go
+++ b/internal/transport/wire/msgs_gen.go
@@ -15,28 +15,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "f"
-	o = append(o, 0x87, 0xa1, 0x66)
-	o = msgp.AppendUint8(o, z.Format)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.ID)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Kind)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendString(o, z.ErrorCode)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendBool(o, z.Compressed)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.AcceptsCompressed)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.TimeoutMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint8(o, z.Format)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.ID)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.Kind)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendString(o, z.ErrorCode)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint32(o, z.TimeoutMs)
+		}
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendBool(o, z.Compressed)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendBool(o, z.AcceptsCompressed)
+	}
 	return
 }
 
@@ -108,6 +126,12 @@
 			}
 			copy(z.Body, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "t":
+			z.TimeoutMs, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeoutMs")
+				return
+			}
 		case "z":
 			z.Compressed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -134,6 +158,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Frame) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.StringPrefixSize + len(z.ErrorCode) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.StringPrefixSize + len(z.ErrorCode) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
--- a/internal/transport/wire/server.go
+++ b/internal/transport/wire/server.go
@@ -19,7 +19,8 @@
 )
 
 // Handler carries out one call: its kind and body in, the response or an error out. It is called concurrently, also for
-// calls of one connection. Its context ends with the server's and with the connection. An error that is a StatusError
+// calls of one connection. Its context ends with the server's, with the connection, and when the caller gives up: work that
+// has not begun by then is of no use to anybody. An error that is a StatusError
 // reaches the caller as such; any other one as CodeInternal.
 type Handler func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error)
 
@@ -65,6 +66,7 @@
 		if readFrame(conn, &call) != nil {
 			return
 		}
+		call.setDeadline(time.Now())
 		traffic.forKind(call.Kind).callsReceived.add(call.wireBytes)
 		select {
 		case calls <- call:
@@ -102,10 +104,20 @@
 	}
 }
 
-// handleCall carries out one call and writes its response.
+// handleCall carries out one call and writes its response. A call that has waited here for so long that its caller has given
+// up is dropped. Nor is one answered that failed after that: its handler may have failed for want of time, which is no
+// rejection. The caller's own clock tells it that the outcome is unknown.
 func (s *connectionServer) handleCall(ctx context.Context, call *Frame) {
+	ctx, cancel := call.withDeadline(ctx)
+	defer cancel()
+	if ctx.Err() != nil {
+		return
+	}
 	response := Frame{Format: FormatVersion, ID: call.ID, Kind: call.Kind, AcceptsCompressed: true}
 	message, err := s.handler(ctx, call.Kind, call.Body)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
 	if err == nil && message != nil {
 		response.Body, err = message.MarshalMsg(nil)
 	}
