Pipeline: classes of urgency with bounded queues; what can't be done in time is rejected

Cause: one queue for all: behind a crowd of quota transfers an operator's change, a runner's leaving and the step that renews a view waited for as long as the crowd lasted, and 1024 transfers filled the queue for them too. Change: operations have a class (config, runner, claim, router, quota) with a queue of its own. What would wait for more than 0.5 s by the time that batches take is rejected at once (code overloaded), and abandoned operations make room. All that changes quota pools stays in one class: what ends a holder must not overtake its last transfer. Clients keep a pause: growing and jittered after overloaded, without a search; and while no call succeeds a tenth of the outage, at least the 50 ms of before, until another primary is known.

--- a/internal/controlplane/core/claims.go
+++ b/internal/controlplane/core/claims.go
@@ -6,13 +6,14 @@
 
 	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/transaction"
 )
 
 // claimKey answers a claim of an idempotency key.
 func (s *Server) claimKey(ctx context.Context, request *coreapi.ClaimRequest) (*coreapi.ClaimResponse, error) {
 	response := &coreapi.ClaimResponse{}
-	err := s.Submit(ctx, func(tx *transaction.Tx) error { return s.claims.Claim(tx, request, response, s.isRunAlive) })
+	err := s.Submit(ctx, pipeline.ClassClaim, func(tx *transaction.Tx) error { return s.claims.Claim(tx, request, response, s.isRunAlive) })
 	if err != nil {
 		return nil, err
 	}
@@ -21,7 +22,7 @@
 
 // completeClaim records the outcome of a claimed request, or releases its key.
 func (s *Server) completeClaim(ctx context.Context, request *coreapi.CompleteClaimRequest) (*coreapi.Empty, error) {
-	return &coreapi.Empty{}, s.Submit(ctx, func(tx *transaction.Tx) error { return s.claims.Complete(tx, request) })
+	return &coreapi.Empty{}, s.Submit(ctx, pipeline.ClassClaim, func(tx *transaction.Tx) error { return s.claims.Complete(tx, request) })
 }
 
 // isRunAlive reports whether a run of a node may be alive. Just after a hand-over every one counts as alive until it has
@@ -35,6 +36,6 @@
 // sweepClaims removes the idempotency records that have expired.
 func (s *Server) sweepClaims(now time.Time, limits configuration.ClaimLimits) {
 	for _, operation := range s.claims.Sweep(s.store.Load(), now, limits) {
-		s.submitLater(operation)
+		s.pipeline.SubmitLater(pipeline.ClassClaim, operation)
 	}
 }
--- a/internal/controlplane/core/commit.go
+++ b/internal/controlplane/core/commit.go
@@ -24,17 +24,22 @@
 	replaceStepInterval = 5 * time.Millisecond    // between two checks whether the lease of the new epoch is held
 )
 
-// Submit passes an operation to the run loop and waits for its outcome. The code of the error is CodeNotPrimary or
-// CodeNotReady where the operation surely was not and will not be committed, CodeOutcomeUnknown where it may be. Any
-// goroutine may call it but the run loop's.
-func (s *Server) Submit(ctx context.Context, apply func(*transaction.Tx) error) error {
+// Submit passes an operation of a class to the run loop and waits for its outcome. The code of the error is CodeNotPrimary,
+// CodeNotReady or CodeOverloaded where the operation surely was not and will not be committed, CodeOutcomeUnknown where it
+// may be. Any goroutine may call it but the run loop's.
+func (s *Server) Submit(ctx context.Context, class pipeline.Class, apply func(*transaction.Tx) error) error {
+	return s.submitWeighted(ctx, class, 1, apply)
+}
+
+// submitWeighted is Submit of an operation that is as much work as some others.
+func (s *Server) submitWeighted(ctx context.Context, class pipeline.Class, weight int, apply func(*transaction.Tx) error) error {
 	if !s.leadership.IsReady() {
 		if v := s.acceptor.View(); v.Primary != s.acceptor.ID() {
 			return wire.StatusError{Code: coreapi.CodeNotPrimary}
 		}
 		return wire.StatusError{Code: coreapi.CodeNotReady}
 	}
-	return s.pipeline.Submit(ctx, apply)
+	return s.pipeline.Submit(ctx, class, weight, apply)
 }
 
 // committer is this process as the committer of its pipeline.
--- a/internal/controlplane/core/config.go
+++ b/internal/controlplane/core/config.go
@@ -6,6 +6,7 @@
 
 	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/transport/dissemination"
 	"yarrowridge/internal/transport/wire"
@@ -39,7 +40,7 @@
 	response := &coreapi.WriteResponse{Code: http.StatusOK}
 	hash := configuration.Hash(request.Raw)
 	var written coreapi.StoredConfig
-	err := s.Submit(ctx, func(tx *transaction.Tx) (err error) {
+	err := s.Submit(ctx, pipeline.ClassConfig, func(tx *transaction.Tx) (err error) {
 		written, err = s.documents.Write(tx, request, hash, response)
 		return err
 	})
--- a/internal/controlplane/core/quota.go
+++ b/internal/controlplane/core/quota.go
@@ -6,6 +6,7 @@
 
 	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/quotapool"
 	"yarrowridge/internal/controlplane/transaction"
 )
@@ -25,7 +26,7 @@
 // transferAll makes all transfers of one holder in one write.
 func (s *Server) transferAll(ctx context.Context, request *coreapi.QuotaTransfersRequest) (*coreapi.QuotaTransfersResponse, error) {
 	response := &coreapi.QuotaTransfersResponse{}
-	err := s.Submit(ctx, func(tx *transaction.Tx) error {
+	err := s.submitWeighted(ctx, pipeline.ClassQuota, max(1, len(request.Transfers)), func(tx *transaction.Tx) error {
 		response.Results = make([]coreapi.QuotaTransferResult, len(request.Transfers))
 		document, err := s.documents.InBatch(tx)
 		if err != nil {
@@ -62,7 +63,7 @@
 
 // coolHolder has a holder's units cool: its process is surely gone.
 func (s *Server) coolHolder(ctx context.Context, holder string) error {
-	return s.Submit(ctx, func(tx *transaction.Tx) error { return s.pools.StartCooling(tx, holder) })
+	return s.Submit(ctx, pipeline.ClassQuota, func(tx *transaction.Tx) error { return s.pools.StartCooling(tx, holder) })
 }
 
 // replaceHolder has the units of earlier runs at a node's address cool, with those of others that start at the same time.
@@ -70,7 +71,7 @@
 func (s *Server) replaceHolder(n coreapi.Node, age time.Duration) {
 	if s.replaced.Add(n, age) {
 		time.AfterFunc(replacedGatherInterval, func() {
-			s.submitLater(func(tx *transaction.Tx) error { return s.pools.CoolReplaced(tx, &s.replaced) })
+			s.pipeline.SubmitLater(pipeline.ClassQuota, func(tx *transaction.Tx) error { return s.pools.CoolReplaced(tx, &s.replaced) })
 		})
 	}
 }
@@ -78,6 +79,6 @@
 // sweepQuotas has the run loop make the changes of quota pools that are due.
 func (s *Server) sweepQuotas(document *configuration.Document, live quotapool.LiveHolders) {
 	if operation := s.pools.Sweep(s.store.Load(), document, live); operation != nil {
-		s.submitLater(operation)
+		s.pipeline.SubmitLater(pipeline.ClassQuota, operation)
 	}
 }
--- a/internal/controlplane/core/runnerheartbeat.go
+++ b/internal/controlplane/core/runnerheartbeat.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
+	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/model/routing"
 	"yarrowridge/internal/transport/wire"
 )
@@ -30,6 +32,11 @@
 	return &coreapi.Empty{}, nil
 }
 
+// submitRunner is Submit of what is stored of a runner.
+func (s *Server) submitRunner(ctx context.Context, apply func(*transaction.Tx) error) error {
+	return s.Submit(ctx, pipeline.ClassRunner, apply)
+}
+
 // isValidHeartbeat reports whether a runner has a name and is in a state that runners say of themselves.
 func isValidHeartbeat(runner routing.Runner) bool {
 	switch runner.State {
--- a/internal/controlplane/core/server.go
+++ b/internal/controlplane/core/server.go
@@ -120,10 +120,10 @@
 	s.pipeline = pipeline.New(committer{s})
 	search := discovery.Config{Addr: settings.Addr, Founders: settings.Founders, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap, LeaseTerm: settings.LeaseTerm}
 	s.finder = discovery.NewFinder(ctx, search, acceptor, s.call, s.learn)
-	s.routerAddresses = discovery.RouterDirectory{Committed: s.store.Load, SubmitLater: s.submitLater, Notify: s.announceTo}
+	s.routerAddresses = discovery.RouterDirectory{Committed: s.store.Load, SubmitLater: s.submitLater(pipeline.ClassRouter), Notify: s.announceTo}
 	s.claims = idempotency.New(func() int { return s.documents.MaxFinishedKeys(s.committedConfig()) })
 	s.registry = runnerregistry.New(settings.RunnerSilentAfter, runnerregistry.NewNotifier(s.pushRunners).Notify)
-	s.runnerStorage = runnerregistry.Storage{Committed: s.store.Load, Submit: s.Submit, SubmitLater: s.submitLater}
+	s.runnerStorage = runnerregistry.Storage{Committed: s.store.Load, Submit: s.submitRunner, SubmitLater: s.submitLater(pipeline.ClassRunner)}
 	s.store.Store(opened)
 	s.handlers = wire.Handlers{"view": s.handleView, "core": s.handleCore}
 	return s, nil
@@ -142,8 +142,8 @@
 	s.caller.Close()
 }
 
-// wakeRunLoop has the run loop take its next step at once, not at the next tick: what that step waited for has come. Where the
-// queue is full the tick will do.
+// wakeRunLoop has the run loop take its next step at once, not at the next tick: what that step waited for has come. Where too
+// many steps wait the tick will do.
 func (s *Server) wakeRunLoop() { s.pipeline.StepLater(s.takeStep) }
 
 // call reaches a process of the core by its address; this one without the network.
--- a/internal/controlplane/core/sessions.go
+++ b/internal/controlplane/core/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/transport/wire"
 )
@@ -20,7 +21,7 @@
 	if len(directory.Batch) > maxSessionsBytes {
 		return nil, wire.StatusError{Code: coreapi.CodeTooLarge}
 	}
-	err := s.Submit(ctx, func(tx *transaction.Tx) error { return tx.Put(sessionsKey, directory) })
+	err := s.Submit(ctx, pipeline.ClassRouter, func(tx *transaction.Tx) error { return tx.Put(sessionsKey, directory) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/core/sweep.go
+++ b/internal/controlplane/core/sweep.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/quotapool"
 	"yarrowridge/internal/controlplane/transaction"
 )
@@ -44,7 +45,7 @@
 		s.claimsSweptAt = time.Now()
 		s.sweepClaims(s.claimsSweptAt, document.Claims)
 		s.runnerStorage.DeleteUnknown(s.registry.List(time.Now()))
-		s.submitLater(s.pools.DropUnusedHolders)
+		s.pipeline.SubmitLater(pipeline.ClassQuota, s.pools.DropUnusedHolders)
 	}
 	s.sweepQuotas(document, live)
 }
@@ -62,6 +63,8 @@
 	return live, addrs
 }
 
-// submitLater submits an operation of the core's own and does not wait for it. Where the queue is full it is dropped: a
-// later sweep finds again what is due.
-func (s *Server) submitLater(apply func(tx *transaction.Tx) error) { s.pipeline.SubmitLater(apply) }
+// submitLater returns a function that submits operations of the core's own and does not wait for them. Where their class has
+// no room they are dropped: a later sweep finds again what is due.
+func (s *Server) submitLater(class pipeline.Class) func(func(tx *transaction.Tx) error) {
+	return func(apply func(tx *transaction.Tx) error) { s.pipeline.SubmitLater(class, apply) }
+}
--- a/internal/controlplane/coreapi/codes.go
+++ b/internal/controlplane/coreapi/codes.go
@@ -10,6 +10,7 @@
 const (
 	CodeNotPrimary     wire.Code = "not-primary"      // not carried out: ask the primary
 	CodeNotReady       wire.Code = "not-ready"        // not carried out: ask again
+	CodeOverloaded     wire.Code = "overloaded"       // not carried out: more waits than is done in time; ask again after a pause
 	CodeOutcomeUnknown wire.Code = "in-doubt"         // may yet take effect
 	CodeDiskFailed     wire.Code = "disk-trouble"     // the core's disk failed
 	CodeNameTaken      wire.Code = "name-taken"       // another node with this name holds a lease
--- a/internal/controlplane/coreclient/client.go
+++ b/internal/controlplane/coreclient/client.go
@@ -3,7 +3,7 @@
 // calls.
 //
 // A call that fails has one of three outcomes, which errors.Is and wire.HasCode tell apart:
-//   - surely not carried out: wire.ErrUnsent, coreapi.CodeNotReady, coreapi.CodeNotPrimary;
+//   - surely not carried out: wire.ErrUnsent, coreapi.CodeNotReady, coreapi.CodeNotPrimary, coreapi.CodeOverloaded;
 //   - outcome unknown, it may have been carried out or may be yet: coreapi.IsOutcomeUnknown;
 //   - rejected by the primary: any other code.
 package coreclient
@@ -25,6 +25,8 @@
 	ctx    daemon.Context
 	caller *wire.Caller
 
+	backoff backoff
+
 	mu          sync.Mutex // guards what follows
 	seeds       []string
 	peers       []string
@@ -52,6 +54,9 @@
 	defer c.mu.Unlock()
 	c.learnedAt = time.Now()
 	if v.Epoch > c.view.Epoch {
+		if v.Addr(v.Primary) != c.view.Addr(c.view.Primary) {
+			c.backoff.recordNewPrimary()
+		}
 		c.view = v
 		close(c.viewChanged)
 		c.viewChanged = make(chan struct{})
--- a/internal/controlplane/coreclient/retry.go
+++ b/internal/controlplane/coreclient/retry.go
@@ -9,6 +9,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/lib/runloop"
 	"yarrowridge/internal/transport/wire"
 )
 
@@ -34,6 +35,7 @@
 		if primary := v.Addr(v.Primary); primary != "" {
 			err := c.callPrimary(ctx, primary, kind, request, response, idempotent)
 			if err == nil {
+				c.backoff.recordSuccess()
 				c.refreshView()
 				return nil
 			}
@@ -41,6 +43,12 @@
 				return err
 			}
 			last = worstError(last, err)
+			if wire.HasCode(err, coreapi.CodeOverloaded) {
+				if !runloop.Sleep(ctx, c.backoff.afterOverload()) {
+					break
+				}
+				continue // no search: the primary is there
+			}
 		}
 		if next := c.View(); ctx.Err() == nil && next.Addr(next.Primary) != v.Addr(v.Primary) {
 			continue // another primary was found meanwhile
@@ -65,7 +73,7 @@
 
 // isRetryable reports whether a call that ended in err may be made again and may end otherwise.
 func isRetryable(err error, idempotent bool) bool {
-	if wire.HasCode(err, coreapi.CodeNotPrimary) || wire.HasCode(err, coreapi.CodeNotReady) || errors.Is(err, wire.ErrUnsent) {
+	if wire.HasCode(err, coreapi.CodeOverloaded) || wire.HasCode(err, coreapi.CodeNotPrimary) || wire.HasCode(err, coreapi.CodeNotReady) || errors.Is(err, wire.ErrUnsent) {
 		return true
 	}
 	return coreapi.IsOutcomeUnknown(err) && idempotent
--- a/internal/controlplane/coreclient/search.go
+++ b/internal/controlplane/coreclient/search.go
@@ -12,17 +12,16 @@
 
 // How the primary is searched for.
 const (
-	searchBackoff  = 50 * time.Millisecond  // between two searches, and between two calls of the primary that is known
 	searchTimeout  = 400 * time.Millisecond // of one search
 	maxSearchPeers = 6                      // peers that are asked beside seeds and members
 	viewTTL        = 5 * time.Second        // a client that makes calls asks for the view once it was learned so long ago
 )
 
-// waitForSearch searches for a primary until a newer view is known or the search has ended, for searchBackoff at most: the
+// waitForSearch searches for a primary until a newer view is known or the search has ended, for the backoff at most: the
 // known primary may be called again then, and machines that do not answer must not hold up those that do. It reports
 // whether ctx still runs.
 func (c *Client) waitForSearch(ctx context.Context) bool {
-	backoff := time.NewTimer(searchBackoff)
+	backoff := time.NewTimer(c.backoff.afterFailure(time.Now()))
 	defer backoff.Stop()
 	return c.waitForSearchUntil(ctx, backoff.C)
 }
@@ -54,10 +53,10 @@
 	return c.searchEnded, c.viewChanged
 }
 
-// search asks the fleet for its view, and lets the next search begin after searchBackoff. It closes ended then.
+// search asks the fleet for its view, and lets the next search begin after the backoff. It closes ended then.
 func (c *Client) search(ended chan struct{}) {
 	c.askForView(c.ctx)
-	runloop.Sleep(c.ctx, searchBackoff)
+	runloop.Sleep(c.ctx, c.backoff.afterFailure(time.Now()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.searchEnded = nil
--- a/internal/controlplane/coreclient/search_test.go
+++ b/internal/controlplane/coreclient/search_test.go
@@ -112,7 +112,7 @@
 				t.Errorf("got error %v without a primary, want one of a call not carried out", err)
 			}
 		}
-		if got, most := asked.Load(), int64(timeout/searchBackoff)+1; got == 0 || got > most {
+		if got, most := asked.Load(), int64(timeout/minBackoff)+1; got == 0 || got > most {
 			t.Errorf("got the seed asked %d times by %d calls, want 1 to %d", got, calls, most)
 		}
 	})
--- a/internal/controlplane/pipeline/batch.go
+++ b/internal/controlplane/pipeline/batch.go
@@ -1,33 +1,50 @@
 package pipeline
 
 import (
+	"time"
+
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/transport/wire"
 )
 
-// runBatch takes an operation and all that wait behind it, and commits them as one batch.
-func (p *Pipeline) runBatch(first *operation) {
-	if first.step != nil {
-		first.step()
-		close(first.stepDone)
-		return
+// runBatch takes the operations that wait, the most urgent classes first, commits them as one batch, and then takes the
+// first step that waits. What is left over is for the run loop's next round, so that its ticks come between.
+func (p *Pipeline) runBatch() {
+	p.commitWaiting()
+	if step := p.queues.takeStep(); step != nil {
+		step.step()
+		close(step.stepDone)
+	}
+	if !p.queues.isEmpty() {
+		p.queues.wake()
 	}
-	batch := p.committer.Begin()
+}
+
+// commitWaiting commits one batch of the operations that wait.
+func (p *Pipeline) commitWaiting() {
+	start := time.Now()
+	var batch Batch
 	var taken []*operation
-	var step *operation
-	for next, count := first, 0; next != nil; count++ {
-		if next.run(batch.Tx, batch.Writable) {
-			taken = append(taken, next)
-		}
-		next = nil
-		if count < maxBatchOperations && batch.Tx.Size() < maxBatchBytes {
-			next, step = p.dequeue()
+	began := false
+	for class := range Class(classCount) {
+		for weight := 0; weight < maxClassWeight && !(began && batch.Tx.Size() >= maxBatchBytes); {
+			next := p.queues.take(class)
+			if next == nil {
+				break
+			}
+			if !began {
+				batch, began = p.committer.Begin(), true
+			}
+			weight += next.weight
+			if next.run(batch.Tx, batch.Writable) {
+				taken = append(taken, next)
+			}
 		}
 	}
-	p.finish(batch, taken)
-	if step != nil {
-		p.runBatch(step)
+	if began {
+		p.finish(batch, taken)
+		p.queues.recordBatch(time.Since(start))
 	}
 }
 
@@ -48,19 +65,6 @@
 	return true
 }
 
-// dequeue takes the operation that waits, if one does. A step of the run loop's own belongs to no batch.
-func (p *Pipeline) dequeue() (next, step *operation) {
-	select {
-	case queued := <-p.queue:
-		if queued.step != nil {
-			return nil, queued
-		}
-		return queued, nil
-	default:
-		return nil, nil
-	}
-}
-
 // finish commits a batch and answers its callers.
 func (p *Pipeline) finish(batch Batch, taken []*operation) {
 	err := p.committer.Commit(batch)
--- a/internal/controlplane/pipeline/pipeline.go
+++ b/internal/controlplane/pipeline/pipeline.go
@@ -1,6 +1,10 @@
-// Package pipeline is the primary's write pipeline. Operations wait in a bounded queue; the run loop takes those that wait
-// together, applies them one after another to one transaction, and has it committed as one batch: so many writes share
-// one sync of the disks (group commit). What a commit takes is the Committer's matter.
+// Package pipeline is the primary's write pipeline. Operations wait in bounded queues, one for each class of urgency; the
+// run loop takes those that wait together, applies them one after another to one transaction, and has it committed as one
+// batch: so many writes share one sync of the disks (group commit). What a commit takes is the Committer's matter.
+//
+// Under overload each class is on its own. An operation whose caller gave up before it was taken is not done. One that
+// would wait for longer than maxClassWait is rejected at once with CodeOverloaded, so that what is done is done in time for
+// its caller, and a crowd that calls again leaves nothing behind that outlasts it.
 package pipeline
 
 import (
@@ -15,13 +19,6 @@
 	"yarrowridge/internal/transport/wire"
 )
 
-// How much is taken at once.
-const (
-	maxBatchOperations = 256                    // committed together
-	maxBatchBytes      = 1 << 20                // of keys and values, after which no further operation joins a batch
-	queueCapacity      = 4 * maxBatchOperations // operations that wait; more are rejected
-)
-
 // Operation reads and changes the state. Where it returns an error its changes are rolled back, and the others' committed.
 type Operation func(*transaction.Tx) error
 
@@ -42,23 +39,23 @@
 	AfterCommit(Batch)
 }
 
-// Pipeline is the queue of operations and the loop that takes them. The zero value rejects all operations.
+// Pipeline is the queues of operations and the loop that takes them.
 type Pipeline struct {
-	queue     chan *operation
+	queues    *queues
 	committer Committer
 }
 
-// New makes a pipeline with an empty queue.
-func New(committer Committer) Pipeline {
-	return Pipeline{queue: make(chan *operation, queueCapacity), committer: committer}
-}
+// New makes a pipeline with empty queues.
+func New(committer Committer) Pipeline { return Pipeline{queues: newQueues(), committer: committer} }
 
-// operation is one entry of the queue; its state says who may still end it.
+// operation is one entry of a queue; its state says who may still end it.
 type operation struct {
-	apply Operation
-	state atomic.Int32
-	done  chan error // has room for the outcome
-	err   error      // of apply
+	apply  Operation
+	weight int    // how much work it is, in operations
+	number uint64 // in the order in which all were queued
+	state  atomic.Int32
+	done   chan error // has room for the outcome
+	err    error      // of apply
 
 	step     func()        // in place of apply: a step of the run loop's own
 	stepDone chan struct{} // closed after it
@@ -71,13 +68,13 @@
 	operationAbandoned // by its caller, before it was taken
 )
 
-// Submit passes an operation to the run loop and waits for its outcome. The code of the error is CodeNotReady where the
-// operation surely was not and will not be committed, CodeOutcomeUnknown where it may be. Any goroutine may call it but
-// the run loop's.
-func (p *Pipeline) Submit(ctx context.Context, apply Operation) error {
-	queued := &operation{apply: apply, done: make(chan error, 1)}
-	if !p.enqueue(queued) {
-		return wire.StatusError{Code: coreapi.CodeNotReady}
+// Submit passes an operation to the run loop and waits for its outcome. weight is how much work it is, in operations: 1 for
+// most. The code of the error is CodeNotReady or CodeOverloaded where the operation surely was not and will not be
+// committed, CodeOutcomeUnknown where it may be. Any goroutine may call it but the run loop's.
+func (p *Pipeline) Submit(ctx context.Context, class Class, weight int, apply Operation) error {
+	queued := &operation{apply: apply, weight: weight, done: make(chan error, 1)}
+	if !p.queues.push(class, queued) {
+		return wire.StatusError{Code: coreapi.CodeOverloaded}
 	}
 	select {
 	case err := <-queued.done:
@@ -90,43 +87,31 @@
 	}
 }
 
-// SubmitLater queues an operation whose outcome nobody waits for. It is dropped where the queue is full.
-func (p *Pipeline) SubmitLater(apply Operation) {
-	p.enqueue(&operation{apply: apply, done: make(chan error, 1)})
+// SubmitLater queues an operation whose outcome nobody waits for. It is dropped where the class has no room.
+func (p *Pipeline) SubmitLater(class Class, apply Operation) {
+	p.queues.push(class, &operation{apply: apply, weight: 1, done: make(chan error, 1)})
 }
 
-// StepLater has the run loop take a step between two batches. It is dropped where the queue is full.
+// StepLater has the run loop take a step between two batches. It is dropped where too many wait.
 func (p *Pipeline) StepLater(step func()) {
-	p.enqueue(&operation{step: step, stepDone: make(chan struct{})})
+	p.queues.pushStep(&operation{step: step, stepDone: make(chan struct{})})
 }
 
 // Step has the run loop take a step between two batches, and waits for its end, or for the time-out.
 func (p *Pipeline) Step(step func(), timeout time.Duration) {
 	queued := &operation{step: step, stepDone: make(chan struct{})}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case p.queue <- queued:
-	case <-timer.C:
+	if !p.queues.pushStep(queued) {
 		return
 	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
 	case <-queued.stepDone:
 	case <-timer.C:
 	}
 }
 
-// enqueue queues an operation, and reports whether there was room.
-func (p *Pipeline) enqueue(queued *operation) bool {
-	select {
-	case p.queue <- queued:
-		return true
-	default:
-		return false
-	}
-}
-
 // Run is the run loop: it takes operations, and calls tick at each interval, until ctx ends.
 func (p *Pipeline) Run(ctx context.Context, tickInterval time.Duration, tick func()) {
-	runloop.Run(ctx, p.queue, tickInterval, p.runBatch, tick)
+	runloop.Run(ctx, p.queues.wakeup, tickInterval, func(struct{}) { p.runBatch() }, tick)
 }
--- a/internal/controlplane/pipeline/pipeline_test.go
+++ b/internal/controlplane/pipeline/pipeline_test.go
@@ -67,7 +67,7 @@
 	outcomes := make([]chan error, len(operations))
 	for i, operation := range operations {
 		outcomes[i] = make(chan error, 1)
-		go func() { outcomes[i] <- p.Submit(t.Context(), operation) }()
+		go func() { outcomes[i] <- p.Submit(t.Context(), ClassQuota, 1, operation) }()
 		synctest.Wait()
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -136,7 +136,7 @@
 		p, committer := newPipeline(t)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if err := p.Submit(ctx, put("a", nil)); !wire.HasCode(err, coreapi.CodeNotReady) {
+		if err := p.Submit(ctx, ClassQuota, 1, put("a", nil)); !wire.HasCode(err, coreapi.CodeNotReady) {
 			t.Errorf("got error %v before it was taken, want code %v", err, coreapi.CodeNotReady)
 		}
 		running, stop := context.WithCancel(t.Context())
@@ -152,7 +152,7 @@
 			time.Sleep(2 * time.Second)
 			return nil
 		}
-		if err := p.Submit(short, slow); !wire.HasCode(err, coreapi.CodeOutcomeUnknown) {
+		if err := p.Submit(short, ClassQuota, 1, slow); !wire.HasCode(err, coreapi.CodeOutcomeUnknown) {
 			t.Errorf("got error %v while it was applied, want code %v", err, coreapi.CodeOutcomeUnknown)
 		}
 		time.Sleep(2 * time.Second)
@@ -164,7 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, committer := newPipeline(t)
 		committed := -1
-		p.SubmitLater(put("a", nil))
+		p.SubmitLater(ClassQuota, put("a", nil))
 		p.StepLater(func() { committed = len(committer.batches) })
 		if errs := submitAll(t, p, put("b", nil)); errs[0] != nil {
 			t.Fatal(errs[0])
