--- a/internal/transport/wire/deadline_test.go
+++ b/internal/transport/wire/deadline_test.go
@@ -15,7 +15,7 @@
 	listener := listen(t)
 	deadlines := make(chan bool, 2)
 	ended := make(chan error, 2)
-	handler := func(ctx context.Context, kind string, _ []byte) (msgp.Marshaler, error) {
+	handler := func(ctx context.Context, _ string, _ []byte) (msgp.Marshaler, error) {
 		_, bounded := ctx.Deadline()
 		deadlines <- bounded
 		if bounded {
