Heartbeats carry changes of the router list; replaced runs are found among holders

Cause (log lines in a scratch copy, 291 routers and 57 added): batches of the primary took 380 to 880 ms for two seconds, 5 ms of them its own work. The processor went to heartbeats: each change of the router list sent all of it, 31 KB, to all routers; each response had a sorted list of up to 190 tenants; each new run had all holders of all pools looked through. Change: the list has an epoch, changes since the router's version and removals; a new primary recognizes a list that it shares by its digest. Scarce tenants have a version. CoolReplaced looks among the holders once. Older routers and cores get and send what they did; new fields are left out where empty. Mended on the way: a router's version of the list could happen to be that of a new primary's other list.

--- a/internal/controlplane/core/routerheartbeat.go
+++ b/internal/controlplane/core/routerheartbeat.go
@@ -54,6 +54,17 @@
 	return err == nil && listening.Run != router.Run
 }
 
+// fillScarceTenants puts the scarce tenants into the response, unless the router has this very list. The caller holds s.mu.
+func (s *Server) fillScarceTenants(request *coreapi.HeartbeatRequest, response *coreapi.HeartbeatResponse) {
+	tenants, version := s.scarcity.Listed()
+	response.ScarceVersion = version
+	if request.ScarceVersion == version {
+		response.ScarceUnchanged = true
+		return
+	}
+	response.ScarceTenants = tenants
+}
+
 // recordHeartbeat records a router's heartbeat and makes the response, one consistent picture under the server's lock. The
 // locks of the registry and of the runners' statistics are taken within it. newRun reports whether the router's run was not
 // known. The only error is routerleases.ErrNameTaken.
@@ -75,6 +86,6 @@
 	response.Failing = s.runnerOutliers.Failing(now)
 	s.runnerLatency.Record(request.RunnerStats, now)
 	response.LowLatencyRunners = s.runnerLatency.LowLatencyRunners(s.registry.List, now)
-	response.ScarceTenants = s.scarcity.Tenants()
+	s.fillScarceTenants(request, response)
 	return response, newRun, nil
 }
--- a/internal/controlplane/coreapi/heartbeat.go
+++ b/internal/controlplane/coreapi/heartbeat.go
@@ -43,6 +43,13 @@
 
 	ViewEpoch uint64 `msg:"ve"` // of the view it knows, so that the same need not be sent
 
+	// Of the node list that it has, beside NodesVersion: which primary's it is, and its digest (NodesDigest). 0: it has none,
+	// or takes complete lists only, as older versions do.
+	NodesEpoch  uint64 `msg:"ne,omitempty"`
+	NodesDigest uint64 `msg:"nd,omitempty"`
+
+	ScarceVersion uint64 `msg:"sv,omitempty"` // of the list of scarce tenants that it has; 0: none
+
 	RunnerStats []RunnerStats `msg:"t"` // of the runners used since the last heartbeat
 }
 
@@ -51,9 +58,16 @@
 	View          view.View `msg:"v"` // epoch 0 where the node knows it
 	ConfigVersion uint64    `msg:"s"` // of the newest configuration
 	NodesVersion  uint64    `msg:"r"`
-	Nodes         []Node    `msg:"n"` // all live nodes, where the list has changed
-	NodesChanged  bool      `msg:"w"` // Nodes is set
-	ScarceTenants []string  `msg:"h"` // tenants whose units are wanted back where idle
+	Nodes         []Node    `msg:"n"`            // all live nodes, where the list has changed
+	NodesChanged  bool      `msg:"w"`            // Nodes is set
+	NodesEpoch    uint64    `msg:"ne,omitempty"` // of one primary's count of versions; 0: it tells none
+	NodesPartial  bool      `msg:"np,omitempty"` // Nodes are those that changed since the version that the node has, and NodesRemoved the others that went
+	NodesRemoved  []string  `msg:"nr,omitempty"` // by name
+	NodesCurrent  bool      `msg:"nc,omitempty"` // the list that the node has, from another primary, is the one of this version
+
+	ScarceVersion   uint64   `msg:"sv,omitempty"` // of ScarceTenants; 0: it has none
+	ScarceUnchanged bool     `msg:"su,omitempty"` // ScarceTenants is left out: the node has it
+	ScarceTenants   []string `msg:"h"`            // tenants whose units are wanted back where idle
 
 	// PreviousRouters is how many routers there were before this primary began, as the disk has it, while it does
 	// not know yet which of them live; 0 once it names them, and where there were none.
--- a/internal/controlplane/coreapi/heartbeat_gen.go
+++ b/internal/controlplane/coreapi/heartbeat_gen.go
@@ -3,9 +3,9 @@
 package coreapi
 
 import (
-	"github.com/tinylib/msgp/msgp"
-
 	"yarrowridge/internal/model/routing"
+
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Size limits for msgp deserialization
@@ -82,47 +82,83 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HeartbeatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "n"
-	o = append(o, 0x8a, 0xa1, 0x6e)
-	o, err = z.Node.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Node")
-		return
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.NodesVersion)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendInt(o, z.AgeMs)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.RunnersWanted)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, z.RunnersEpoch)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.RunnersVersion)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.RunnersDigest)
-	// string "ve"
-	o = append(o, 0xa2, 0x76, 0x65)
-	o = msgp.AppendUint64(o, z.ViewEpoch)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.RunnerStats)))
-	for za0001 := range z.RunnerStats {
-		o, err = z.RunnerStats[za0001].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
+	_ = zb0001Mask
+	if z.NodesEpoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.NodesDigest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.ScarceVersion == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o, err = z.Node.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "RunnerStats", za0001)
+			err = msgp.WrapError(err, "Node")
 			return
 		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.NodesVersion)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendInt(o, z.AgeMs)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendBool(o, z.Leaving)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendBool(o, z.RunnersWanted)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.RunnersEpoch)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.RunnersVersion)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendUint64(o, z.RunnersDigest)
+		// string "ve"
+		o = append(o, 0xa2, 0x76, 0x65)
+		o = msgp.AppendUint64(o, z.ViewEpoch)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "ne"
+			o = append(o, 0xa2, 0x6e, 0x65)
+			o = msgp.AppendUint64(o, z.NodesEpoch)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "nd"
+			o = append(o, 0xa2, 0x6e, 0x64)
+			o = msgp.AppendUint64(o, z.NodesDigest)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "sv"
+			o = append(o, 0xa2, 0x73, 0x76)
+			o = msgp.AppendUint64(o, z.ScarceVersion)
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.RunnerStats)))
+		for za0001 := range z.RunnerStats {
+			o, err = z.RunnerStats[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "RunnerStats", za0001)
+				return
+			}
+		}
 	}
 	return
 }
@@ -203,6 +239,24 @@
 				err = msgp.WrapError(err, "ViewEpoch")
 				return
 			}
+		case "ne":
+			z.NodesEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesEpoch")
+				return
+			}
+		case "nd":
+			z.NodesDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesDigest")
+				return
+			}
+		case "sv":
+			z.ScarceVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ScarceVersion")
+				return
+			}
 		case "t":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -240,7 +294,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeartbeatRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Node.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.RunnerStats {
 		s += z.RunnerStats[za0001].Msgsize()
 	}
@@ -250,78 +304,144 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HeartbeatResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
-	// string "v"
-	o = append(o, 0x8d, 0xa1, 0x76)
-	o, err = z.View.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
-	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.ConfigVersion)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.NodesVersion)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
-	for za0001 := range z.Nodes {
-		o, err = z.Nodes[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0001)
-			return
-		}
-	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.NodesChanged)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ScarceTenants)))
-	for za0002 := range z.ScarceTenants {
-		o = msgp.AppendString(o, z.ScarceTenants[za0002])
-	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt(o, z.PreviousRouters)
-	// string "re"
-	o = append(o, 0xa2, 0x72, 0x65)
-	o = msgp.AppendUint64(o, z.RunnersEpoch)
-	// string "rv"
-	o = append(o, 0xa2, 0x72, 0x76)
-	o = msgp.AppendUint64(o, z.RunnersVersion)
-	// string "rr"
-	o = append(o, 0xa2, 0x72, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Runners)))
-	for za0003 := range z.Runners {
-		o, err = z.Runners[za0003].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(19)
+	var zb0001Mask uint32 /* 19 bits */
+	_ = zb0001Mask
+	if z.NodesEpoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.NodesPartial == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.NodesRemoved == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.NodesCurrent == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.ScarceVersion == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.ScarceUnchanged == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o, err = z.View.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Runners", za0003)
+			err = msgp.WrapError(err, "View")
 			return
 		}
-	}
-	// string "rw"
-	o = append(o, 0xa2, 0x72, 0x77)
-	o = msgp.AppendBool(o, z.RunnersComplete)
-	// string "rf"
-	o = append(o, 0xa2, 0x72, 0x66)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Failing)))
-	for za0004 := range z.Failing {
-		// map header, size 2
-		// string "i"
-		o = append(o, 0x82, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Failing[za0004].ID)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendFloat64(o, z.Failing[za0004].Share)
-	}
-	// string "rc"
-	o = append(o, 0xa2, 0x72, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.LowLatencyRunners)))
-	for za0005 := range z.LowLatencyRunners {
-		o = msgp.AppendString(o, z.LowLatencyRunners[za0005])
+		o = msgp.AppendUint64(o, z.ConfigVersion)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.NodesVersion)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
+		for za0001 := range z.Nodes {
+			o, err = z.Nodes[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Nodes", za0001)
+				return
+			}
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendBool(o, z.NodesChanged)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "ne"
+			o = append(o, 0xa2, 0x6e, 0x65)
+			o = msgp.AppendUint64(o, z.NodesEpoch)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "np"
+			o = append(o, 0xa2, 0x6e, 0x70)
+			o = msgp.AppendBool(o, z.NodesPartial)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "nr"
+			o = append(o, 0xa2, 0x6e, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.NodesRemoved)))
+			for za0002 := range z.NodesRemoved {
+				o = msgp.AppendString(o, z.NodesRemoved[za0002])
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "nc"
+			o = append(o, 0xa2, 0x6e, 0x63)
+			o = msgp.AppendBool(o, z.NodesCurrent)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "sv"
+			o = append(o, 0xa2, 0x73, 0x76)
+			o = msgp.AppendUint64(o, z.ScarceVersion)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "su"
+			o = append(o, 0xa2, 0x73, 0x75)
+			o = msgp.AppendBool(o, z.ScarceUnchanged)
+		}
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.ScarceTenants)))
+		for za0003 := range z.ScarceTenants {
+			o = msgp.AppendString(o, z.ScarceTenants[za0003])
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt(o, z.PreviousRouters)
+		// string "re"
+		o = append(o, 0xa2, 0x72, 0x65)
+		o = msgp.AppendUint64(o, z.RunnersEpoch)
+		// string "rv"
+		o = append(o, 0xa2, 0x72, 0x76)
+		o = msgp.AppendUint64(o, z.RunnersVersion)
+		// string "rr"
+		o = append(o, 0xa2, 0x72, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Runners)))
+		for za0004 := range z.Runners {
+			o, err = z.Runners[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Runners", za0004)
+				return
+			}
+		}
+		// string "rw"
+		o = append(o, 0xa2, 0x72, 0x77)
+		o = msgp.AppendBool(o, z.RunnersComplete)
+		// string "rf"
+		o = append(o, 0xa2, 0x72, 0x66)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Failing)))
+		for za0005 := range z.Failing {
+			// map header, size 2
+			// string "i"
+			o = append(o, 0x82, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Failing[za0005].ID)
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendFloat64(o, z.Failing[za0005].Share)
+		}
+		// string "rc"
+		o = append(o, 0xa2, 0x72, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.LowLatencyRunners)))
+		for za0006 := range z.LowLatencyRunners {
+			o = msgp.AppendString(o, z.LowLatencyRunners[za0006])
+		}
 	}
 	return
 }
@@ -395,26 +515,79 @@
 				err = msgp.WrapError(err, "NodesChanged")
 				return
 			}
-		case "h":
+		case "ne":
+			z.NodesEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesEpoch")
+				return
+			}
+		case "np":
+			z.NodesPartial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesPartial")
+				return
+			}
+		case "nr":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ScarceTenants")
+				err = msgp.WrapError(err, "NodesRemoved")
 				return
 			}
 			if zb0003 > ze837615climitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.ScarceTenants) >= int(zb0003) {
-				z.ScarceTenants = (z.ScarceTenants)[:zb0003]
+			if cap(z.NodesRemoved) >= int(zb0003) {
+				z.NodesRemoved = (z.NodesRemoved)[:zb0003]
+			} else {
+				z.NodesRemoved = make([]string, zb0003)
+			}
+			for za0002 := range z.NodesRemoved {
+				z.NodesRemoved[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NodesRemoved", za0002)
+					return
+				}
+			}
+		case "nc":
+			z.NodesCurrent, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesCurrent")
+				return
+			}
+		case "sv":
+			z.ScarceVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ScarceVersion")
+				return
+			}
+		case "su":
+			z.ScarceUnchanged, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ScarceUnchanged")
+				return
+			}
+		case "h":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ScarceTenants")
+				return
+			}
+			if zb0004 > ze837615climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.ScarceTenants) >= int(zb0004) {
+				z.ScarceTenants = (z.ScarceTenants)[:zb0004]
 			} else {
-				z.ScarceTenants = make([]string, zb0003)
+				z.ScarceTenants = make([]string, zb0004)
 			}
-			for za0002 := range z.ScarceTenants {
-				z.ScarceTenants[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.ScarceTenants {
+				z.ScarceTenants[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "ScarceTenants", za0002)
+					err = msgp.WrapError(err, "ScarceTenants", za0003)
 					return
 				}
 			}
@@ -437,25 +610,25 @@
 				return
 			}
 		case "rr":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Runners")
 				return
 			}
-			if zb0004 > ze837615climitArrays {
+			if zb0005 > ze837615climitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Runners) >= int(zb0004) {
-				z.Runners = (z.Runners)[:zb0004]
+			if cap(z.Runners) >= int(zb0005) {
+				z.Runners = (z.Runners)[:zb0005]
 			} else {
-				z.Runners = make([]routing.Runner, zb0004)
+				z.Runners = make([]routing.Runner, zb0005)
 			}
-			for za0003 := range z.Runners {
-				bts, err = z.Runners[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Runners {
+				bts, err = z.Runners[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Runners", za0003)
+					err = msgp.WrapError(err, "Runners", za0004)
 					return
 				}
 			}
@@ -466,81 +639,81 @@
 				return
 			}
 		case "rf":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Failing")
 				return
 			}
-			if zb0005 > ze837615climitArrays {
+			if zb0006 > ze837615climitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Failing) >= int(zb0005) {
-				z.Failing = (z.Failing)[:zb0005]
+			if cap(z.Failing) >= int(zb0006) {
+				z.Failing = (z.Failing)[:zb0006]
 			} else {
-				z.Failing = make([]FailingRunner, zb0005)
+				z.Failing = make([]FailingRunner, zb0006)
 			}
-			for za0004 := range z.Failing {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.Failing {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Failing", za0004)
+					err = msgp.WrapError(err, "Failing", za0005)
 					return
 				}
-				if zb0006 > ze837615climitMaps {
+				if zb0007 > ze837615climitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Failing", za0004)
+						err = msgp.WrapError(err, "Failing", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Failing[za0004].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.Failing[za0005].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Failing", za0004, "ID")
+							err = msgp.WrapError(err, "Failing", za0005, "ID")
 							return
 						}
 					case "s":
-						z.Failing[za0004].Share, bts, err = msgp.ReadFloat64Bytes(bts)
+						z.Failing[za0005].Share, bts, err = msgp.ReadFloat64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Failing", za0004, "Share")
+							err = msgp.WrapError(err, "Failing", za0005, "Share")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Failing", za0004)
+							err = msgp.WrapError(err, "Failing", za0005)
 							return
 						}
 					}
 				}
 			}
 		case "rc":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "LowLatencyRunners")
 				return
 			}
-			if zb0007 > ze837615climitArrays {
+			if zb0008 > ze837615climitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.LowLatencyRunners) >= int(zb0007) {
-				z.LowLatencyRunners = (z.LowLatencyRunners)[:zb0007]
+			if cap(z.LowLatencyRunners) >= int(zb0008) {
+				z.LowLatencyRunners = (z.LowLatencyRunners)[:zb0008]
 			} else {
-				z.LowLatencyRunners = make([]string, zb0007)
+				z.LowLatencyRunners = make([]string, zb0008)
 			}
-			for za0005 := range z.LowLatencyRunners {
-				z.LowLatencyRunners[za0005], bts, err = msgp.ReadStringBytes(bts)
+			for za0006 := range z.LowLatencyRunners {
+				z.LowLatencyRunners[za0006], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "LowLatencyRunners", za0005)
+					err = msgp.WrapError(err, "LowLatencyRunners", za0006)
 					return
 				}
 			}
@@ -558,25 +731,29 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeartbeatResponse) Msgsize() (s int) {
-	s = 1 + 2 + z.View.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + z.View.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Nodes {
 		s += z.Nodes[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.ScarceTenants {
-		s += msgp.StringPrefixSize + len(z.ScarceTenants[za0002])
+	s += 2 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.NodesRemoved {
+		s += msgp.StringPrefixSize + len(z.NodesRemoved[za0002])
+	}
+	s += 3 + msgp.BoolSize + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.ScarceTenants {
+		s += msgp.StringPrefixSize + len(z.ScarceTenants[za0003])
 	}
 	s += 2 + msgp.IntSize + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
-	for za0003 := range z.Runners {
-		s += z.Runners[za0003].Msgsize()
+	for za0004 := range z.Runners {
+		s += z.Runners[za0004].Msgsize()
 	}
 	s += 3 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
-	for za0004 := range z.Failing {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Failing[za0004].ID) + 2 + msgp.Float64Size
+	for za0005 := range z.Failing {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Failing[za0005].ID) + 2 + msgp.Float64Size
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0005 := range z.LowLatencyRunners {
-		s += msgp.StringPrefixSize + len(z.LowLatencyRunners[za0005])
+	for za0006 := range z.LowLatencyRunners {
+		s += msgp.StringPrefixSize + len(z.LowLatencyRunners[za0006])
 	}
 	return
 }
--- a/internal/controlplane/coreapi/state_gen.go
+++ b/internal/controlplane/coreapi/state_gen.go
@@ -3,9 +3,9 @@
 package coreapi
 
 import (
-	"github.com/tinylib/msgp/msgp"
-
 	"yarrowridge/internal/controlplane/view"
+
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Size limits for msgp deserialization
--- a/internal/controlplane/quotapool/pools.go
+++ b/internal/controlplane/quotapool/pools.go
@@ -79,6 +79,16 @@
 	return p.update(tx, func(_ string, pool *quota.Pool) bool { return pool.StartCooling(holder) })
 }
 
+// decodeAll reads all pools, so that all their holders are known.
+func (p *Pools) decodeAll(tx *transaction.Tx) error {
+	for _, tenant := range poolTenants(tx) {
+		if _, err := p.cache.get(tx, tenant); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // update calls change for each pool, and puts those for which it reports a change.
 func (p *Pools) update(tx *transaction.Tx, change func(tenant string, pool *quota.Pool) bool) error {
 	for _, tenant := range poolTenants(tx) {
--- a/internal/controlplane/quotapool/replaced.go
+++ b/internal/controlplane/quotapool/replaced.go
@@ -67,12 +67,20 @@
 		run, known := runs[addressOfHolder(holder)]
 		return run, known && holder != run.holder
 	}
+	if err := p.decodeAll(tx); err != nil {
+		return err
+	}
+	// Looked for among the holders once, not among each pool's: a large fleet has hundreds of both.
+	var ended []string
+	for holder := range p.cache.holders {
+		if _, replaced := replacedBy(holder); replaced {
+			ended = append(ended, holder)
+		}
+	}
 	return p.update(tx, func(tenant string, pool *quota.Pool) bool {
 		changed := false
-		for holder := range pool.Allocations {
-			if _, replaced := replacedBy(holder); replaced {
-				changed = pool.StartCooling(holder) || changed
-			}
+		for _, holder := range ended {
+			changed = pool.StartCooling(holder) || changed
 		}
 		for holder := range pool.Cooling {
 			if run, replaced := replacedBy(holder); replaced {
--- a/internal/controlplane/quotapool/scarcity.go
+++ b/internal/controlplane/quotapool/scarcity.go
@@ -1,7 +1,8 @@
 package quotapool
 
 import (
-	"sort"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"yarrowridge/internal/model/quota"
@@ -37,6 +38,9 @@
 // that guards the live routers: both are read for the response to one heartbeat. The zero value is ready.
 type Scarcity struct {
 	markedAt map[string]time.Time // by tenant
+	listed   []string             // as of listedAt; replaced, never changed
+	listedAt time.Time
+	version  uint64 // of listed; 0: nothing was listed yet
 }
 
 // Mark takes note of an acquire of at least one unit by one of so many live routers: idle units are wanted back if it got too few, or the next
@@ -51,6 +55,26 @@
 	s.markedAt[demand.Tenant] = time.Now()
 }
 
+// listMaxAge is how long one list is given out.
+const listMaxAge = 50 * time.Millisecond
+
+// Listed is Tenants as of listMaxAge ago at most, with a version that changes with the list: in a large fleet each heartbeat
+// asks for it. The list must not be changed. No other primary uses the same versions.
+func (s *Scarcity) Listed() (tenants []string, version uint64) {
+	now := time.Now()
+	if s.version == 0 {
+		s.version = rand.Uint64() | 1
+	} else if now.Sub(s.listedAt) < listMaxAge {
+		return s.listed, s.version
+	}
+	s.listedAt = now
+	if current := s.Tenants(); !slices.Equal(current, s.listed) {
+		s.listed = current
+		s.version++
+	}
+	return s.listed, s.version
+}
+
 // Tenants lists the tenants whose idle units are wanted back, sorted.
 func (s *Scarcity) Tenants() []string {
 	var tenants []string
@@ -61,6 +85,6 @@
 			delete(s.markedAt, tenant)
 		}
 	}
-	sort.Strings(tenants)
+	slices.Sort(tenants)
 	return tenants
 }
--- a/internal/controlplane/quotapool/scarcity_test.go
+++ b/internal/controlplane/quotapool/scarcity_test.go
@@ -48,3 +48,27 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// The list that heartbeats carry has a version that changes with it only.
+func TestScarceListVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var scarcity Scarcity
+		mark := func(tenant string) { scarcity.Mark(Demand{Tenant: tenant, Units: 1, Unmet: true}, 1) }
+		mark("a")
+		_, first := scarcity.Listed()
+		if first == 0 {
+			t.Error("got version 0, want another")
+		}
+		time.Sleep(listMaxAge)
+		mark("a")
+		if _, again := scarcity.Listed(); again != first {
+			t.Errorf("got version %d of the same list, want %d", again, first)
+		}
+		mark("b")
+		time.Sleep(listMaxAge)
+		tenants, next := scarcity.Listed()
+		if next == first || !slices.Equal(tenants, []string{"a", "b"}) {
+			t.Errorf("got %v in version %d, want a and b in another than %d", tenants, next, first)
+		}
+	})
+}
--- a/internal/controlplane/routerleases/table.go
+++ b/internal/controlplane/routerleases/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 // were sent just before it come in meanwhile.
 const peerListDelay = time.Second
 
+// maxRemoved is how many ended leases are remembered, to tell routers of them.
+const maxRemoved = 1024
+
 // ErrNameTaken rejects a heartbeat under a name on which another address has a lease: a router that moved gets its name
 // once that lease has run out.
 var ErrNameTaken error = wire.StatusError{Code: coreapi.CodeNameTaken}
@@ -29,20 +33,26 @@
 type Table struct {
 	leases          map[string]*lease // by router name
 	version         uint64            // goes up with every change of what routers are told of their peers
-	startedAt       time.Time         // since when this primary takes heartbeats
-	previousRouters int               // routers known to the disk at startedAt
+	epoch           uint64            // of the versions, which begin anew with each primary
+	removed         map[string]uint64 // by name: the version at which a router's lease ended
+	completeFrom    uint64            // changes are known since this version
+	peers           peerList
+	startedAt       time.Time // since when this primary takes heartbeats
+	previousRouters int       // routers known to the disk at startedAt
 }
 
 // lease is one router's.
 type lease struct {
 	router    coreapi.Node
 	renewedAt time.Time
+	version   uint64 // of the table, when the router last changed in what its peers must know
 }
 
 // Start begins to take heartbeats as a new primary. Until LeaseTerm is over routers may be alive that have not sent one
 // yet: no list of routers is given out, but how many the disk knew.
 func (t *Table) Start(previousRouters int, now time.Time) {
 	t.previousRouters, t.startedAt = previousRouters, now
+	t.epoch = rand.Uint64() | 1
 }
 
 // RecordHeartbeat renews the lease of the router that sent a heartbeat, or ends it where the router is leaving, and ends
@@ -66,24 +76,42 @@
 // release ends a router's lease, if it is of the run that leaves.
 func (t *Table) release(known *lease, router coreapi.Node) {
 	if known != nil && known.router.Run == router.Run {
-		delete(t.leases, router.Name)
-		t.version++
+		t.end(router.Name)
 	}
 }
 
+// end ends a router's lease.
+func (t *Table) end(name string) {
+	delete(t.leases, name)
+	t.version++
+	if t.removed == nil {
+		t.removed = map[string]uint64{}
+	}
+	if len(t.removed) >= maxRemoved {
+		clear(t.removed)
+		t.completeFrom = t.version
+	}
+	t.removed[name] = t.version
+}
+
 // renew begins or renews a router's lease.
 func (t *Table) renew(known *lease, router coreapi.Node, now time.Time) {
 	if known != nil && known.router == router {
 		known.renewedAt = now
 		return
 	}
-	if known == nil || !isSameToPeers(known.router, router) {
-		t.version++
-	}
 	if t.leases == nil {
 		t.leases = map[string]*lease{}
 	}
-	t.leases[router.Name] = &lease{router: router, renewedAt: now}
+	renewed := &lease{router: router, renewedAt: now}
+	if known != nil && isSameToPeers(known.router, router) {
+		renewed.version = known.version
+	} else {
+		t.version++
+		renewed.version = t.version
+		delete(t.removed, router.Name)
+	}
+	t.leases[router.Name] = renewed
 }
 
 // isSameToPeers reports whether two descriptions of a router differ in nothing that its peers must know.
@@ -96,23 +124,62 @@
 func (t *Table) Expire(now time.Time) {
 	for name, known := range t.leases {
 		if now.Sub(known.renewedAt) > LeaseTerm {
-			delete(t.leases, name)
-			t.version++
+			t.end(name)
 		}
 	}
 }
 
-// FillResponse puts into the response to a heartbeat the list of routers, where it has changed since the version that the
-// router has, and its version. A primary that has just started does not know all routers yet: it names none, and says how
+// FillResponse puts into the response to a heartbeat what has changed of the list of routers since the version that the
+// router has, and the list's version: in a large fleet a complete list for every router with every change would be most of
+// what a primary does. The list is complete where changes are not known that far back, or where the router's list is of
+// another primary and its digest differs. A primary that has just started does not know all routers yet: it names none, and says how
 // many there were.
 func (t *Table) FillResponse(request *coreapi.HeartbeatRequest, response *coreapi.HeartbeatResponse, now time.Time) {
-	response.NodesVersion = t.version
+	response.NodesVersion, response.NodesEpoch = t.version, t.epoch
 	switch {
 	case now.Sub(t.startedAt) <= LeaseTerm:
 		response.PreviousRouters = t.previousRouters
-	case request.NodesVersion != t.version:
+	case request.NodesEpoch != 0 && request.NodesEpoch == t.epoch && request.NodesVersion >= t.completeFrom && request.NodesVersion <= t.version:
+		t.fillChanges(request.NodesVersion, response)
+	case request.NodesEpoch != 0 && request.NodesDigest == t.currentPeers().digest:
+		response.NodesCurrent = true
+	case request.NodesVersion != t.version || request.NodesEpoch != 0 && request.NodesEpoch != t.epoch:
 		response.NodesChanged = true
-		response.Nodes = t.List()
+		response.Nodes = t.currentPeers().routers
+	}
+}
+
+// peerList is the list of routers as their peers are told of them, at one version.
+type peerList struct {
+	version uint64
+	routers []coreapi.Node // sorted by name; never changed
+	digest  uint64
+}
+
+// currentPeers is the list at the present version.
+func (t *Table) currentPeers() peerList {
+	if t.peers.digest == 0 || t.peers.version != t.version {
+		routers := t.List()
+		t.peers = peerList{version: t.version, routers: routers, digest: coreapi.NodesDigest(routers)}
+	}
+	return t.peers
+}
+
+// fillChanges puts into a response the routers that changed since a version, and the names of those whose lease ended.
+func (t *Table) fillChanges(since uint64, response *coreapi.HeartbeatResponse) {
+	if since == t.version {
+		return
+	}
+	response.NodesPartial = true
+	for _, known := range t.leases {
+		if known.version > since {
+			response.Nodes = append(response.Nodes, known.router)
+		}
+	}
+	for name, version := range t.removed {
+		if version > since {
+			response.NodesRemoved = append(response.NodesRemoved, name)
+		}
 	}
 }
 
--- a/internal/controlplane/routerleases/table_test.go
+++ b/internal/controlplane/routerleases/table_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"yarrowridge/internal/controlplane/coreapi"
 )
 
@@ -176,3 +181,123 @@
 		})
 	}
 }
+
+// follower is a router that follows the list by heartbeat responses, as package cluster does.
+type follower struct {
+	epoch, version uint64
+	nodes          map[string]coreapi.Node
+}
+
+func (f *follower) request() *coreapi.HeartbeatRequest {
+	request := &coreapi.HeartbeatRequest{NodesVersion: f.version, NodesEpoch: f.epoch}
+	if f.epoch != 0 {
+		request.NodesDigest = coreapi.NodesDigest(slices.Collect(maps.Values(f.nodes)))
+	}
+	return request
+}
+
+func (f *follower) apply(response *coreapi.HeartbeatResponse) {
+	if response.NodesChanged {
+		f.nodes = map[string]coreapi.Node{}
+	}
+	if response.NodesChanged || response.NodesPartial {
+		for _, node := range response.Nodes {
+			f.nodes[node.Name] = node
+		}
+		for _, name := range response.NodesRemoved {
+			delete(f.nodes, name)
+		}
+	}
+	if response.NodesChanged || response.NodesPartial || response.NodesCurrent {
+		f.epoch, f.version = response.NodesEpoch, response.NodesVersion
+	}
+}
+
+// Routers that follow changes, however many they miss between two heartbeats and under whichever primary, have the list that a
+// router without any gets.
+func TestFollowedListIsComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := &Table{}
+		table.Start(0, now.Add(-time.Hour))
+		followers := make([]follower, 3)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			node := coreapi.Node{Name: name, Addr: name, Run: rapid.Uint64Range(1, 3).Draw(t, "run"), Ready: rapid.Bool().Draw(t, "ready")}
+			switch rapid.SampledFrom([]string{"beat", "beat", "leave", "wait", "primary", "follow", "follow"}).Draw(t, "step") {
+			case "beat":
+				_, _ = table.RecordHeartbeat(&coreapi.HeartbeatRequest{Node: node}, now)
+			case "leave":
+				_, _ = table.RecordHeartbeat(&coreapi.HeartbeatRequest{Node: node, Leaving: true}, now)
+			case "wait":
+				now = now.Add(LeaseTerm / 2)
+				table.Expire(now)
+			case "primary":
+				known := table.List()
+				table = &Table{}
+				table.Start(len(known), now.Add(-time.Hour))
+				for _, node := range known {
+					_, _ = table.RecordHeartbeat(&coreapi.HeartbeatRequest{Node: node}, now)
+				}
+			case "follow":
+				one := &followers[rapid.IntRange(0, 2).Draw(t, "follower")]
+				var response, complete coreapi.HeartbeatResponse
+				table.FillResponse(one.request(), &response, now)
+				one.apply(&response)
+				table.FillResponse(&coreapi.HeartbeatRequest{NodesVersion: table.version + 1}, &complete, now)
+				if coreapi.NodesDigest(slices.Collect(maps.Values(one.nodes))) != coreapi.NodesDigest(complete.Nodes) {
+					t.Fatalf("got %v, want %v", one.nodes, complete.Nodes)
+				}
+			}
+		}
+	})
+}
+
+// A router that follows gets what changed, not the whole list; nor does it under a new primary that knows the same routers.
+func TestChangesAreShort(t *testing.T) {
+	table := newTestTable()
+	const routers = 50
+	nodes := make([]coreapi.Node, routers)
+	for i := range nodes {
+		nodes[i] = coreapi.Node{Name: fmt.Sprint("node", i), Run: 1}
+		table.heartbeat(t, nodes[i])
+	}
+	var one follower
+	one.apply(table.response(0))
+	table.heartbeat(t, coreapi.Node{Name: "new", Run: 1})
+	_, _ = table.RecordHeartbeat(&coreapi.HeartbeatRequest{Node: nodes[0], Leaving: true}, table.now)
+	var response coreapi.HeartbeatResponse
+	table.FillResponse(one.request(), &response, table.now)
+	if !response.NodesPartial || len(response.Nodes) != 1 || len(response.NodesRemoved) != 1 {
+		t.Errorf("got %d nodes and %d removed, want 1 and 1", len(response.Nodes), len(response.NodesRemoved))
+	}
+	one.apply(&response)
+	next := newTestTable()
+	for _, node := range one.nodes {
+		next.heartbeat(t, node)
+	}
+	response = coreapi.HeartbeatResponse{}
+	next.FillResponse(one.request(), &response, next.now)
+	if !response.NodesCurrent || len(response.Nodes) > 0 {
+		t.Errorf("got %d nodes of a new primary that knows the same ones, want none", len(response.Nodes))
+	}
+}
+
+// More ended leases than are remembered lead to a complete list.
+func TestForgottenRemovalsLeadToACompleteList(t *testing.T) {
+	table := newTestTable()
+	table.heartbeat(t, coreapi.Node{Name: "stays", Run: 1})
+	var one follower
+	one.apply(table.response(0))
+	for i := range maxRemoved + 1 {
+		node := coreapi.Node{Name: fmt.Sprint("node", i), Run: 1}
+		table.heartbeat(t, node)
+		_, _ = table.RecordHeartbeat(&coreapi.HeartbeatRequest{Node: node, Leaving: true}, table.now)
+	}
+	var response coreapi.HeartbeatResponse
+	table.FillResponse(one.request(), &response, table.now)
+	one.apply(&response)
+	if len(table.removed) > maxRemoved || len(one.nodes) != 1 {
+		t.Errorf("got %d removals kept and %d nodes, want at most %d and 1", len(table.removed), len(one.nodes), maxRemoved)
+	}
+}
--- a/internal/dataplane/cluster/heartbeat.go
+++ b/internal/dataplane/cluster/heartbeat.go
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, heartbeatTimeout)
 	defer cancel()
-	request := timedHeartbeat{HeartbeatRequest: m.makeHeartbeat(m.peers.currentVersion()), startedAt: m.startedAt}
+	request := timedHeartbeat{HeartbeatRequest: m.makeHeartbeat(), startedAt: m.startedAt}
 	var response coreapi.HeartbeatResponse
 	if err := m.Core.Call(ctx, "core.beat", &request, &response, true); err != nil {
 		if wire.HasCode(err, coreapi.CodeNameTaken) {
@@ -68,8 +68,9 @@
 }
 
 // makeHeartbeat states what this router is, what it has already, and how its attempts at runners ended.
-func (m *Member) makeHeartbeat(nodesVersion uint64) coreapi.HeartbeatRequest {
-	request := coreapi.HeartbeatRequest{Node: m.Self(), NodesVersion: nodesVersion, ViewEpoch: m.Core.View().Epoch}
+func (m *Member) makeHeartbeat() coreapi.HeartbeatRequest {
+	request := coreapi.HeartbeatRequest{Node: m.Self(), ViewEpoch: m.Core.View().Epoch, ScarceVersion: m.lease.currentScarceVersion()}
+	m.peers.fillRequest(&request)
 	if m.runners != nil {
 		request.RunnersWanted = true
 		request.RunnersEpoch, request.RunnersVersion = m.runners.Position()
@@ -88,7 +89,7 @@
 func (m *Member) applyHeartbeatResponse(response *coreapi.HeartbeatResponse) {
 	m.Core.Learn(response.View)
 	m.peers.apply(response)
-	if wasSilent := m.lease.renew(response.ScarceTenants); wasSilent {
+	if wasSilent := m.lease.renew(response); wasSilent {
 		m.ctx.Log.Info("The core is heard again.")
 	}
 	if m.runners != nil {
--- a/internal/dataplane/cluster/lease.go
+++ b/internal/dataplane/cluster/lease.go
@@ -17,18 +17,28 @@
 	renewedAt     time.Time // the core's last answer; zero: none yet
 	released      bool      // given up for good: no more heartbeats
 	scarceTenants []string
+	scarceVersion uint64 // of scarceTenants; 0: none, or an older core's
 }
 
 // renew notes an answer of the core, and reports whether the core had been silent for longer than coreTimeout before it.
-func (l *lease) renew(scarceTenants []string) (wasSilent bool) {
+func (l *lease) renew(response *coreapi.HeartbeatResponse) (wasSilent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wasSilent = time.Since(l.renewedAt) > coreTimeout && !l.renewedAt.IsZero()
 	l.renewedAt = time.Now()
-	l.scarceTenants = scarceTenants
+	if !response.ScarceUnchanged {
+		l.scarceTenants, l.scarceVersion = response.ScarceTenants, response.ScarceVersion
+	}
 	return wasSilent
 }
 
+// currentScarceVersion is the version of the list of scarce tenants that is kept here.
+func (l *lease) currentScarceVersion() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scarceVersion
+}
+
 func (l *lease) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/dataplane/cluster/peers.go
+++ b/internal/dataplane/cluster/peers.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"yarrowridge/internal/controlplane/coreapi"
@@ -13,28 +15,57 @@
 	self         string               // this router's name
 	setCorePeers func(addrs []string) // gives the core's client the other routers, to ask them for the primary
 	mu           sync.Mutex           // also held over setCorePeers, so that the last list wins there as well
+	epoch        uint64               // of the version: which primary's it is; 0: none, or an older core's
 	version      uint64               // of the core's list
-	nodes        []coreapi.Node       // replaced, never changed
+	nodes        []coreapi.Node       // sorted by name; replaced, never changed
+	digest       uint64               // of nodes
 	neighbours   []dissemination.Node // in the dissemination tree of nodes
 	previous     int                  // see PreviousRouters
 }
 
-// currentVersion is the version of the core's list that is kept here; 0: none.
-func (d *peerDirectory) currentVersion() uint64 {
+// fillRequest states in a heartbeat which list is kept here.
+func (d *peerDirectory) fillRequest(request *coreapi.HeartbeatRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.version
+	request.NodesVersion, request.NodesEpoch = d.version, d.epoch
+	if d.epoch != 0 {
+		request.NodesDigest = d.digest
+	}
 }
 
-// apply takes the core's list where a heartbeat's answer has a newer one.
+// apply takes what a heartbeat's answer has of the core's list.
 func (d *peerDirectory) apply(response *coreapi.HeartbeatResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.previous = response.PreviousRouters
-	if response.NodesChanged {
-		d.version = response.NodesVersion
+	switch {
+	case response.NodesChanged:
 		d.set(response.Nodes)
+	case response.NodesPartial && response.NodesEpoch == d.epoch:
+		d.set(merge(d.nodes, response.Nodes, response.NodesRemoved))
+	case !response.NodesCurrent:
+		return
+	}
+	d.version, d.epoch = response.NodesVersion, response.NodesEpoch
+}
+
+// merge gives a list of nodes with some replaced or added and some removed, sorted by name.
+func merge(nodes, changed []coreapi.Node, removed []string) []coreapi.Node {
+	gone := make(map[string]bool, len(changed)+len(removed))
+	for _, node := range changed {
+		gone[node.Name] = true
+	}
+	for _, name := range removed {
+		gone[name] = true
+	}
+	merged := slices.Clone(changed)
+	for _, node := range nodes {
+		if !gone[node.Name] {
+			merged = append(merged, node)
+		}
 	}
+	slices.SortFunc(merged, func(a, b coreapi.Node) int { return cmp.Compare(a.Name, b.Name) })
+	return merged
 }
 
 // setIfEmpty takes the other routers and this one if the core has named none yet.
@@ -48,7 +79,7 @@
 
 // set replaces the list; the caller holds the lock.
 func (d *peerDirectory) set(nodes []coreapi.Node) {
-	d.nodes = nodes
+	d.nodes, d.digest = nodes, coreapi.NodesDigest(nodes)
 	var tree []dissemination.Node
 	var addrs []string
 	for _, n := range nodes {
