Failure detector: a lease holder that has surely ended keeps nobody waiting

Change: an acceptor that hears no renewal for a quarter of the term looks at the holder's address. Refused connections, or another run of a process there, prove that the holder's run has ended, and end the grant. Silence, a reset or no route prove nothing. Assumed: one process at most listens at an address; a process that is told to stop gives up leading before its listener closes (StepDown, then Close). A frozen or cut off process refuses nothing.

--- a/internal/controlplane/core/handlers.go
+++ b/internal/controlplane/core/handlers.go
@@ -36,7 +36,9 @@
 func (s *Server) callAcceptor(kind string, body []byte) (msgp.Marshaler, error) {
 	switch kind {
 	case "view.ask":
-		return s.acceptor.Status(s.settings.Addr, s.ctx.Zone), nil
+		status := s.acceptor.Status(s.settings.Addr, s.ctx.Zone)
+		status.Run = s.runID
+		return status, nil
 	case "view.prep":
 		return wire.HandleTyped(body, s.acceptor.Prepare)
 	case "view.pick":
--- a/internal/controlplane/core/primary.go
+++ b/internal/controlplane/core/primary.go
@@ -15,6 +15,9 @@
 		return
 	}
 	v, self := s.acceptor.View(), s.acceptor.ID()
+	if v.Primary != self && v.HasMember(self) {
+		s.detector.Check(s.ctx, v, s.wakeRunLoop)
+	}
 	switch {
 	case v.Epoch == 0:
 		s.findFleet()
--- a/internal/controlplane/paxos/acceptor_lease.go
+++ b/internal/controlplane/paxos/acceptor_lease.go
@@ -36,6 +36,29 @@
 	}
 }
 
+// SilentHolder is the run of the primary that holds the lease granted here, where it has not renewed that for a span. A lease
+// of before this acceptor's start has no known holder.
+func (a *Acceptor) SilentHolder(span time.Duration) (run uint64, silent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.lastGrantedRun == 0 || !now.Before(a.leaseEnd) {
+		return 0, false
+	}
+	grantedAt := a.leaseEnd.Add(-a.leaseTerm)
+	return a.lastGrantedRun, now.Sub(grantedAt) > span
+}
+
+// EndLeaseOf ends the lease that was granted here to a run of the primary which has surely ended: nobody acts on it any more.
+// A lease that another run holds by now goes on.
+func (a *Acceptor) EndLeaseOf(run uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if run != 0 && run == a.lastGrantedRun {
+		a.leaseEnd = time.Now()
+	}
+}
+
 // HasActiveLease reports whether a lease granted here to the primary still runs. It may wait for a disk write.
 func (a *Acceptor) HasActiveLease() bool {
 	a.mu.Lock()
--- a/internal/controlplane/view/view.go
+++ b/internal/controlplane/view/view.go
@@ -117,6 +117,7 @@
 	Addr string `msg:"a"`
 	Zone string `msg:"h"`
 	View View   `msg:"v"`
+	Run  uint64 `msg:"r,omitempty"` // of the process, drawn at random; 0: an older version does not say
 }
 
 // LearnRequest notifies a process of a chosen view.
--- a/internal/controlplane/view/view_gen.go
+++ b/internal/controlplane/view/view_gen.go
@@ -198,22 +198,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Zone)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.View.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "View")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Run == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.ID)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Addr)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Zone)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o, err = z.View.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "View")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint64(o, z.Run)
+		}
 	}
 	return
 }
@@ -264,6 +282,12 @@
 				err = msgp.WrapError(err, "View")
 				return
 			}
+		case "r":
+			z.Run, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Run")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -278,7 +302,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StatusResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + z.View.Msgsize()
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + z.View.Msgsize() + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -30,6 +30,7 @@
 	{"lease", []string{"island", "late"}, false},                 // a lease that never ends
 	{"backup-copy", nil, false},                                  // an acknowledgement before the backups hold the write
 	{"majority", nil, false},                                     // decisions by one voter less than a majority
+	{"proof-of-end", []string{"island", "late"}, false},          // a lease ended for its holder's silence
 	{"grant-at-restart", []string{"restart rest"}, false},        // a voter that forgets its grant when it starts again
 	{"old-epoch", []string{"late writes", "kill", "cut"}, false}, // a backup that takes writes of an older epoch
 	{"write-id", nil, false},                                     // a repeated order taken for a new one
--- a/internal/testing/sim/net.go
+++ b/internal/testing/sim/net.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -37,7 +38,7 @@
 }
 
 // ErrRefused is a dial to where nobody listens.
-var ErrRefused = errors.New("sim: refused")
+var ErrRefused = fmt.Errorf("sim: %w", syscall.ECONNREFUSED)
 
 // machine is the net as one process at an address sees it. A process that has crashed keeps its
 // handle, but the handle does nothing more.
