Core client: a search asks the backups and two more first, and widens

Cause: when a primary is lost all its clients searched at once and asked all members, seeds and six peers, over connections that most had to open first. Change: 4 addresses, the backups among them, then 8, 16 and so on while no newer view is learned and no call succeeds; the primary that does not answer comes last. Test: TestSearchWidens.

--- a/internal/controlplane/coreclient/client.go
+++ b/internal/controlplane/coreclient/client.go
@@ -33,6 +33,7 @@
 	view        view.View
 	learnedAt   time.Time     // when a view was last learned, a newer one or not
 	viewChanged chan struct{} // closed, and replaced, when a newer view is learned
+	searches    int           // since a newer view was learned or a call succeeded
 	searchEnded chan struct{} // closed when the search under way ends; nil: there is none
 }
 
@@ -58,6 +59,7 @@
 			c.backoff.recordNewPrimary()
 		}
 		c.view = v
+		c.searches = 0
 		close(c.viewChanged)
 		c.viewChanged = make(chan struct{})
 	}
--- a/internal/controlplane/coreclient/retry.go
+++ b/internal/controlplane/coreclient/retry.go
@@ -35,8 +35,7 @@
 		if primary := v.Addr(v.Primary); primary != "" {
 			err := c.callPrimary(ctx, primary, kind, request, response, idempotent)
 			if err == nil {
-				c.backoff.recordSuccess()
-				c.refreshView()
+				c.recordSuccess()
 				return nil
 			}
 			if !isRetryable(err, idempotent) {
--- a/internal/controlplane/coreclient/search.go
+++ b/internal/controlplane/coreclient/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 const (
 	searchTimeout  = 400 * time.Millisecond // of one search
 	maxSearchPeers = 6                      // peers that are asked beside seeds and members
+	firstSearch    = 4                      // addresses that a first search asks; each further one asks twice as many
 	viewTTL        = 5 * time.Second        // a client that makes calls asks for the view once it was learned so long ago
 )
 
@@ -54,8 +56,17 @@
 }
 
 // search asks the fleet for its view, and lets the next search begin after the backoff. It closes ended then.
+//
+// All clients of a primary that is lost search at once, and most of them have no connections to the other cores: a crowd that
+// asks everybody keeps the cores from choosing another primary. So a search begins with those who know first, and widens
+// while no newer view is found.
 func (c *Client) search(ended chan struct{}) {
-	c.askForView(c.ctx)
+	c.mu.Lock()
+	count := firstSearch << min(c.searches, maxWidening)
+	c.searches++
+	c.mu.Unlock()
+	addrs := c.searchAddrs()
+	c.askForView(c.ctx, addrs[:min(count, len(addrs))])
 	runloop.Sleep(c.ctx, c.backoff.afterFailure(time.Now()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,17 +74,12 @@
 	close(ended)
 }
 
-// askForView asks members, seeds and peers which view they know, and learns those.
-func (c *Client) askForView(ctx context.Context) {
+// askForView asks processes at some addresses which view they know, and learns those.
+func (c *Client) askForView(ctx context.Context, addrs []string) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	asked := map[string]bool{}
 	var all sync.WaitGroup
-	for _, addr := range c.searchAddrs() {
-		if asked[addr] {
-			continue
-		}
-		asked[addr] = true
+	for _, addr := range addrs {
 		all.Go(func() {
 			var status view.StatusResponse
 			if c.caller.Call(ctx, addr, "view.ask", &view.StatusRequest{}, &status) == nil {
@@ -84,15 +90,32 @@
 	all.Wait()
 }
 
-// searchAddrs lists the addresses that are asked for the view: seeds, members and some peers.
+// maxWidening is how often a search may double what the first one asks: by then it asks all.
+const maxWidening = 8
+
+// searchAddrs lists the addresses that are asked for the view, each once: the backups, one of which is the next primary, then
+// members, seeds and some peers in any order, and last the primary that does not answer.
 func (c *Client) searchAddrs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	addrs := slices.Clone(c.seeds)
+	var first, others []string
 	for _, m := range c.view.Members {
-		addrs = append(addrs, m.Addr)
+		switch {
+		case c.view.IsBackup(m.ID):
+			first = append(first, m.Addr)
+		case m.ID != c.view.Primary:
+			others = append(others, m.Addr)
+		}
 	}
-	return append(addrs, c.peers[:min(len(c.peers), maxSearchPeers)]...)
+	others = slices.Concat(others, c.seeds, c.peers[:min(len(c.peers), maxSearchPeers)])
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	seen := map[string]bool{}
+	primary := c.view.Addr(c.view.Primary)
+	return slices.DeleteFunc(slices.Concat(first, others, []string{primary}), func(addr string) bool {
+		isRepeated := addr == "" || seen[addr]
+		seen[addr] = true
+		return isRepeated
+	})
 }
 
 // searchView searches until a newer view is known or the search or ctx has ended, and gives the newest view known.
@@ -101,6 +124,15 @@
 	return c.View()
 }
 
+// recordSuccess notes that the primary has carried out a call.
+func (c *Client) recordSuccess() {
+	c.backoff.recordSuccess()
+	c.mu.Lock()
+	c.searches = 0
+	c.mu.Unlock()
+	c.refreshView()
+}
+
 // refreshView begins a search where no view was learned for viewTTL. A primary may stay while all others that the client
 // knows are replaced: after its loss nobody would be left to ask. Routers learn the view by their heartbeats.
 func (c *Client) refreshView() {
--- a/internal/controlplane/coreclient/search_test.go
+++ b/internal/controlplane/coreclient/search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -173,3 +174,42 @@
 		}
 	})
 }
+
+// A search begins with the backups and few others, and widens to all while no newer view is found.
+func TestSearchWidens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const members = 9
+		known := view.View{Epoch: 1, Primary: "core0"}
+		network := pipeNetwork{}
+		var asked [members]atomic.Int64
+		for i := range members {
+			name := fmt.Sprint("core", i)
+			known.Members = append(known.Members, view.Member{ID: name, Addr: name})
+			network[name] = core(view.View{}, &asked[i], hang)
+		}
+		client := newTestClient(t, network, "core3")
+		client.Learn(known.WithBackups([]string{"core7", "core8"}))
+		counts := func() (all int64) {
+			for i := range asked {
+				all += asked[i].Load()
+			}
+			return all
+		}
+		client.waitForSearchUntil(t.Context(), nil)
+		if got := counts(); got != firstSearch || asked[7].Load() != 1 || asked[8].Load() != 1 || asked[0].Load() != 0 {
+			t.Errorf("got %d cores asked first, the backups %d and %d times, the primary %d times; want %d, once each, and never",
+				got, asked[7].Load(), asked[8].Load(), asked[0].Load(), firstSearch)
+		}
+		client.waitForSearchUntil(t.Context(), nil)
+		client.waitForSearchUntil(t.Context(), nil)
+		if got := counts(); got != firstSearch+2*firstSearch+members {
+			t.Errorf("got %d cores asked by three searches, want %d", got, firstSearch+2*firstSearch+members)
+		}
+		client.Learn(viewLedBy("core5", 2))
+		before := counts()
+		client.waitForSearchUntil(t.Context(), nil)
+		if got := counts() - before; got > firstSearch {
+			t.Errorf("got %d cores asked after a newer view was learned, want at most %d", got, firstSearch)
+		}
+	})
+}
