Model check: replication is explored with two backups

Cause: the explorations had one backup, so that nothing was said of a write which one of two has and the other has not. Change: a course has any number of backups; a write goes to all that are in sync and is acknowledged once all hold it. Courses in which the backups have changed places count as one.

--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -118,14 +118,17 @@
 		"":              {writes: 1, parts: 1, givenUp: 1, primaryRestarts: 1, sameEpoch: true}, // a run that leads on in the epoch of the run before it
 	}
 	for name, bounds := range disabled {
-		t.Run(fmt.Sprintf("%s same epoch %v", name, bounds.sameEpoch), func(t *testing.T) {
-			t.Setenv("YARROWRIDGE_DISABLED_MECHANISM", name)
-			e := exploreReplication(t, bounds)
-			if e.problem == "" {
-				t.Fatalf("nothing was found in %d courses", e.played)
-			}
-			t.Logf("found after %d courses: %s by %q", e.played, e.problem, e.failed)
-		})
+		for backups := range 2 {
+			bounds.backups = backups + 1
+			t.Run(fmt.Sprintf("%s same epoch %v, %d backups", name, bounds.sameEpoch, bounds.backups), func(t *testing.T) {
+				t.Setenv("YARROWRIDGE_DISABLED_MECHANISM", name)
+				e := exploreReplication(t, bounds)
+				if e.problem == "" {
+					t.Fatalf("nothing was found in %d courses", e.played)
+				}
+				t.Logf("found after %d courses: %s by %q", e.played, e.problem, e.failed)
+			})
+		}
 	}
 }
 
--- a/internal/testing/modelcheck/replication_test.go
+++ b/internal/testing/modelcheck/replication_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -31,16 +32,17 @@
 	doubled         int  // messages that arrive twice
 	primaryRestarts int  // each begins an epoch
 	backupRestarts  int  // what is on its way to the old run is lost
+	backups         int  // 0: one
 	sameEpoch       bool // planted: a restarted primary leads on in the epoch of its last run
 }
 
-// The two processes of a course. The primary is played as package core sends; the backup is a real one.
+// The processes of a course. The primary is played as package core sends; the backups are real ones.
 const (
 	primaryID = "primary"
 	backupID  = "backup"
 )
 
-// replicationCall is one message to the backup.
+// replicationCall is one message to a backup.
 type replicationCall struct {
 	name string
 	kind string
@@ -48,48 +50,70 @@
 	last bool // of a snapshot
 }
 
-// replicationCourse is one course: a primary that copies its state and replicates writes, a backup, and a scheduler in between.
-type replicationCourse struct {
-	bounds replicationBounds
+// replicaCourse is one backup, and what the primary knows of it and has sent it.
+type replicaCourse struct {
+	index  int
 	disk   *sim.Disk
 	backup *core.Server
-	ctx    context.Context
 	took   []string // what this run of the backup has been sent, in order
 
+	holds       bool   // the primary counts the backup's copy as whole
+	everHeld    bool   // it has done so before
+	snapshots   uint64 // the number of the snapshot that it is sent
+	nextPart    int
+	outstanding *replicationCall
+	strays      []*replicationCall // calls that the primary waits for no longer
+}
+
+// replicationCourse is one course: a primary that copies its state and replicates writes, its backups, and a scheduler in
+// between.
+type replicationCourse struct {
+	bounds   replicationBounds
+	ctx      context.Context
+	replicas []*replicaCourse
+
 	view         view.View
 	values       []string // what the primary's disk holds: the write of each sequence number
 	acknowledged []string // the writes that were acknowledged, as they must stay
 	written      int      // writes ever made
-	holds        bool     // the primary counts the backup's copy as whole
-	everHeld     bool     // it has done so before
 	snapshots    uint64   // begun in this run of the primary
-	nextPart     int
-	outstanding  *replicationCall
-	strays       []*replicationCall // calls that the primary waits for no longer
 }
 
-// newReplication begins a course: the primary holds one write, the backup nothing.
+// address is where a process of a course would listen: the primary is the first.
+func address(index int) string { return fmt.Sprintf("10.0.0.%d:1", index+1) }
+
+// newReplication begins a course: the primary holds one write, the backups nothing.
 func newReplication(ctx context.Context, t *testing.T, bounds replicationBounds) *replicationCourse {
-	r := &replicationCourse{bounds: bounds, ctx: ctx, disk: diskOf(t, backupID), values: []string{"first"}, acknowledged: []string{"first"}}
-	members := []view.Member{{ID: primaryID, Addr: "10.0.0.1:1"}, {ID: backupID, Addr: "10.0.0.2:1"}}
-	r.view = view.View{Epoch: 1, Primary: primaryID, Members: members}.WithBackups([]string{backupID})
-	r.startBackup(t)
+	r := &replicationCourse{bounds: bounds, ctx: ctx, values: []string{"first"}, acknowledged: []string{"first"}}
+	members := []view.Member{{ID: primaryID, Addr: address(0)}}
+	var ids []string
+	for index := range max(1, bounds.backups) {
+		id := fmt.Sprint(backupID, index)
+		ids = append(ids, id)
+		members = append(members, view.Member{ID: id, Addr: address(index + 1)})
+		r.replicas = append(r.replicas, &replicaCourse{index: index, disk: diskOf(t, id)})
+	}
+	r.view = view.View{Epoch: 1, Primary: primaryID, Members: members}.WithBackups(ids)
+	for _, replica := range r.replicas {
+		r.startBackup(t, replica)
+	}
 	return r
 }
 
-// startBackup opens the backup from its disk. Its run loop rests: it only answers calls.
-func (r *replicationCourse) startBackup(t *testing.T) {
-	where := daemon.Context{Context: r.ctx, Name: backupID, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
-	backup, err := core.Open(where, core.Settings{Addr: "10.0.0.2:1"}, r.disk.Use())
+// startBackup opens a backup from its disk. Its run loop rests: it only answers calls.
+func (r *replicationCourse) startBackup(t *testing.T, replica *replicaCourse) {
+	where := daemon.Context{Context: r.ctx, Name: fmt.Sprint(backupID, replica.index), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Net: wire.TCP{}}
+	backup, err := core.Open(where, core.Settings{Addr: address(replica.index + 1)}, replica.disk.Use())
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.backup, r.took = backup, nil
+	replica.backup, replica.took = backup, nil
 }
 
-// The moves of a course.
+// The moves of a course. Those that concern one backup begin with its index.
 const (
-	sendNext          = "send"
+	sendWrite         = "write"
+	sendSnapshot      = "send"
 	deliverCall       = "deliver"
 	giveCallUp        = "give up"
 	restartPrimary    = "restart the primary"
@@ -101,84 +125,123 @@
 
 // moves lists what may happen next, in a fixed order.
 func (r *replicationCourse) moves() []string {
+	var moves []string
+	if r.isInSync() && r.bounds.writes > 0 {
+		moves = append(moves, sendWrite)
+	}
+	for _, replica := range r.replicas {
+		for _, move := range r.movesOf(replica) {
+			moves = append(moves, fmt.Sprint(replica.index, " ", move))
+		}
+	}
+	if r.bounds.primaryRestarts > 0 {
+		moves = append(moves, restartPrimary)
+		if len(r.values) > len(r.acknowledged) {
+			moves = append(moves, restartWithout)
+		}
+	}
+	return moves
+}
+
+// movesOf lists what may happen next to one backup.
+func (r *replicationCourse) movesOf(replica *replicaCourse) []string {
 	var moves []string
 	switch {
-	case r.outstanding != nil:
+	case replica.outstanding != nil:
 		moves = append(moves, deliverCall)
 		if r.bounds.givenUp > 0 {
 			moves = append(moves, giveCallUp)
 		}
-	case !r.holds || r.bounds.writes > 0:
-		moves = append(moves, sendNext)
+	case !replica.holds:
+		moves = append(moves, sendSnapshot)
 	}
-	for _, stray := range r.strays {
+	for _, stray := range replica.strays {
 		moves = append(moves, deliverStray+stray.name)
 		if r.bounds.doubled > 0 {
 			moves = append(moves, deliverStrayTwice+stray.name)
 		}
 	}
-	if r.bounds.primaryRestarts > 0 {
-		moves = append(moves, restartPrimary)
-		if len(r.values) > len(r.acknowledged) {
-			moves = append(moves, restartWithout)
-		}
-	}
 	if r.bounds.backupRestarts > 0 {
 		moves = append(moves, restartBackup)
 	}
 	return moves
 }
 
+// isInSync reports whether the primary counts all backups' copies as whole, and waits for no call.
+func (r *replicationCourse) isInSync() bool {
+	return !slices.ContainsFunc(r.replicas, func(replica *replicaCourse) bool { return !replica.holds || replica.outstanding != nil })
+}
+
 // take makes one move.
 func (r *replicationCourse) take(t *testing.T, move string) {
 	switch move {
-	case sendNext:
-		r.send()
-	case deliverCall:
-		call := r.outstanding
-		r.outstanding = nil
-		r.hear(call, r.deliver(t, call))
-	case giveCallUp:
-		r.bounds.givenUp--
-		r.giveUp()
+	case sendWrite:
+		r.write()
+		return
 	case restartPrimary, restartWithout:
 		r.bounds.primaryRestarts--
 		r.restartPrimary(move == restartWithout)
+		return
+	}
+	number, move, _ := strings.Cut(move, " ")
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.takeOf(t, r.replicas[index], move)
+}
+
+// takeOf makes one move of a backup.
+func (r *replicationCourse) takeOf(t *testing.T, replica *replicaCourse, move string) {
+	switch move {
+	case sendSnapshot:
+		r.sendSnapshot(replica)
+	case deliverCall:
+		call := replica.outstanding
+		replica.outstanding = nil
+		r.hear(replica, call, r.deliver(t, replica, call))
+	case giveCallUp:
+		r.bounds.givenUp--
+		replica.giveUp()
 	case restartBackup:
 		r.bounds.backupRestarts--
-		r.outstanding, r.strays, r.holds = nil, nil, false
-		r.startBackup(t)
+		replica.outstanding, replica.strays, replica.holds = nil, nil, false
+		r.startBackup(t, replica)
 	default:
-		r.deliverLate(t, move)
+		r.deliverLate(t, replica, move)
 	}
 }
 
-// send has the primary make its next call: a part of a snapshot until the backup holds all, then a write.
-func (r *replicationCourse) send() {
-	if r.holds {
-		r.bounds.writes--
-		r.written++
-		r.values = append(r.values, fmt.Sprint("write ", r.written))
-		batch := store.Batch{Version: uint64(len(r.values)), Mutations: r.puts(len(r.values)-1, len(r.values))}
-		r.outstanding = &replicationCall{name: r.values[len(r.values)-1], kind: "core.hold",
+// write has the primary make a write, and send it to all backups.
+func (r *replicationCourse) write() {
+	r.bounds.writes--
+	r.written++
+	r.values = append(r.values, fmt.Sprint("write ", r.written))
+	batch := store.Batch{Version: uint64(len(r.values)), Mutations: r.puts(len(r.values)-1, len(r.values))}
+	for _, replica := range r.replicas {
+		replica.outstanding = &replicationCall{name: r.values[len(r.values)-1], kind: "core.hold",
 			body: &replication.ReplicateRequest{View: r.view, Primary: primaryID, Batch: batch}}
-		return
 	}
-	if r.nextPart == 0 {
+}
+
+// sendSnapshot has the primary send a backup the next part of a snapshot.
+func (r *replicationCourse) sendSnapshot(replica *replicaCourse) {
+	if replica.nextPart == 0 {
 		r.snapshots++
+		replica.snapshots = r.snapshots
 	}
-	request := &replication.SnapshotRequest{View: r.view, Primary: primaryID, Snapshot: r.snapshots, Version: uint64(len(r.values)), Chunk: r.nextPart}
+	request := &replication.SnapshotRequest{View: r.view, Primary: primaryID, Snapshot: replica.snapshots, Version: uint64(len(r.values)), Chunk: replica.nextPart}
 	switch {
 	case r.bounds.parts == 1:
 		request.Last, request.Mutations = true, r.puts(0, len(r.values))
-	case r.nextPart == 0:
+	case replica.nextPart == 0:
 		request.Mutations = r.puts(0, 1)
 	default:
 		request.Last, request.Mutations = true, r.puts(1, len(r.values))
 	}
-	r.outstanding = &replicationCall{name: fmt.Sprintf("snapshot %d.%d part %d of %d writes", r.view.Epoch, r.snapshots, r.nextPart, len(r.values)),
+	replica.outstanding = &replicationCall{name: fmt.Sprintf("snapshot %d.%d part %d of %d writes", r.view.Epoch, replica.snapshots, replica.nextPart, len(r.values)),
 		kind: "core.copy", body: request, last: request.Last}
-	r.nextPart = (r.nextPart + 1) % r.bounds.parts
+	replica.nextPart = (replica.nextPart + 1) % r.bounds.parts
 }
 
 // puts are the primary's writes from one index to another, as its store holds them.
@@ -192,43 +255,45 @@
 
 func writeKey(index int) string { return fmt.Sprint("write/", index) }
 
-// deliver has the backup take a call, and reports whether it did.
-func (r *replicationCourse) deliver(t *testing.T, call *replicationCall) bool {
+// deliver has a backup take a call, and reports whether it did.
+func (r *replicationCourse) deliver(t *testing.T, replica *replicaCourse, call *replicationCall) bool {
 	raw, err := call.body.MarshalMsg(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.took = append(r.took, call.name)
-	_, err = r.backup.Handle(r.ctx, call.kind, raw)
+	replica.took = append(replica.took, call.name)
+	_, err = replica.backup.Handle(r.ctx, call.kind, raw)
 	synctest.Wait() // the backup may fold its files
 	return err == nil
 }
 
-// hear has the primary take the answer to its call.
-func (r *replicationCourse) hear(call *replicationCall, taken bool) {
+// hear has the primary take the answer to its call. Once all backups hold what it holds, that is acknowledged.
+func (r *replicationCourse) hear(replica *replicaCourse, call *replicationCall, taken bool) {
 	if !taken {
-		r.holds, r.nextPart = false, 0
+		replica.holds, replica.nextPart = false, 0
 		return
 	}
 	if call.last {
-		r.holds, r.everHeld = true, true
+		replica.holds, replica.everHeld = true, true
 	}
-	if r.holds {
+	if r.isInSync() {
 		r.acknowledged = slices.Clone(r.values)
 	}
 }
 
 // giveUp has the primary wait for its call no longer. The call stays on its way.
-func (r *replicationCourse) giveUp() {
-	if r.outstanding != nil {
-		r.strays = append(r.strays, r.outstanding)
+func (replica *replicaCourse) giveUp() {
+	if replica.outstanding != nil {
+		replica.strays = append(replica.strays, replica.outstanding)
 	}
-	r.outstanding, r.holds, r.nextPart = nil, false, 0
+	replica.outstanding, replica.holds, replica.nextPart = nil, false, 0
 }
 
 // restartPrimary ends the primary's run; the next one begins an epoch. Its last write may be missing on its disk.
 func (r *replicationCourse) restartPrimary(withoutLast bool) {
-	r.giveUp()
+	for _, replica := range r.replicas {
+		replica.giveUp()
+	}
 	if withoutLast {
 		r.values = r.values[:len(r.values)-1]
 	}
@@ -239,30 +304,30 @@
 }
 
 // deliverLate has a call arrive that the primary waits for no longer, and perhaps stay on its way once more.
-func (r *replicationCourse) deliverLate(t *testing.T, move string) {
+func (r *replicationCourse) deliverLate(t *testing.T, replica *replicaCourse, move string) {
 	name, twice := strings.CutPrefix(move, deliverStrayTwice)
 	if !twice {
 		name = strings.TrimPrefix(move, deliverStray)
 	}
-	i := slices.IndexFunc(r.strays, func(call *replicationCall) bool { return call.name == name })
-	call := r.strays[i]
+	i := slices.IndexFunc(replica.strays, func(call *replicationCall) bool { return call.name == name })
+	call := replica.strays[i]
 	if twice {
 		r.bounds.doubled--
 	} else {
-		r.strays = slices.Delete(slices.Clone(r.strays), i, i+1)
+		replica.strays = slices.Delete(slices.Clone(replica.strays), i, i+1)
 	}
-	r.deliver(t, call)
+	r.deliver(t, replica, call)
 }
 
-// held reads the writes that the backup's disk holds. The course ends with it.
-func (r *replicationCourse) held(t *testing.T) (sequence uint64, values map[string]string) {
-	replica, err := store.Open(r.disk.Use(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+// held reads the writes that a backup's disk holds. The course ends with it.
+func (replica *replicaCourse) held(t *testing.T) (sequence uint64, values map[string]string) {
+	opened, err := store.Open(replica.disk.Use(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	values = map[string]string{}
-	replica.ForEachWithPrefix("write/", func(key string, raw []byte) { values[key] = string(raw) })
-	return replica.Version(), values
+	opened.ForEachWithPrefix("write/", func(key string, raw []byte) { values[key] = string(raw) })
+	return opened.Version(), values
 }
 
 // ownWrites are the primary's writes by their keys.
@@ -274,34 +339,49 @@
 	return writes
 }
 
-// flaw tells which acknowledged write the backup, once it has held everything, holds no longer; or where its copy differs
+// flaw tells which acknowledged write a backup, once it has held everything, holds no longer; or where its copy differs
 // from the primary's state although the primary counts it as whole.
-func (r *replicationCourse) flaw(sequence uint64, values map[string]string) string {
-	if r.holds && r.outstanding == nil && (int(sequence) != len(r.values) || !maps.Equal(values, r.ownWrites())) {
-		return fmt.Sprintf("the primary counts the copy as whole and is at %q, the backup is at %d with %v", r.values, sequence, values)
+func (r *replicationCourse) flaw(replica *replicaCourse, sequence uint64, values map[string]string) string {
+	if replica.holds && replica.outstanding == nil && (int(sequence) != len(r.values) || !maps.Equal(values, r.ownWrites())) {
+		return fmt.Sprintf("the primary counts the copy of backup %d as whole and is at %q, the backup is at %d with %v", replica.index, r.values, sequence, values)
 	}
 	for i, value := range r.acknowledged {
-		if r.everHeld && values[writeKey(i)] != value {
-			return fmt.Sprintf("%q was acknowledged, the backup holds %q in its place", value, values[writeKey(i)])
+		if replica.everHeld && values[writeKey(i)] != value {
+			return fmt.Sprintf("%q was acknowledged, backup %d holds %q in its place", value, replica.index, values[writeKey(i)])
 		}
 	}
 	return ""
 }
 
-// state describes all that what follows depends on.
-func (r *replicationCourse) state(sequence uint64, values map[string]string) string {
+// check reads what each backup holds. It gives the first flaw, or "", and a description of all that what follows depends on:
+// courses in which the backups have changed places are the same. The course ends with it.
+func (r *replicationCourse) check(t *testing.T) (flaw, state string) {
+	var replicas []string
+	for _, replica := range r.replicas {
+		sequence, values := replica.held(t)
+		if flaw := r.flaw(replica, sequence, values); flaw != "" {
+			return flaw, ""
+		}
+		replicas = append(replicas, replica.state(sequence, values))
+	}
+	slices.Sort(replicas)
+	return "", fmt.Sprint(r.bounds, r.view.Epoch, r.values, r.acknowledged, r.written, r.snapshots, replicas)
+}
+
+// state describes one backup and what is on its way to it.
+func (replica *replicaCourse) state(sequence uint64, values map[string]string) string {
 	var state strings.Builder
-	fmt.Fprint(&state, r.bounds, r.view.Epoch, r.values, r.acknowledged, r.written, r.holds, r.everHeld, r.snapshots, r.nextPart, sequence)
+	fmt.Fprint(&state, replica.holds, replica.everHeld, replica.snapshots, replica.nextPart, sequence)
 	for _, key := range slices.Sorted(maps.Keys(values)) {
 		fmt.Fprint(&state, "|", key, values[key])
 	}
-	if r.outstanding != nil {
-		fmt.Fprint(&state, "|outstanding ", r.outstanding.name)
+	if replica.outstanding != nil {
+		fmt.Fprint(&state, "|outstanding ", replica.outstanding.name)
 	}
-	for _, stray := range r.strays {
+	for _, stray := range replica.strays {
 		fmt.Fprint(&state, "|stray ", stray.name)
 	}
-	fmt.Fprint(&state, "|took ", strings.Join(r.took, ", "))
+	fmt.Fprint(&state, "|took ", strings.Join(replica.took, ", "))
 	return state.String()
 }
 
@@ -327,12 +407,11 @@
 	e.played++
 	e.most = max(e.most, len(r.acknowledged))
 	next := r.moves()
-	sequence, values := r.held(t)
-	if e.problem = r.flaw(sequence, values); e.problem != "" {
+	var state string
+	if e.problem, state = r.check(t); e.problem != "" {
 		e.failed = moves
 		return
 	}
-	state := r.state(sequence, values)
 	if e.seen[state] {
 		return
 	}
@@ -363,6 +442,9 @@
 		{writes: 2, parts: 2, givenUp: 2, doubled: 1},
 		{writes: 2, parts: 1, givenUp: 2, primaryRestarts: 1},
 		{writes: 2, parts: 2, givenUp: 1, primaryRestarts: 1, backupRestarts: 1},
+		{backups: 2, writes: 2, parts: 1, givenUp: 1, primaryRestarts: 1},
+		{backups: 2, writes: 1, parts: 1, givenUp: 1, primaryRestarts: 1, backupRestarts: 1},
+		{backups: 2, writes: 1, parts: 1, givenUp: 2, doubled: 1},
 	} {
 		t.Run(fmt.Sprintf("%+v", bounds), func(t *testing.T) {
 			t.Parallel()
