Model check: a process's copy of the state never goes back within an epoch

A copy that goes back is brought forward by the next write, so that the operators' history shows it only where the primary is lost just then. The walks now look at each process's version after each call of replication (I4).

--- a/internal/testing/modelcheck/process_test.go
+++ b/internal/testing/modelcheck/process_test.go
@@ -32,6 +32,9 @@
 	first   bool // it was never started
 	retired bool // the machine is gone for good
 
+	copies     *copyMonitor // of this run
+	violations []string     // of the runs before
+
 	mu        sync.Mutex
 	crashAt   int // at which write from now on it dies; 0: at none
 	afterSync bool
@@ -94,13 +97,17 @@
 		crash()
 		return
 	}
+	if p.copies != nil {
+		p.violations = append(p.violations, p.copies.all()...)
+	}
+	p.copies = &copyMonitor{}
 	p.server, p.ctx, p.endRun, p.crash, p.running = server, ctx, cancel, crash, true
-	go wire.Serve(ctx, listener, p.handler(ctx, server))
+	go wire.Serve(ctx, listener, p.handler(ctx, server, p.copies))
 	go server.Run()
 }
 
 // handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
-func (p *process) handler(run context.Context, server *core.Server) wire.Handler {
+func (p *process) handler(run context.Context, server *core.Server, copies *copyMonitor) wire.Handler {
 	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
 		fault := p.fleet.messageFault(kind)
 		if fault.hold > 0 {
@@ -115,6 +122,9 @@
 			}()
 		}
 		response, err := server.Handle(ctx, kind, body)
+		if kind == "core.copy" || kind == "core.hold" {
+			copies.look(p.addr, server)
+		}
 		if fault.holdAnswer > 0 {
 			runloop.Sleep(run, fault.holdAnswer)
 		}
