Core: a commit that ends without the lease ends writes

Cause: the lease ran out for some milliseconds while a batch was on its way to the disks (a machine isolated for half a second). The commit ended with its outcome unknown, as it should, but the primary stayed ready and answered on from the state before the batch. The lease was held again before the run loop looked; the caller repeated its write, whose id was found on the disk, and it was acknowledged. Reads went on to show the configuration before it until the next write. Change: such a commit ends writes; the primary answers again once it has read its state anew (becomeReady).

--- a/internal/controlplane/core/commit.go
+++ b/internal/controlplane/core/commit.go
@@ -95,6 +95,9 @@
 			return outcomeUnknown
 		}
 	} else if !s.isPrimary(v) {
+		// The batch is on the disks, and what we answer from is that of before it. Should the lease be held again, a
+		// repetition of a write of this batch would be acknowledged beside reads that do not show it.
+		s.leadership.EndWrites()
 		return outcomeUnknown
 	}
 	s.applyCommitted(tx)
