--- a/internal/controlplane/quotapool/cache.go
+++ b/internal/controlplane/quotapool/cache.go
@@ -81,7 +81,7 @@
 	allocation := pool.Allocations[holder]
 	changed := numberedAllocation{Holder: number, Units: allocation.Units, Sequence: allocation.Sequence}
 	index, found := slices.BinarySearchFunc(known.stored.Allocations, changed, compareHolders)
-	if found && len(known.stored.Allocations) == len(pool.Allocations) && known.encoded.rest == restOf(pool) {
+	if found && len(known.stored.Allocations) == len(pool.Allocations) && known.encoded.summary == summarize(pool) {
 		if err := known.encoded.replace(known.stored.Allocations, index, changed); err != nil {
 			return err
 		}
@@ -146,9 +146,9 @@
 		decoded.pool.Allocations[name] = quota.Allocation{Units: allocation.Units, Sequence: allocation.Sequence}
 	}
 	if isSorted && len(stored.NamedAllocations) == 0 {
-		decoded.encoded.rest = restOf(&decoded.pool)
+		decoded.encoded.summary = summarize(&decoded.pool)
 	} else {
-		decoded.encoded.rest = rest{cooling: unknownRest} // as older versions wrote it: to be encoded anew
+		decoded.encoded.summary = unknownSummary
 	}
 	return decoded, nil
 }
--- a/internal/controlplane/quotapool/encoding.go
+++ b/internal/controlplane/quotapool/encoding.go
@@ -11,31 +11,39 @@
 //
 // It rests on the generated encoder of storedPool writing Allocations last.
 type encodedPool struct {
-	raw  []byte
-	ends []int // of each allocation, from the beginning of raw; nil: not known
-	rest rest  // what raw has beside the allocations
+	raw     []byte
+	ends    []int         // of each allocation, from the beginning of raw; nil: not known
+	summary recordSummary // of what raw has beside the allocations
 }
 
-// rest is what a record has beside the allocations, as far as it must be compared.
-type rest struct {
-	cooling, charges int // their numbers: a transfer only adds
-	coolingUnits     int
-	chargedUnits     int
-	aboveLimit       int
+// recordSummary tells whether a pool has changed in anything beside its allocations since it was encoded. A transfer only
+// adds to charges, and leaves what cools as it is.
+type recordSummary struct {
+	coolingHolders int
+	coolingUnits   int
+	charges        int
+	chargedUnits   int
+	aboveLimit     int
 }
 
-// unknownRest is a number of cooling holders that no pool has.
-const unknownRest = -1
+// unknownSummary is that of no pool: a record that older versions wrote is encoded anew.
+var unknownSummary = recordSummary{coolingHolders: -1}
 
-// restOf tells what a pool has beside its allocations.
-func restOf(pool *quota.Pool) rest {
-	return rest{cooling: len(pool.Cooling), coolingUnits: pool.CoolingUnits(), charges: len(pool.Charges), chargedUnits: pool.ChargedUnits(), aboveLimit: pool.AboveLimit}
+// summarize summarizes what a pool has beside its allocations.
+func summarize(pool *quota.Pool) recordSummary {
+	return recordSummary{
+		coolingHolders: len(pool.Cooling),
+		coolingUnits:   pool.CoolingUnits(),
+		charges:        len(pool.Charges),
+		chargedUnits:   pool.ChargedUnits(),
+		aboveLimit:     pool.AboveLimit,
+	}
 }
 
 // encodePool encodes a pool.
 func encodePool(stored *storedPool, pool *quota.Pool) (encodedPool, error) {
 	raw, err := stored.MarshalMsg(nil)
-	return encodedPool{raw: raw, rest: restOf(pool)}, err
+	return encodedPool{raw: raw, summary: summarize(pool)}, err
 }
 
 // locate finds where each allocation stands in the record.
