Router list: digests of nodes are mixed before they are added up

A router would have taken a new primary's list for its own. Change: each node's hash is mixed (hashing.Mix) before the sum. Tests: TestNodesDigest, red before; 20000 draws of TestFollowedListIsComplete.

--- a/internal/controlplane/coreapi/nodesdigest.go
+++ b/internal/controlplane/coreapi/nodesdigest.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+
+	"yarrowridge/internal/lib/hashing"
 )
 
 // Digest hashes what a node's peers must know of it: all but the version of its configuration, which changes all the time.
+// The hash is mixed, since digests are added up: of FNV alone, two nodes that both get ready could change by opposite amounts.
 func (n Node) Digest() uint64 {
 	hash := fnv.New64a()
 	for _, text := range []string{n.Name, n.Zone, n.Addr, n.ClientAddr} {
@@ -18,7 +21,7 @@
 		fixed[8] = 1
 	}
 	_, _ = hash.Write(fixed[:])
-	return hash.Sum64()
+	return hashing.Mix(hash.Sum64())
 }
 
 // NodesDigest is the digest of a list of nodes, whatever its order. It is not 0.
