Reread: one loop reads all pools, walks report by the history, a record's boundaries once

Replacing an allocation in a record encoded the old entry to learn its length; the boundaries tell it. The monitor of copies in the model check kept violations of its own beside history.fail. Comments: the failure detector may wait for a disk write of the acceptor; maxClassWait and maxWidening say what they bound.

--- a/internal/controlplane/coreclient/search.go
+++ b/internal/controlplane/coreclient/search.go
@@ -16,6 +16,7 @@
 	searchTimeout  = 400 * time.Millisecond // of one search
 	maxSearchPeers = 6                      // peers that are asked beside seeds and members
 	firstSearch    = 4                      // addresses that a first search asks; each further one asks twice as many
+	maxWidening    = 8                      // times that it doubles: by then it asks all
 	viewTTL        = 5 * time.Second        // a client that makes calls asks for the view once it was learned so long ago
 )
 
@@ -23,9 +24,9 @@
 // known primary may be called again then, and machines that do not answer must not hold up those that do. It reports
 // whether ctx still runs.
 func (c *Client) waitForSearch(ctx context.Context) bool {
-	backoff := time.NewTimer(c.backoff.afterFailure(time.Now()))
-	defer backoff.Stop()
-	return c.waitForSearchUntil(ctx, backoff.C)
+	timer := time.NewTimer(c.backoff.afterFailure(time.Now()))
+	defer timer.Stop()
+	return c.waitForSearchUntil(ctx, timer.C)
 }
 
 // waitForSearchUntil is waitForSearch that ends with its backoff. A nil backoff never ends the wait.
@@ -90,9 +91,6 @@
 	all.Wait()
 }
 
-// maxWidening is how often a search may double what the first one asks: by then it asks all.
-const maxWidening = 8
-
 // searchAddrs lists the addresses that are asked for the view, each once: the backups, one of which is the next primary, then
 // members, seeds and some peers in any order, and last the primary that does not answer.
 func (c *Client) searchAddrs() []string {
--- a/internal/controlplane/failuredetector/detector.go
+++ b/internal/controlplane/failuredetector/detector.go
@@ -50,7 +50,8 @@
 }
 
 // Check looks, in a goroutine of its own, for the holder of the lease that the acceptor granted to the primary of a view, if
-// it has fallen silent. It ends the lease where that holder has surely ended, and calls ended then. Does not block.
+// it has fallen silent. It ends the lease where that holder has surely ended, and calls ended then. It may wait for a disk
+// write of the acceptor, and for nothing else.
 func (d *Detector) Check(ctx context.Context, v view.View, ended func()) {
 	run, silent := d.grants.SilentHolder(d.silence)
 	if !silent || !d.probing.CompareAndSwap(false, true) {
--- a/internal/controlplane/pipeline/queue.go
+++ b/internal/controlplane/pipeline/queue.go
@@ -27,7 +27,9 @@
 	maxBatchBytes  = 1 << 20 // of keys and values, after which no further operation joins a batch
 	classCapacity  = 4096    // operations of a class that wait; more are rejected
 	stepCapacity   = 64      // steps that wait
-	maxClassWait   = 500 * time.Millisecond
+
+	// maxClassWait is how long the batches before an operation's own may take; one that would wait longer is rejected.
+	maxClassWait = 500 * time.Millisecond
 )
 
 // classQueue is what waits of one class.
--- a/internal/controlplane/quotapool/encoding.go
+++ b/internal/controlplane/quotapool/encoding.go
@@ -11,9 +11,9 @@
 //
 // It rests on the generated encoder of storedPool writing Allocations last.
 type encodedPool struct {
-	raw     []byte
-	ends    []int         // of each allocation, from the beginning of raw; nil: not known
-	summary recordSummary // of what raw has beside the allocations
+	raw        []byte
+	boundaries []int         // of the allocations in raw, one more than there are; nil: not known
+	summary    recordSummary // of what raw has beside the allocations
 }
 
 // recordSummary tells whether a pool has changed in anything beside its allocations since it was encoded. A transfer only
@@ -48,44 +48,38 @@
 
 // locate finds where each allocation stands in the record.
 func (e *encodedPool) locate(allocations []numberedAllocation) error {
-	ends := make([]int, len(allocations))
-	var one []byte
-	size := 0
+	boundaries := make([]int, 1, len(allocations)+1)
+	var entries []byte
 	for i := range allocations {
 		var err error
-		if one, err = allocations[i].MarshalMsg(one[:0]); err != nil {
+		if entries, err = allocations[i].MarshalMsg(entries); err != nil {
 			return err
 		}
-		size += len(one)
-		ends[i] = size
+		boundaries = append(boundaries, len(entries))
 	}
-	for i := range ends {
-		ends[i] += len(e.raw) - size
+	for i := range boundaries {
+		boundaries[i] += len(e.raw) - len(entries)
 	}
-	e.ends = ends
+	e.boundaries = boundaries
 	return nil
 }
 
 // replace replaces the allocation at an index by another one of the same holder, in a new record.
 func (e *encodedPool) replace(allocations []numberedAllocation, index int, changed numberedAllocation) error {
-	if e.ends == nil {
+	if e.boundaries == nil {
 		if err := e.locate(allocations); err != nil {
 			return err
 		}
 	}
-	old, err := allocations[index].MarshalMsg(nil)
-	if err != nil {
-		return err
-	}
 	entry, err := changed.MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
-	end := e.ends[index]
-	e.raw = slices.Concat(e.raw[:end-len(old)], entry, e.raw[end:])
-	if grown := len(entry) - len(old); grown != 0 {
-		for i := index; i < len(e.ends); i++ {
-			e.ends[i] += grown
+	begin, end := e.boundaries[index], e.boundaries[index+1]
+	e.raw = slices.Concat(e.raw[:begin], entry, e.raw[end:])
+	if grown := begin + len(entry) - end; grown != 0 {
+		for i := index + 1; i < len(e.boundaries); i++ {
+			e.boundaries[i] += grown
 		}
 	}
 	return nil
--- a/internal/controlplane/quotapool/holders.go
+++ b/internal/controlplane/quotapool/holders.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"yarrowridge/internal/controlplane/transaction"
-	"yarrowridge/internal/model/quota"
 )
 
 const (
@@ -91,15 +90,15 @@
 	if len(names) <= maxUnusedHolders {
 		return nil
 	}
+	pools, err := p.readAll(tx)
+	if err != nil {
+		return err
+	}
 	used := map[string]bool{}
-	err := p.update(tx, func(_ string, pool *quota.Pool) bool {
+	for _, pool := range pools {
 		for holder := range pool.Allocations {
 			used[holder] = true
 		}
-		return false
-	})
-	if err != nil {
-		return err
 	}
 	maps.DeleteFunc(names, func(_, name string) bool { return used[name] })
 	if len(names) <= maxUnusedHolders {
--- a/internal/controlplane/quotapool/pools.go
+++ b/internal/controlplane/quotapool/pools.go
@@ -79,23 +79,33 @@
 	return p.update(tx, func(_ string, pool *quota.Pool) bool { return pool.StartCooling(holder) })
 }
 
-// decodeAll reads all pools, so that all their holders are known.
-func (p *Pools) decodeAll(tx *transaction.Tx) error {
+// readAll reads all pools by their tenants, so that all their holders are known to the cache. With an error it gives those
+// that can be read.
+func (p *Pools) readAll(tx *transaction.Tx) (pools map[string]*quota.Pool, err error) {
+	pools = map[string]*quota.Pool{}
 	for _, tenant := range poolTenants(tx) {
-		if _, err := p.cache.get(tx, tenant); err != nil {
-			return err
+		pool, readErr := p.cache.get(tx, tenant)
+		if readErr != nil {
+			err = readErr
+			continue
 		}
+		pools[tenant] = pool
 	}
-	return nil
+	return pools, err
 }
 
 // update calls change for each pool, and puts those for which it reports a change.
 func (p *Pools) update(tx *transaction.Tx, change func(tenant string, pool *quota.Pool) bool) error {
-	for _, tenant := range poolTenants(tx) {
-		pool, err := p.cache.get(tx, tenant)
-		if err != nil {
-			return err
-		}
+	pools, err := p.readAll(tx)
+	if err != nil {
+		return err
+	}
+	return p.changeEach(tx, pools, change)
+}
+
+// changeEach is update of pools that readAll has given.
+func (p *Pools) changeEach(tx *transaction.Tx, pools map[string]*quota.Pool, change func(tenant string, pool *quota.Pool) bool) error {
+	for tenant, pool := range pools {
 		if change(tenant, pool) {
 			if err := p.cache.put(tx, tenant, pool); err != nil {
 				return err
--- a/internal/controlplane/quotapool/replaced.go
+++ b/internal/controlplane/quotapool/replaced.go
@@ -67,7 +67,8 @@
 		run, known := runs[addressOfHolder(holder)]
 		return run, known && holder != run.holder
 	}
-	if err := p.decodeAll(tx); err != nil {
+	pools, err := p.readAll(tx)
+	if err != nil {
 		return err
 	}
 	// Looked for among the holders once, not among each pool's: a large fleet has hundreds of both.
@@ -77,7 +78,7 @@
 			ended = append(ended, holder)
 		}
 	}
-	return p.update(tx, func(tenant string, pool *quota.Pool) bool {
+	return p.changeEach(tx, pools, func(tenant string, pool *quota.Pool) bool {
 		changed := false
 		for _, holder := range ended {
 			changed = pool.StartCooling(holder) || changed
--- a/internal/controlplane/quotapool/sweep.go
+++ b/internal/controlplane/quotapool/sweep.go
@@ -44,8 +44,8 @@
 	ages := &ageTable{firstSeen: p.firstSeen, now: time.Now(), seen: map[string]bool{}}
 	var due dueChanges
 	p.hasCooling = false
-	pools := p.readAll(committed)
-	absent := p.cache.holders.absent(live) // of all pools together: few, where a look at each pool's holders would be at many
+	pools, _ := p.readAll(transaction.New(committed)) // one that can't be read is left out
+	absent := p.cache.holders.absent(live)            // of all pools together: few, where a look at each pool's holders would be at many
 	for tenant, pool := range pools {
 		p.hasCooling = p.hasCooling || len(pool.Cooling) > 0
 		due.add(tenant, pool, document, ages)
@@ -58,18 +58,6 @@
 	return func(tx *transaction.Tx) error { return p.update(tx, due.apply) }
 }
 
-// readAll reads the pools of a committed state by their tenants. One that can't be read is left out.
-func (p *Pools) readAll(committed *store.Store) map[string]*quota.Pool {
-	tx := transaction.New(committed)
-	pools := map[string]*quota.Pool{}
-	for _, tenant := range poolTenants(tx) {
-		if pool, err := p.cache.get(tx, tenant); err == nil {
-			pools[tenant] = pool
-		}
-	}
-	return pools
-}
-
 // add adds the cooling units and the charges that are due in one tenant's pool.
 func (d *dueChanges) add(tenant string, pool *quota.Pool, document *configuration.Document, ages *ageTable) {
 	window := document.Windows[tenant]
--- a/internal/testing/modelcheck/copies_test.go
+++ b/internal/testing/modelcheck/copies_test.go
@@ -1,7 +1,6 @@
 package modelcheck
 
 import (
-	"fmt"
 	"sync"
 
 	"yarrowridge/internal/controlplane/core"
@@ -10,10 +9,11 @@
 // copyMonitor holds a process's copy of the state against invariant I4: within an epoch it never goes back. A copy that does
 // is brought forward again by the next write, so that clients see nothing of it unless the primary is lost just then.
 type copyMonitor struct {
-	mu         sync.Mutex // held while a copy is looked at: two looks are in the order of their results
-	epoch      uint64
-	version    uint64
-	violations []string
+	history *history
+
+	mu      sync.Mutex // held while a copy is looked at: two looks are in the order of their results
+	epoch   uint64
+	version uint64
 }
 
 // look compares the copy with what it was at the last look.
@@ -26,26 +26,7 @@
 		return // a view or a disk that changes meanwhile: the next look will tell
 	}
 	if before == m.epoch && state.StoreVersion < m.version {
-		m.violations = append(m.violations, fmt.Sprintf("the copy at %s went back from version %d to %d in epoch %d", addr, m.version, state.StoreVersion, before))
+		m.history.fail("the copy at %s went back from version %d to %d in epoch %d", addr, m.version, state.StoreVersion, before)
 	}
 	m.epoch, m.version = before, state.StoreVersion
 }
-
-// all are the violations so far.
-func (m *copyMonitor) all() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.violations
-}
-
-// copyViolations are those of all processes.
-func (f *fleet) copyViolations() []string {
-	var all []string
-	for _, p := range f.machines {
-		all = append(all, p.violations...)
-		if p.copies != nil {
-			all = append(all, p.copies.all()...)
-		}
-	}
-	return all
-}
--- a/internal/testing/modelcheck/process_test.go
+++ b/internal/testing/modelcheck/process_test.go
@@ -32,9 +32,6 @@
 	first   bool // it was never started
 	retired bool // the machine is gone for good
 
-	copies     *copyMonitor // of this run
-	violations []string     // of the runs before
-
 	mu        sync.Mutex
 	crashAt   int // at which write from now on it dies; 0: at none
 	afterSync bool
@@ -97,17 +94,14 @@
 		crash()
 		return
 	}
-	if p.copies != nil {
-		p.violations = append(p.violations, p.copies.all()...)
-	}
-	p.copies = &copyMonitor{}
 	p.server, p.ctx, p.endRun, p.crash, p.running = server, ctx, cancel, crash, true
-	go wire.Serve(ctx, listener, p.handler(ctx, server, p.copies))
+	go wire.Serve(ctx, listener, p.handler(ctx, server))
 	go server.Run()
 }
 
 // handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
-func (p *process) handler(run context.Context, server *core.Server, copies *copyMonitor) wire.Handler {
+func (p *process) handler(run context.Context, server *core.Server) wire.Handler {
+	copies := &copyMonitor{history: p.fleet.history}
 	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
 		fault := p.fleet.messageFault(kind)
 		if fault.hold > 0 {
--- a/internal/testing/modelcheck/walk_test.go
+++ b/internal/testing/modelcheck/walk_test.go
@@ -49,7 +49,6 @@
 		v.violations = f.recover()
 		v.acknowledged, v.operations, v.moves = f.history.counts()
 		v.violations = append(v.violations, f.history.violations()...)
-		v.violations = append(v.violations, f.copyViolations()...)
 	})
 	return v
 }
