--- a/internal/controlplane/quotapool/cache_test.go
+++ b/internal/controlplane/quotapool/cache_test.go
@@ -370,3 +370,23 @@
 		t.Errorf("got %+v, %v, want 4 units that cool", got, err)
 	}
 }
+
+// A pool that can't be read fails a change of all pools, which then changes none; a sweep goes on with the others.
+func TestUnreadablePool(t *testing.T) {
+	pools, committed := New(), openStore(t)
+	tx := beginTx(committed)
+	readable := &quota.Pool{Allocations: map[string]quota.Allocation{"node@1/1": {Units: 2, Sequence: 1}}}
+	if err := pools.cache.put(tx, "t", readable); err != nil {
+		t.Fatal(err)
+	}
+	tx.PutRaw(poolKey("damaged"), []byte("damaged"))
+	commitTx(t, committed, tx)
+	tx = beginTx(committed)
+	if err := pools.StartCooling(tx, "node@1/1"); err == nil || len(tx.Mutations()) > 0 {
+		t.Errorf("got error %v and %d mutations, want an error and none", err, len(tx.Mutations()))
+	}
+	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]bool{"node@1": true}}
+	if pools.Sweep(committed, &configuration.Document{}, live) == nil {
+		t.Error("got nothing due, want the units of the earlier run to cool")
+	}
+}
