--- a/internal/model/routing/digest_test.go
+++ b/internal/model/routing/digest_test.go
@@ -1,6 +1,9 @@
 package routing
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // The digest sees every field that routers must know, where one ends and the next begins, and nothing else.
 func TestDigest(t *testing.T) {
@@ -32,3 +35,24 @@
 		seen[changed.Digest()] = name
 	}
 }
+
+// Runners that change alike, as in a release, change what their digests come to together.
+func TestDigestsOfRunnersThatChangeAlike(t *testing.T) {
+	const runners = 300
+	digest := func(number, revision int) uint64 {
+		runner := Runner{ID: fmt.Sprintf("i-%010x", number), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", number), State: RunnerReady,
+			Models: []RunnerModel{{Name: "m", Revision: revision}}}
+		return runner.Digest()
+	}
+	cancelled := 0
+	for first := range runners {
+		for second := range first {
+			if digest(first, 1)^digest(second, 1) == digest(first, 2)^digest(second, 2) {
+				cancelled++
+			}
+		}
+	}
+	if cancelled > 0 {
+		t.Errorf("got the same digest before and after a release of %d pairs of %d runners, want none", cancelled, runners)
+	}
+}
--- a/internal/model/routing/runner.go
+++ b/internal/model/routing/runner.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"slices"
 	"strconv"
+
+	"yarrowridge/internal/lib/hashing"
 )
 
 //go:generate go tool msgp -tests=false -io=false
@@ -51,7 +53,8 @@
 }
 
 // Digest is a hash of all that routers must know of a runner: all but its heartbeats' numbers and how long exactly
-// it stays slow. Two copies of a fleet's runners are alike where the digests of all, taken together by XOR, are.
+// it stays slow. Two copies of a fleet's runners are alike where the digests of all, taken together by XOR, are. The hash is
+// mixed for that: of FNV alone, two runners that change alike, as in a release, could cancel one another.
 func (r Runner) Digest() uint64 {
 	hash := fnv.New64a()
 	add := func(field string) {
@@ -67,5 +70,5 @@
 		add(model.Name)
 		add(strconv.Itoa(model.Revision))
 	}
-	return hash.Sum64()
+	return hashing.Mix(hash.Sum64())
 }
