--- a/internal/controlplane/configuration/documents.go
+++ b/internal/controlplane/configuration/documents.go
@@ -13,6 +13,7 @@
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/store"
 	"yarrowridge/internal/controlplane/transaction"
+	"yarrowridge/internal/lib/faultinjection"
 	"yarrowridge/internal/transport/wire"
 )
 
@@ -32,8 +33,8 @@
 // decodedDocument is the configuration that was decoded last. Its version does not identify it: one that was never
 // committed may have had the same.
 type decodedDocument struct {
-	record   []byte    // as stored, where it was read from the store or a batch
-	raw      []byte    // the document as the operator wrote it
+	record   []byte // as stored, where it was read from the store or a batch
+	config   coreapi.StoredConfig
 	document *Document // nil: the codec does not understand it
 }
 
@@ -62,10 +63,10 @@
 	if config.Version == 0 {
 		return nil
 	}
-	if d.decoded.raw != nil && bytes.Equal(config.Raw, d.decoded.raw) {
+	if d.isDecoded(config) {
 		return d.decoded.document
 	}
-	d.decoded = decodedDocument{raw: config.Raw}
+	d.decoded = decodedDocument{config: config}
 	document, configErrors := d.codec.Check(config.Raw)
 	if len(configErrors) == 0 {
 		document.Claims = document.Claims.withDefaults()
@@ -74,6 +75,15 @@
 	return d.decoded.document
 }
 
+// isDecoded reports whether a configuration is the one that was decoded last.
+func (d *Documents) isDecoded(config coreapi.StoredConfig) bool {
+	known := d.decoded.config
+	if faultinjection.Disabled("config-content") && known.Version == config.Version {
+		return true
+	}
+	return known.Raw != nil && bytes.Equal(config.Raw, known.Raw)
+}
+
 // MaxFinishedKeys is the most finished keys that a configuration allows. It is asked for with every claim, so the
 // configuration is not decoded anew for it.
 func (d *Documents) MaxFinishedKeys(config coreapi.StoredConfig) int {
--- a/internal/controlplane/core/commit.go
+++ b/internal/controlplane/core/commit.go
@@ -97,7 +97,10 @@
 	} else if !s.isPrimary(v) {
 		// The batch is on the disks, and what we answer from is that of before it. Should the lease be held again, a
 		// repetition of a write of this batch would be acknowledged beside reads that do not show it.
-		s.leadership.EndWrites()
+		s.ctx.Log.Info("Lease ran out while a batch was stored.", "epoch", v.Epoch)
+		if !faultinjection.Disabled("end-of-writes") {
+			s.leadership.EndWrites()
+		}
 		return outcomeUnknown
 	}
 	s.applyCommitted(tx)
--- a/internal/controlplane/core/renewal.go
+++ b/internal/controlplane/core/renewal.go
@@ -7,6 +7,7 @@
 	"yarrowridge/internal/controlplane/lease"
 	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/view"
+	"yarrowridge/internal/lib/faultinjection"
 )
 
 // renew asks all acceptors for the lease, or pings them. It runs beside the run loop, so that a lease goes on while a
@@ -35,6 +36,9 @@
 	if s.call(ctx, m.Addr, "view.renew", &request, &response) != nil || response.ID != m.ID {
 		return
 	}
+	if faultinjection.Disabled("grant-from-request") {
+		asked = time.Now()
+	}
 	primacy.RecordContact(m.ID)
 	switch {
 	case response.Granted:
--- a/internal/controlplane/core/routerheartbeat.go
+++ b/internal/controlplane/core/routerheartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/lib/faultinjection"
 	"yarrowridge/internal/transport/wire"
 )
 
@@ -44,7 +45,7 @@
 	s.mu.Lock()
 	hasOtherRun := s.routers.HasOtherRun(router)
 	s.mu.Unlock()
-	if !hasOtherRun {
+	if !hasOtherRun || faultinjection.Disabled("run-query") {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, runQueryTimeout)
--- a/internal/controlplane/paxos/acceptor.go
+++ b/internal/controlplane/paxos/acceptor.go
@@ -108,7 +108,7 @@
 	if request.Current.Epoch < a.state.View.Epoch {
 		return response, nil
 	}
-	if request.Current.Epoch > 0 && request.Number.Proposer != a.state.View.Primary && a.grants.areActive(time.Now()) {
+	if request.Current.Epoch > 0 && request.Number.Proposer != a.state.View.Primary && a.grants.areActive(time.Now()) && !faultinjection.Disabled("promise-after-grant") {
 		response.Leased = true
 		return response, nil
 	}
--- a/internal/controlplane/paxos/acceptor_lease.go
+++ b/internal/controlplane/paxos/acceptor_lease.go
@@ -1,6 +1,10 @@
 package paxos
 
-import "time"
+import (
+	"time"
+
+	"yarrowridge/internal/lib/faultinjection"
+)
 
 // Renew grants the primary of a view the master lease for the lease term, counted from now on this clock, unless a newer
 // view is known here, or a promise for the next epoch was given to another. An error is one of the disk.
@@ -13,7 +17,7 @@
 	response := &RenewResponse{View: a.state.View, ID: a.state.ID}
 	switch {
 	case request.View.Epoch < a.state.View.Epoch:
-	case a.state.Promised.Number > 0 && a.state.Promised.Proposer != a.state.View.Primary:
+	case a.state.Promised.Number > 0 && a.state.Promised.Proposer != a.state.View.Primary && !faultinjection.Disabled("grant-after-promise"):
 		response.PromisedOther = true
 	default:
 		response.Granted = true
@@ -31,7 +35,7 @@
 func (a *Acceptor) Release(request *ReleaseRequest) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if request.PrimaryRun != 0 && request.PrimaryRun == a.lastGrantedRun && request.Round > a.lastGrantedRound && request.Epoch == a.state.View.Epoch {
+	if request.PrimaryRun != 0 && request.PrimaryRun == a.lastGrantedRun && (request.Round > a.lastGrantedRound || faultinjection.Disabled("release-round")) && request.Epoch == a.state.View.Epoch {
 		a.grants.endAll()
 	}
 }
--- a/internal/controlplane/paxos/acceptor_lease_test.go
+++ b/internal/controlplane/paxos/acceptor_lease_test.go
@@ -133,3 +133,53 @@
 		}
 	})
 }
+
+// An acceptor that has granted the lease promises the next epoch to its primary only, until the grant has run out; one that
+// has promised it to another grants the lease to the primary no more. Else a new primary would answer while the lease of the
+// old one still runs.
+func TestLeaseAndPromiseExcludeOneAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const term = time.Second
+		acceptor, err := Open(memory{}, term, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		current := view.View{Epoch: 3, Primary: "a", Members: []view.Member{{ID: "a", Addr: "1"}, {ID: "b", Addr: "2"}}}
+		renew := func() (granted, promisedOther bool) {
+			t.Helper()
+			response, err := acceptor.Renew(&RenewRequest{View: current, PrimaryRun: 5, Round: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return response.Granted, response.PromisedOther
+		}
+		promises := func(number uint64, proposer string) bool {
+			t.Helper()
+			response, err := acceptor.Prepare(&PrepareRequest{Current: current, Number: ProposalNumber{Number: number, Proposer: proposer}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return response.Agreed
+		}
+		if granted, _ := renew(); !granted {
+			t.Fatal("got no lease from a fresh acceptor, want one")
+		}
+		time.Sleep(term - time.Millisecond)
+		if promises(1, "b") {
+			t.Error("got a promise to a backup while the primary's grant runs, want none")
+		}
+		if !promises(1, "a") {
+			t.Error("got no promise to the primary itself, want one")
+		}
+		if granted, _ := renew(); !granted {
+			t.Error("got no lease after a promise to the primary itself, want one")
+		}
+		time.Sleep(term)
+		if !promises(2, "b") {
+			t.Fatal("got no promise to a backup once the grant has run out, want one")
+		}
+		if granted, promisedOther := renew(); granted || !promisedOther {
+			t.Errorf("after a promise to a backup: got granted %v, promised to another %v; want false, true", granted, promisedOther)
+		}
+	})
+}
--- a/internal/controlplane/quotapool/sweep.go
+++ b/internal/controlplane/quotapool/sweep.go
@@ -6,6 +6,7 @@
 	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/store"
 	"yarrowridge/internal/controlplane/transaction"
+	"yarrowridge/internal/lib/faultinjection"
 	"yarrowridge/internal/model/quota"
 )
 
@@ -62,7 +63,7 @@
 func (d *dueChanges) add(tenant string, pool *quota.Pool, document *configuration.Document, ages *ageTable) {
 	window := document.Windows[tenant]
 	for holder := range pool.Cooling {
-		if ages.isOver(coolingKey(tenant, holder), window+quota.Margin) {
+		if ages.isOver(coolingKey(tenant, holder), window+quota.Margin) || faultinjection.Disabled("cooling") {
 			d.cooled = append(d.cooled, holding{tenant, holder})
 		}
 	}
--- a/internal/controlplane/replication/replicator.go
+++ b/internal/controlplane/replication/replicator.go
@@ -203,7 +203,7 @@
 	defer cancel()
 	var response ReplicateResponse
 	err := r.call(ctx, v.Addr(id), kind, request, &response)
-	if err == nil && response.ID != id {
+	if err == nil && response.ID != id && !faultinjection.Disabled("backup-identity") {
 		err = eris.Errorf("replication: got identity %s, want %s", response.ID, id)
 	}
 	return err
--- a/internal/model/quota/tolerance.go
+++ b/internal/model/quota/tolerance.go
@@ -1,6 +1,10 @@
 package quota
 
-import "slices"
+import (
+	"slices"
+
+	"yarrowridge/internal/lib/faultinjection"
+)
 
 // ChargedUnits is how much of the tolerance was used lately.
 func (p *Pool) ChargedUnits() int {
@@ -15,6 +19,9 @@
 // tolerance has not been used lately.
 func (p *Pool) MaxAllocated(limit, tolerance int) int {
 	left := max(0, tolerance-p.ChargedUnits())
+	if faultinjection.Disabled("tolerance-charge") {
+		left = tolerance
+	}
 	return min(max(limit, p.AllocatedUnits())+left, limit+p.CoolingUnits())
 }
 
--- /dev/null
+++ b/internal/testing/modelcheck/calltrigger_test.go
@@ -0,0 +1,58 @@
+package modelcheck
+
+import (
+	"slices"
+	"time"
+)
+
+// triggerTimeout is how long an event waits for a call of its kind; it begins then in any case.
+const triggerTimeout = 3 * time.Second
+
+// callTrigger begins an event at a call.
+type callTrigger struct {
+	kind  string
+	after bool
+	hit   chan struct{}
+}
+
+// awaitCall waits for the call at which an event begins, where it has one.
+func (f *fleet) awaitCall(event Event) {
+	if event.On == "" {
+		return
+	}
+	trigger := &callTrigger{kind: event.On, after: event.After, hit: make(chan struct{})}
+	f.mu.Lock()
+	f.triggers = append(f.triggers, trigger)
+	f.mu.Unlock()
+	select {
+	case <-trigger.hit:
+	case <-time.After(triggerTimeout):
+		f.takeTriggers(func(waiting *callTrigger) bool { return waiting == trigger })
+	}
+}
+
+// observeCall begins the events that wait for a call of this kind. They have begun when it returns: simulated time goes on
+// only while every other goroutine waits.
+func (f *fleet) observeCall(kind string, after bool) {
+	hit := f.takeTriggers(func(waiting *callTrigger) bool { return waiting.kind == kind && waiting.after == after })
+	for _, trigger := range hit {
+		close(trigger.hit)
+	}
+	if len(hit) > 0 {
+		time.Sleep(time.Nanosecond)
+	}
+}
+
+// takeTriggers removes the triggers that match, and returns them.
+func (f *fleet) takeTriggers(matches func(*callTrigger) bool) (taken []*callTrigger) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.triggers = slices.DeleteFunc(f.triggers, func(trigger *callTrigger) bool {
+		if matches(trigger) {
+			taken = append(taken, trigger)
+			return true
+		}
+		return false
+	})
+	return taken
+}
--- /dev/null
+++ b/internal/testing/modelcheck/coverage_test.go
@@ -0,0 +1,160 @@
+package modelcheck
+
+import (
+	"context"
+	"hash/maphash"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+)
+
+// messageRun is how many messages that one process logs in a row are a feature of a run.
+const messageRun = 3
+
+var featureSeed = maphash.MakeSeed()
+
+// coverage is which features a run has shown: the rows of messages that its processes logged. It is a slog.Handler for all
+// processes of a fleet, which tells them apart by their attribute "at". All methods may be called concurrently.
+type coverage struct {
+	mu       sync.Mutex
+	features map[uint64]bool
+	last     map[string][]string // messages, by process
+}
+
+func newCoverage() *coverage {
+	return &coverage{features: map[uint64]bool{}, last: map[string][]string{}}
+}
+
+// add adds a message of a process. One that comes a third time in a row is left out.
+func (c *coverage) add(process, message string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.last[process]
+	if len(last) > 1 && last[len(last)-1] == message && last[len(last)-2] == message {
+		return
+	}
+	if last = append(last, message); len(last) > messageRun {
+		last = last[1:]
+	}
+	c.last[process] = last
+	var hash maphash.Hash
+	hash.SetSeed(featureSeed)
+	for _, one := range last {
+		_, _ = hash.WriteString(one) // it never fails
+		_ = hash.WriteByte(0)
+	}
+	c.features[hash.Sum64()] = true
+}
+
+// coverageHandler is the coverage as one process's logger has it.
+type coverageHandler struct {
+	coverage *coverage
+	process  string
+}
+
+// Enabled implements slog.Handler.
+func (coverageHandler) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (h coverageHandler) Handle(_ context.Context, record slog.Record) error {
+	h.coverage.add(h.process, record.Message)
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (h coverageHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	for _, attr := range attrs {
+		if attr.Key == "at" {
+			h.process = attr.Value.String()
+		}
+	}
+	return h
+}
+
+// WithGroup implements slog.Handler.
+func (h coverageHandler) WithGroup(string) slog.Handler { return h }
+
+// corpus is the schedules that have shown features which none before them had. New schedules are made of them: what is rare
+// comes about more often than by independent draws. All methods may be called concurrently.
+type corpus struct {
+	kinds []string // that schedules keep to
+	size  size     // of the fleets; zero: all
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	features  map[uint64]bool
+	schedules []Schedule
+}
+
+func newCorpus(seed uint64, kinds []string, wanted size) *corpus {
+	return &corpus{kinds: kinds, size: wanted, random: rand.New(rand.NewPCG(seed, 17)), features: map[uint64]bool{}}
+}
+
+// keep keeps a schedule if its run has shown a new feature.
+func (c *corpus) keep(s Schedule, shown *coverage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := len(c.features)
+	for feature := range shown.features {
+		c.features[feature] = true
+	}
+	if len(c.features) > known {
+		c.schedules = append(c.schedules, s)
+	}
+}
+
+// next is the schedule to play for a seed: a new one, or one that was kept, changed.
+func (c *corpus) next(seed uint64) Schedule {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := newSchedule(seed, slices.Clone(c.kinds)...)
+	if c.size.cores > 0 {
+		s.Cores, s.Losses = c.size.cores, c.size.losses
+	}
+	if len(c.schedules) == 0 || c.random.IntN(3) == 0 {
+		return s
+	}
+	return c.mutate(c.pick(), s)
+}
+
+// pick draws a kept schedule; the newer half is drawn more often. The caller holds the mutex.
+func (c *corpus) pick() Schedule {
+	from := 0
+	if c.random.IntN(2) == 0 {
+		from = len(c.schedules) / 2
+	}
+	return c.schedules[from+c.random.IntN(len(c.schedules)-from)]
+}
+
+// mutate is a kept schedule with some changes; what it needs of new events it takes from a fresh one. The caller holds the
+// mutex.
+func (c *corpus) mutate(kept, fresh Schedule) Schedule {
+	kept.Seed, kept.Events = fresh.Seed, slices.Clone(kept.Events)
+	for range 1 + c.random.IntN(4) {
+		i := c.random.IntN(len(kept.Events))
+		event, donor := &kept.Events[i], fresh.Events[c.random.IntN(len(fresh.Events))]
+		switch c.random.IntN(7) {
+		case 0:
+			event.AtMs = max(0, event.AtMs+c.random.IntN(2001)-1000)
+		case 1:
+			event.ForMs = min(longestMs[len(longestMs)-1], event.ForMs/2+c.random.IntN(2*event.ForMs+1))
+		case 2:
+			event.Who = donor.Who
+		case 3:
+			event.On, event.After = donor.On, donor.After
+		case 4:
+			kept.Events = append(kept.Events, donor)
+		case 5:
+			again := *event
+			again.AtMs += c.random.IntN(4000)
+			kept.Events = append(kept.Events, again)
+		default:
+			if len(kept.Events) > 2 {
+				kept.Events = slices.Delete(kept.Events, i, i+1)
+			}
+		}
+	}
+	slices.SortStableFunc(kept.Events, func(a, b Event) int { return a.AtMs - b.AtMs })
+	return kept
+}
--- a/internal/testing/modelcheck/fleet_test.go
+++ b/internal/testing/modelcheck/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -28,13 +27,15 @@
 
 // fleet is a world of cores.
 type fleet struct {
-	t       *testing.T
-	world   *sim.World
-	losses  int
-	log     *slog.Logger
-	ctx     context.Context
-	cancel  context.CancelFunc
-	history *history
+	t        *testing.T
+	world    *sim.World
+	losses   int
+	log      *slog.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	history  *history
+	coverage *coverage
+	spends   spendLedger
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -44,6 +45,7 @@
 	losing    bool       // disks are being lost
 	wiped     bool       // some were lost before
 	messages  messageFaults
+	triggers  []*callTrigger // of events that wait for a call
 }
 
 // messageFaults says how many messages are affected, of 100, and by how much at most.
@@ -60,11 +62,12 @@
 
 // newFleet makes a world of cores; none runs yet.
 func newFleet(t *testing.T, seed uint64, cores, losses int, loud bool) *fleet {
-	out := io.Discard
+	shown := newCoverage()
+	log := slog.New(coverageHandler{coverage: shown})
 	if loud {
-		out = os.Stderr
+		log = logging.New(os.Stderr, slog.LevelDebug)
 	}
-	f := &fleet{t: t, world: sim.NewWorld(seed), losses: losses, log: logging.New(out, slog.LevelDebug),
+	f := &fleet{t: t, world: sim.NewWorld(seed), losses: losses, log: log, coverage: shown,
 		random: rand.New(rand.NewPCG(seed, 3)), history: &history{}}
 	f.ctx, f.cancel = context.WithCancel(t.Context())
 	for range cores {
@@ -131,6 +134,7 @@
 	p.endRun()
 	p.crash()
 	p.disk.Use() // whatever the dead run still does to its disk is lost
+	p.thaw()     // its goroutines end
 }
 
 // start starts a process where it can.
--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -5,8 +5,9 @@
 import (
 	"flag"
 	"fmt"
-	"sync"
-	"sync/atomic"
+	"os"
+	"os/exec"
+	"strings"
 	"testing"
 	"time"
 )
@@ -21,27 +22,67 @@
 type mechanism struct {
 	name  string
 	kinds []string
+	size  size // of the fleets; zero: all
 	rare  bool // it may take longer than the search in CI: left out with -short
 }
 
 // disabledMechanisms are disabled one by one.
 var disabledMechanisms = []mechanism{
-	{"read-lease", nil, false},                                   // a read without contact with a majority
-	{"lease", []string{"island", "late"}, false},                 // a lease that never ends
-	{"backup-copy", nil, false},                                  // an acknowledgement before the backups hold the write
-	{"majority", nil, false},                                     // decisions by one voter less than a majority
-	{"proof-of-end", []string{"island", "late"}, false},          // a lease ended for its holder's silence
-	{"grant-at-restart", []string{"restart rest"}, false},        // a voter that forgets its grant when it starts again
-	{"old-epoch", []string{"late writes", "kill", "cut"}, false}, // a backup that takes writes of an older epoch
-	{"write-id", nil, false},                                     // a repeated order taken for a new one
-	{"only-holders-lead", nil, false},                            // a takeover by a member that holds no copy
-	{"copy-first", nil, false},                                   // a new primary that does not bring its backups to its state
-	{"former-primary", nil, true},                                // a view without the former primary before others hold a copy
-	{"resumed-epoch", nil, true},                                 // a run that leads on in the epoch of the run before it
-	{"takeover", nil, false},                                     // backups that never take over
-	{"race", nil, false},                                         // a change carried out although it lost its race
-	{"draw-turn", nil, false},                                    // a repeated draw of quota units counted twice
-	{"pool-cache", nil, false},                                   // a quota pool kept in memory, whatever the store says
+	{name: "read-lease"}, // a read without contact with a majority
+	{name: "lease", kinds: []string{"island", "late"}},                 // a lease that never ends
+	{name: "backup-copy"},                                              // an acknowledgement before the backups hold the write
+	{name: "majority"},                                                 // decisions by one voter less than a majority
+	{name: "proof-of-end", kinds: []string{"island", "late"}},          // a lease ended for its holder's silence
+	{name: "grant-at-restart", kinds: []string{"restart rest"}},        // a voter that forgets its grant when it starts again
+	{name: "old-epoch", kinds: []string{"late writes", "kill", "cut"}}, // a backup that takes writes of an older epoch
+	{name: "write-id"},                                                 // a repeated order taken for a new one
+	{name: "only-holders-lead"},                                        // a takeover by a member that holds no copy
+	{name: "copy-first"},                                               // a new primary that does not bring its backups to its state
+	{name: "former-primary", rare: true},                               // a view without the former primary before others hold a copy
+	{name: "resumed-epoch", rare: true},                                // a run that leads on in the epoch of the run before it
+	{name: "takeover"},                                                 // backups that never take over
+	{name: "race"},                                                     // a change carried out although it lost its race
+	{name: "draw-turn"},                                                // a repeated draw of quota units counted twice
+	{name: "cooling"},                                                  // units of a router that has ended, free at once
+	{name: "tolerance-charge"},                                         // a tolerance that may be spent more than once in a window
+	{name: "run-query", rare: true},                                    // a late heartbeat of a router's ended run, taken for its new run
+	{name: "pool-cache"},                                               // a quota pool kept in memory, whatever the store says
+	{name: "late-snapshot", kinds: []string{"late copies", "kill"}, size: size{3, 1}, rare: true}, // a backup that takes snapshots in any order
+}
+
+// unitMechanism is a mechanism whose loss the walks do not show in minutes, and a unit test that fails without it.
+type unitMechanism struct{ name, folder, test string }
+
+// unitMechanisms are disabled one by one.
+var unitMechanisms = []unitMechanism{
+	{"grant-from-request", "core", "TestGrantCountsFromItsRequest"},                // a lease that counts from when it was granted
+	{"grant-after-promise", "paxos", "TestLeaseAndPromiseExcludeOneAnother"},       // a voter that grants the lease after it promised the next epoch to another
+	{"promise-after-grant", "paxos", "TestLeaseAndPromiseExcludeOneAnother"},       // a voter that promises the next epoch while its grant runs
+	{"release-round", "paxos", "TestReleaseLease"},                                 // a late release that ends a newer grant
+	{"end-of-writes", "core", "TestCommitWithoutLeaseEndsWrites"},                  // a primary that goes on after a write that met a gap in its lease
+	{"lost-backup", "membership", "TestLostBackupStaysUntilThereIsAnother"},        // a backup that timed out, dropped like any member
+	{"config-content", "configuration", "TestUncommittedConfigurationIsNotReused"}, // a configuration that is known by its version alone
+}
+
+// TestDisabledInUnitTests disables one mechanism after the other: its unit test has to fail, and to pass with all of them.
+func TestDisabledInUnitTests(t *testing.T) {
+	for _, mechanism := range unitMechanisms {
+		t.Run(mechanism.name, func(t *testing.T) {
+			t.Parallel()
+			run := func(disabled string) (output string, err error) {
+				command := exec.Command("go", "test", "-tags", "faultinjection", "-count=1", "-v", "-run", "^"+mechanism.test+"$", "../../controlplane/"+mechanism.folder)
+				command.Env = append(os.Environ(), "YARROWRIDGE_DISABLED_MECHANISM="+disabled)
+				raw, err := command.CombinedOutput()
+				return string(raw), err
+			}
+			if output, err := run("none"); err != nil || !strings.Contains(output, "--- PASS: "+mechanism.test) {
+				t.Fatalf("got error %v with no mechanism disabled, want a test that passes:\n%s", err, output)
+			}
+			if output, err := run(mechanism.name); err == nil || !strings.Contains(output, "--- FAIL: "+mechanism.test) {
+				t.Errorf("got error %v with %s disabled, want a test that fails:\n%s", err, mechanism.name, output)
+			}
+		})
+	}
 }
 
 // TestDisabledMechanisms disables one mechanism after the other: the walks have to find what it guards against.
@@ -53,7 +94,7 @@
 		t.Run(mechanism.name, func(t *testing.T) {
 			t.Setenv("YARROWRIDGE_DISABLED_MECHANISM", mechanism.name)
 			begun := time.Now()
-			s, broken, played := find(t, mechanism.kinds, begun.Add(*findWithin))
+			s, broken, played := find(t, newCorpus(*first, mechanism.kinds, mechanism.size), begun.Add(*findWithin))
 			if broken == "" {
 				t.Fatalf("nothing was found in %d schedules", played)
 			}
@@ -62,35 +103,6 @@
 	}
 }
 
-// searchers is how many schedules are played side by side.
-const searchers = 6
-
-// find plays schedules until one fails, or the time is up.
-func find(t *testing.T, kinds []string, deadline time.Time) (failed Schedule, broken string, played uint64) {
-	var next atomic.Uint64
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	found := func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return broken != ""
-	}
-	for range searchers {
-		all.Go(func() {
-			for time.Now().Before(deadline) && !found() {
-				s := newSchedule(*first+next.Add(1), kinds...)
-				if v := play(t, s); len(v.violations) > 0 {
-					mu.Lock()
-					failed, broken = s, v.violations[0]
-					mu.Unlock()
-				}
-			}
-		})
-	}
-	all.Wait()
-	return failed, broken, next.Load()
-}
-
 // TestDisabledVote disables what the vote rests on: the exploration of all its courses has to find two views decided.
 func TestDisabledVote(t *testing.T) {
 	disabled := map[string]voteBounds{
--- a/internal/testing/modelcheck/process_test.go
+++ b/internal/testing/modelcheck/process_test.go
@@ -25,6 +25,7 @@
 	disk  *sim.Disk
 
 	server  *core.Server
+	gate    *stepGate // of this run of the process
 	ctx     context.Context
 	endRun  context.CancelFunc
 	crash   func()
@@ -76,12 +77,13 @@
 // start runs a process on the machine. A disk in trouble may keep it from starting for a while.
 func (p *process) start() {
 	network, crash := p.fleet.world.Net(p.addr)
+	gate := &stepGate{}
 	ctx, cancel := context.WithCancel(p.fleet.ctx)
 	settings := core.Settings{Addr: p.addr, Seeds: p.fleet.seeds(), Bootstrap: p.first, Losses: p.fleet.losses,
-		LeaseTerm: p.term, LostAfter: lostAfter}
+		LeaseTerm: p.term, LostAfter: lostAfter, Codec: toleranceCodec{}}
 	p.first = false
 	where := daemon.Context{Context: ctx, Name: p.addr, Zone: p.zone, RunID: uint64(time.Now().UnixNano()), Log: p.fleet.log.With("at", p.addr), Net: network}
-	disk := faultyDisk{p.disk.Use(), p}
+	disk := gatedDisk{faultyDisk{p.disk.Use(), p}, gate}
 	server, err := core.Open(where, settings, disk)
 	if err != nil {
 		cancel()
@@ -94,13 +96,13 @@
 		crash()
 		return
 	}
-	p.server, p.ctx, p.endRun, p.crash, p.running = server, ctx, cancel, crash, true
-	go wire.Serve(ctx, listener, p.handler(ctx, server))
+	p.server, p.gate, p.ctx, p.endRun, p.crash, p.running = server, gate, ctx, cancel, crash, true
+	go wire.Serve(ctx, listener, p.handler(ctx, server, gate))
 	go server.Run()
 }
 
 // handler passes calls to the server as the fleet's message faults say: late, twice, or without an answer in time.
-func (p *process) handler(run context.Context, server *core.Server) wire.Handler {
+func (p *process) handler(run context.Context, server *core.Server, gate *stepGate) wire.Handler {
 	copies := &copyMonitor{history: p.fleet.history}
 	return func(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
 		fault := p.fleet.messageFault(kind)
@@ -115,7 +117,10 @@
 				}
 			}()
 		}
+		p.fleet.observeCall(kind, false)
+		gate.pass()
 		response, err := server.Handle(ctx, kind, body)
+		p.fleet.observeCall(kind, true)
 		if kind == "core.copy" || kind == "core.hold" {
 			copies.look(p.addr, server)
 		}
@@ -126,6 +131,18 @@
 	}
 }
 
+// freeze has the process stand still until it is thawed or killed.
+func (p *process) freeze() {
+	p.gate.freeze()
+	p.fleet.world.Freeze(p.addr)
+}
+
+// thaw has the process go on.
+func (p *process) thaw() {
+	p.fleet.world.Thaw(p.addr)
+	p.gate.thaw()
+}
+
 // loseDisk gives the machine an empty disk. Its process does not run.
 func (p *process) loseDisk() {
 	p.disk.Flow() // a write that hangs there ends
--- /dev/null
+++ b/internal/testing/modelcheck/quotarouter_test.go
@@ -0,0 +1,162 @@
+package modelcheck
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"yarrowridge/internal/controlplane/configuration"
+	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/dataplane/cluster"
+	"yarrowridge/internal/lib/daemon"
+	"yarrowridge/internal/lib/runloop"
+	"yarrowridge/internal/model/quota"
+	"yarrowridge/internal/transport/wire"
+)
+
+// The tenant whose units routers spend. Its window is short: units that an ended router may have spent cool for as long, and
+// are free again within a run.
+const (
+	spentTenant      = "dock"
+	spentUnits       = 40
+	spentWindow      = 2 * time.Second
+	spentTolerance   = 6
+	toleranceWindow  = 4 * time.Second
+	quotaRouterCount = 3
+	maxSpentCost     = 6 // requests cost 1 to 6 units
+)
+
+// toleranceCodec reads fleet configurations, and gives spentTenant a tolerance, which these have no field for.
+type toleranceCodec struct{ configuration.FleetCodec }
+
+// Check implements configuration.Codec.
+func (c toleranceCodec) Check(raw []byte) (configuration.Document, []coreapi.ConfigError) {
+	document, configErrors := c.FleetCodec.Check(raw)
+	document.Tolerances, document.ToleranceWindow = map[string]int{spentTenant: spentTolerance}, toleranceWindow
+	return document, configErrors
+}
+
+// spend is units that left for a runner.
+type spend struct {
+	at    time.Time
+	units int
+}
+
+// spendLedger is what all routers have spent. Its methods may be called concurrently.
+type spendLedger struct {
+	mu     sync.Mutex
+	spends []spend
+}
+
+func (l *spendLedger) add(units int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spends = append(l.spends, spend{time.Now(), units})
+}
+
+// violations tells of the windows that saw more than the limit and the tolerance; one is enough.
+func (l *spendLedger) violations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortStableFunc(l.spends, func(a, b spend) int { return a.at.Compare(b.at) })
+	first, sum := 0, 0
+	for _, one := range l.spends {
+		sum += one.units
+		for ; one.at.Sub(l.spends[first].at) >= spentWindow; first++ {
+			sum -= l.spends[first].units
+		}
+		if sum > spentUnits+spentTolerance {
+			return []string{fmt.Sprintf("%d units spent in a window of %s that allows %d and a tolerance of %d", sum, spentWindow, spentUnits, spentTolerance)}
+		}
+	}
+	return nil
+}
+
+// spent is how many units were spent.
+func (l *spendLedger) spent() (units int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, one := range l.spends {
+		units += one.units
+	}
+	return units
+}
+
+// quotaRouter is the part of a router that spends units: its lease at the core and its shares. It is killed, or stops as
+// planned, and starts again with another run.
+type quotaRouter struct {
+	fleet  *fleet
+	number int
+	runs   uint64
+}
+
+// addr is the router's address.
+func (r *quotaRouter) addr() string { return fmt.Sprintf("10.0.7.%d:1", r.number+1) }
+
+// work has one run of the router after the other until the time is up.
+func (r *quotaRouter) work(until time.Time) {
+	for time.Now().Before(until) {
+		lifetime := time.Duration(500+r.fleet.chance(5000)) * time.Millisecond
+		r.run(min(lifetime, time.Until(until)), r.fleet.chance(3) == 0)
+		time.Sleep(time.Duration(r.fleet.chance(1000)) * time.Millisecond)
+	}
+}
+
+// run runs the router for a while; planned: it says at its end that it leaves.
+func (r *quotaRouter) run(lifetime time.Duration, planned bool) {
+	network, crash := r.fleet.world.Net(r.addr())
+	ctx, cancel := context.WithCancel(r.fleet.ctx)
+	defer crash()
+	defer cancel()
+	r.runs++
+	where := daemon.Context{Context: ctx, Name: fmt.Sprint("router-", r.number), Zone: "zone-1", RunID: uint64(r.number+1)<<32 | r.runs,
+		Log: r.fleet.log.With("at", r.addr()), Net: network}
+	listener, err := network.Listen(r.addr())
+	if err != nil {
+		r.fleet.history.fail("router at %s does not listen: %v", r.addr(), err)
+		return
+	}
+	member := cluster.NewMember(where, r.addr(), r.addr(), r.fleet.seeds(), nil)
+	go wire.Serve(ctx, listener, member.Serve)
+	go member.Run()
+	shares := quota.NewShares(where, quota.Config{Transfer: transferVia(member), Nodes: func() int { return len(member.Nodes()) },
+		ScarceTenants: member.ScarceTenants, RecentContact: member.CoreResponsive, InContact: func() bool { return !member.CoreSilent() },
+		Rules: func() []quota.Rule {
+			return []quota.Rule{{Tenant: spentTenant, Units: spentUnits, Window: spentWindow}}
+		}})
+	go shares.Run()
+	r.spend(ctx, shares, time.Now().Add(lifetime))
+	if planned {
+		member.Leave(ctx)
+	}
+}
+
+// transferVia makes a router's transfers by calls of its own.
+func transferVia(member *cluster.Member) quota.TransferFunc {
+	return func(ctx context.Context, transfer quota.Transfer) (held, limitBase int, err error) {
+		request := &coreapi.QuotaTransfersRequest{Holder: coreapi.Holder(member.Self()), Transfers: []coreapi.QuotaTransfer{
+			{Tenant: transfer.Tenant, Sequence: transfer.Sequence, Units: transfer.Units, Costs: transfer.Costs, Return: transfer.Return}}}
+		var response coreapi.QuotaTransfersResponse
+		if err := member.Core.Call(ctx, "core.moves", request, &response, true); err != nil {
+			return 0, 0, err
+		}
+		return response.Results[0].Held, response.Results[0].Limit, nil
+	}
+}
+
+// spend has requests of uneven costs come, more than the limit allows, and spends what the share grants.
+func (r *quotaRouter) spend(ctx context.Context, shares *quota.Shares, until time.Time) {
+	for time.Now().Before(until) {
+		units := 1 + r.fleet.chance(maxSpentCost)
+		reserveCtx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		granted, _ := shares.Reserve(reserveCtx, spentTenant, units)
+		cancel()
+		if granted {
+			r.fleet.spends.add(units)
+			shares.For(spentTenant).Commit(units)
+		}
+		runloop.Sleep(ctx, time.Duration(1+r.fleet.chance(100))*time.Millisecond)
+	}
+}
--- a/internal/testing/modelcheck/schedule_test.go
+++ b/internal/testing/modelcheck/schedule_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +15,9 @@
 	Who   string `json:"who,omitempty"` // primary, backup, any; where the kind concerns one machine
 	ForMs int    `json:"for_ms,omitempty"`
 	Count int    `json:"count,omitempty"` // at which write; of 100 messages
+	On    string `json:"on,omitempty"`    // kind of call at which the event begins: the first one after at_ms
+	After bool   `json:"after,omitempty"` // it begins once that call was handled, not before
+	Only  string `json:"only,omitempty"`  // of faults of messages: the kind of call that they affect; "": all
 }
 
 // Schedule is one run: a fleet and its faults.
@@ -26,6 +28,15 @@
 	Events []Event `json:"events"`
 }
 
+// span is how long the operators work: until the last event begins, and for a while after it.
+func (s Schedule) span() time.Duration {
+	last := 0
+	for _, event := range s.Events {
+		last = max(last, event.AtMs+min(event.ForMs, 4000))
+	}
+	return time.Duration(last) * time.Millisecond
+}
+
 // String is the schedule in JSON, as -replay reads it.
 func (s Schedule) String() string {
 	raw, err := json.Marshal(s)
@@ -61,321 +72,104 @@
 	"late copies":  lateCopies,
 	"island":       cutWithReader,
 	"restart rest": restartBehindACut,
+	"late grants":  lateGrants,
+	"freeze":       freezeProcess,
 }
 
+// callKinds are the kinds of call between the processes of the walks. A schedule draws from them evenly: a fault at one of the
+// few snapshots or votes of a run is as likely as one at its hundreds of writes.
+var callKinds = []string{"core.beat", "core.copy", "core.hold", "core.join", "core.layout", "core.moves", "core.write",
+	"view.ask", "view.learn", "view.pick", "view.prep", "view.release", "view.renew"}
+
+// Of the events of a schedule so many in 100 begin at a call, and so many faults of messages affect one kind of call.
+const (
+	percentAtCall  = 30
+	percentOneKind = 50
+)
+
+// isMessageFault says which kinds of fault affect messages.
+var isMessageFault = map[string]bool{"late": true, "doubled": true, "late answers": true, "late writes": true, "late copies": true, "late grants": true}
+
+// size is how many cores a fleet has, and how many losses it bears.
+type size struct{ cores, losses int }
+
+// sizes are drawn from evenly.
+var sizes = []size{{5, 1}, {5, 1}, {5, 1}, {3, 1}, {3, 1}, {4, 1}, {5, 2}, {7, 2}, {9, 2}}
+
 // newSchedule draws a run of the kinds of fault that are named, of all where none is: faults come alone, and in pairs or
-// threes within half a second.
+// threes within half a second. Half of all schedules are narrow ones.
 func newSchedule(seed uint64, kinds ...string) Schedule {
 	random := rand.New(rand.NewPCG(seed, 11))
-	sizes := []struct{ cores, losses int }{{5, 1}, {5, 1}, {5, 1}, {3, 1}, {3, 1}, {4, 1}, {5, 2}, {7, 2}, {9, 2}}
 	size := sizes[random.IntN(len(sizes))]
 	s := Schedule{Seed: seed, Cores: size.cores, Losses: size.losses}
 	if len(kinds) == 0 {
 		kinds = slices.Sorted(maps.Keys(faultKinds))
 	}
-	for range 2 + random.IntN(4) {
-		at := random.IntN(faultSpanMs)
-		for range 1 + random.IntN(3) {
-			s.Events = append(s.Events, Event{AtMs: at + random.IntN(500), Kind: kinds[random.IntN(len(kinds))],
-				Who: []string{"primary", "primary", "backup", "any"}[random.IntN(4)], ForMs: 50 + random.IntN(1+random.IntN(4000)), Count: 1 + random.IntN(12)})
-		}
+	if random.IntN(2) == 0 {
+		s.Events = narrowEvents(random, kinds)
+	} else {
+		s.Events = mixedEvents(random, kinds)
 	}
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.AtMs - b.AtMs })
 	return s
 }
 
-// pick is the machine that an event concerns, or nil.
-func (f *fleet) pick(event Event) *process {
-	v := f.current()
-	switch event.Who {
-	case "primary":
-		return f.holder(v.Primary)
-	case "backup":
-		if backups := v.Backups(); len(backups) > 0 {
-			return f.holder(backups[f.chance(len(backups))])
-		}
-		return nil
-	}
-	return f.processes[f.chance(len(f.processes))]
-}
-
-// span is how long a fault lasts.
-func (e Event) span() time.Duration { return time.Duration(e.ForMs) * time.Millisecond }
-
-func killProcess(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		f.stop(p)
-		time.Sleep(event.span())
-		f.restore(p)
-	}
-}
-
-func killAll(f *fleet, event Event) {
-	all := slices.Clone(f.processes)
-	for _, p := range all {
-		f.stop(p)
-	}
-	time.Sleep(event.span() / 4)
-	for _, p := range all {
-		f.restore(p)
-	}
-}
-
-func losePower(f *fleet, event Event) {
-	all := slices.Clone(f.processes)
-	for _, p := range all {
-		f.stop(p)
-		p.disk.LosePower(func() bool { return f.chance(2) == 0 })
-	}
-	time.Sleep(event.span() / 4)
-	for _, p := range all {
-		f.restore(p)
-	}
-}
-
-// others are the addresses of all cores but one, and of all their clients where these are asked for too.
-func (f *fleet) others(p *process, clients bool) []string {
-	var others []string
-	for _, other := range f.processes {
-		if other != p {
-			others = append(others, other.addr)
-		}
-	}
-	if !clients {
-		return others
-	}
-	for i := range operatorCount {
-		others = append(others, operatorHost(i))
-	}
-	for i := range quotaHolders {
-		others = append(others, holderAddr(i))
-	}
-	return others
-}
-
-// operatorHost is the address of an operator's machine.
-func operatorHost(number int) string { return operatorAddr(number, 0) }
-
-// operatorAddr is the address of one of an operator's clients.
-func operatorAddr(number, client int) string { return fmt.Sprintf("10.0.9.%d:%d", number+1, client+1) }
-
-func cutProcess(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		f.world.Split([]string{p.addr}, f.others(p, event.Count%3 == 0))
-		time.Sleep(event.span())
-		f.world.Heal()
-	}
-}
-
-// cutWithReader cuts a machine off together with an operator, who goes on reading there.
-func cutWithReader(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		f.isolate(p)
-		time.Sleep(event.span())
-		f.world.Heal()
-	}
-}
-
-// isolate cuts a machine and the first operator off from all others.
-func (f *fleet) isolate(p *process) {
-	island := []string{p.addr, operatorHost(0)}
-	f.world.Split(island, slices.DeleteFunc(f.others(p, true), func(addr string) bool { return addr == operatorHost(0) }))
-}
-
-// restartBehindACut cuts a machine off together with an operator; at the same time all others start again.
-func restartBehindACut(f *fleet, event Event) {
-	p := f.pick(event)
-	if p == nil {
-		return
-	}
-	f.isolate(p)
-	for _, other := range slices.Clone(f.processes) {
-		if other != p {
-			f.stop(other)
-			f.restore(other)
-		}
-	}
-	time.Sleep(event.span())
-	f.world.Heal()
-}
-
-func cutOneWay(f *fleet, event Event) {
-	p := f.pick(event)
-	if p == nil {
-		return
-	}
-	for _, other := range f.others(p, false) {
-		if event.Count%2 == 0 {
-			f.world.Cut(p.addr, other)
-		} else {
-			f.world.Cut(other, p.addr)
+// mixedEvents draws events of all kinds and lengths, over the whole run.
+func mixedEvents(random *rand.Rand, kinds []string) (events []Event) {
+	for range 2 + random.IntN(4) {
+		at := random.IntN(faultSpanMs)
+		for range 1 + random.IntN(3) {
+			event := newEvent(random, at, kinds[random.IntN(len(kinds))])
+			event.Who = targets[random.IntN(len(targets))]
+			event.ForMs = 50 + random.IntN(1+random.IntN(4000))
+			events = append(events, event)
 		}
 	}
-	time.Sleep(event.span())
-	f.world.Heal()
+	return events
 }
 
-func cutHalves(f *fleet, event Event) {
-	var sides [2][]string
-	for i, p := range f.processes {
-		side := (i + event.Count) * 2 / len(f.processes) % 2
-		sides[side] = append(sides[side], p.addr)
+// narrowEvents draws events of a few kinds, close together, those of one kind all of about one length and at machines in the
+// same place. What needs several certain faults in a row seldom comes of an even mix (Groce et al., "Swarm Testing", 2012).
+func narrowEvents(random *rand.Rand, kinds []string) (events []Event) {
+	random.Shuffle(len(kinds), func(i, k int) { kinds[i], kinds[k] = kinds[k], kinds[i] })
+	kinds = kinds[:min(len(kinds), 2+random.IntN(3))]
+	type habit struct {
+		who    string
+		longMs int
 	}
-	f.world.Split(sides[0], sides[1])
-	time.Sleep(event.span())
-	f.world.Heal()
-}
-
-// loseDisks has disks be lost where all that were lost before are made up for.
-func (f *fleet) loseDisks(lose func()) {
-	if f.losing || f.wiped && !f.isWhole() {
-		return
+	habits := map[string]habit{}
+	for _, kind := range kinds {
+		habits[kind] = habit{targets[random.IntN(len(targets))], longestMs[random.IntN(len(longestMs))]}
 	}
-	f.losing, f.wiped = true, true
-	lose()
-	f.losing = false
-}
-
-// wipeDisk loses a machine's disk; it comes back at its address.
-func wipeDisk(f *fleet, event Event) {
-	f.loseDisks(func() {
-		if p := f.pick(event); p != nil {
-			f.stop(p)
-			p.loseDisk()
-			time.Sleep(event.span() / 2)
-			f.restore(p)
-		}
-	})
-}
-
-// wipeAndLosePower loses as many disks as may be lost, the primary's first, and the power of all others.
-func wipeAndLosePower(f *fleet, event Event) {
-	f.loseDisks(func() { f.loseDisksOfHolders(event) })
-}
-
-// loseDisksOfHolders is what wipeAndLosePower does.
-func (f *fleet) loseDisksOfHolders(event Event) {
-	v := f.current()
-	lost := []*process{f.holder(v.Primary)}
-	for _, id := range v.Backups() {
-		lost = append(lost, f.holder(id))
-	}
-	if event.Count%2 == 0 {
-		lost = lost[1:]
-	}
-	all := slices.Clone(f.processes)
-	for _, p := range all {
-		f.stop(p)
-		p.disk.LosePower(func() bool { return f.chance(2) == 0 })
-	}
-	for _, p := range lost[:min(f.losses, len(lost))] {
-		if p != nil {
-			p.loseDisk()
+	for range 3 + random.IntN(3) {
+		at := random.IntN(closeSpanMs)
+		for range 1 + random.IntN(3) {
+			event := newEvent(random, at, kinds[random.IntN(len(kinds))])
+			event.Who = habits[event.Kind].who
+			event.ForMs = habits[event.Kind].longMs/2 + random.IntN(habits[event.Kind].longMs/2)
+			events = append(events, event)
 		}
 	}
-	time.Sleep(event.span() / 4)
-	for _, p := range all {
-		f.restore(p)
-	}
-}
-
-// replaceMachine takes a machine out for good; an empty one comes at another address.
-func replaceMachine(f *fleet, event Event) {
-	f.loseDisks(func() {
-		if p := f.pick(event); p != nil {
-			next := f.newMachine(false)
-			f.retire(p, next)
-			time.Sleep(event.span() / 4)
-			f.restore(next)
-		}
-	})
+	return events
 }
 
-// replaceAsPlanned adds an empty machine, then stops an old one in order, for good.
-func replaceAsPlanned(f *fleet, event Event) {
-	f.loseDisks(func() {
-		p := f.pick(event)
-		if p == nil {
-			return
-		}
-		next := f.newMachine(false)
-		f.restore(next)
-		time.Sleep(event.span() / 4)
-		if p.running {
-			p.server.StepDown()
-		}
-		f.retire(p, next)
-	})
-}
+// targets are the places of the machines that events concern, drawn from evenly.
+var targets = []string{"primary", "primary", "backup", "any"}
 
-// retire takes a machine out for good; another one counts in its place.
-func (f *fleet) retire(p, next *process) {
-	p.retired = true
-	f.stop(p)
-	if i := slices.Index(f.processes, p); i >= 0 {
-		f.processes = slices.Clone(f.processes)
-		f.processes[i] = next
-	}
-}
+// closeSpanMs is within how long the faults of a narrow schedule begin.
+const closeSpanMs = 6000
 
-func stallDisk(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		p.disk.Stall()
-		time.Sleep(event.span())
-		p.disk.Flow()
-	}
-}
+// longestMs are the lengths of faults in narrow schedules: about the lease term, and longer than each of the core's times.
+var longestMs = []int{300, 800, 1500, 4000, 9000}
 
-func fillDisk(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		p.disk.Full(true)
-		time.Sleep(event.span())
-		p.disk.Full(false)
+// newEvent draws one event of a kind, soon after a moment.
+func newEvent(random *rand.Rand, at int, kind string) Event {
+	event := Event{AtMs: at + random.IntN(500), Kind: kind, Count: 1 + random.IntN(12)}
+	if random.IntN(100) < percentAtCall {
+		event.On, event.After = callKinds[random.IntN(len(callKinds))], random.IntN(2) == 0
 	}
-}
-
-func slowDisk(f *fleet, event Event) {
-	if p := f.pick(event); p != nil {
-		p.disk.Slow(time.Duration(event.Count*20) * time.Millisecond)
-		time.Sleep(event.span())
-		p.disk.Slow(0)
+	if isMessageFault[kind] && random.IntN(100) < percentOneKind {
+		event.Only = callKinds[random.IntN(len(callKinds))]
 	}
-}
-
-// dieAtWrite has a process die at one of its next writes.
-func dieAtWrite(f *fleet, event Event) {
-	p := f.pick(event)
-	if p == nil {
-		return
-	}
-	p.mu.Lock()
-	p.crashAt, p.afterSync = event.Count, event.ForMs%2 == 0
-	p.mu.Unlock()
-	time.Sleep(event.span())
-	f.restore(p)
-}
-
-func lateMessages(f *fleet, event Event) {
-	f.spoilMessages(event, messageFaults{held: event.Count * 3})
-}
-func doubledMessages(f *fleet, event Event) {
-	f.spoilMessages(event, messageFaults{doubled: event.Count * 5})
-}
-func lateAnswers(f *fleet, event Event) {
-	f.spoilMessages(event, messageFaults{answersHeld: event.Count * 3})
-}
-
-func lateWrites(f *fleet, event Event) {
-	f.spoilMessages(event, messageFaults{only: "core.hold", held: 50})
-}
-func lateCopies(f *fleet, event Event) {
-	f.spoilMessages(event, messageFaults{only: "core.copy", held: 50})
-}
-
-// spoilMessages sets message faults for a while.
-func (f *fleet) spoilMessages(event Event, faults messageFaults) {
-	faults.most = event.span()
-	f.setMessages(faults)
-	time.Sleep(event.span() + time.Second)
-	f.setMessages(messageFaults{})
+	return event
 }
--- a/internal/testing/modelcheck/walk_test.go
+++ b/internal/testing/modelcheck/walk_test.go
@@ -30,6 +30,8 @@
 type verdict struct {
 	violations                      []string
 	acknowledged, operations, moves int
+	spent                           int // units that routers spent
+	shown                           *coverage
 }
 
 // play runs a schedule in simulated time.
@@ -37,6 +39,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, s.Seed, s.Cores, s.Losses, *loud)
 		defer f.end()
+		v.shown = f.coverage
 		for _, p := range slices.Clone(f.processes) {
 			f.start(p)
 			time.Sleep(time.Duration(f.chance(100)) * time.Millisecond)
@@ -48,7 +51,9 @@
 		f.playEvents(s)
 		v.violations = f.recover()
 		v.acknowledged, v.operations, v.moves = f.history.counts()
+		v.spent = f.spends.spent()
 		v.violations = append(v.violations, f.history.violations()...)
+		v.violations = append(v.violations, f.spends.violations()...)
 	})
 	return v
 }
@@ -56,7 +61,7 @@
 // playEvents has operators work while the schedule's faults come.
 func (f *fleet) playEvents(s Schedule) {
 	begun := time.Now()
-	until := begun.Add((faultSpanMs + 2000) * time.Millisecond)
+	until := begun.Add(s.span() + 2*time.Second)
 	var all sync.WaitGroup
 	for i := range operatorCount {
 		o := f.newOperator(i)
@@ -67,9 +72,16 @@
 		f.holders = append(f.holders, h)
 		all.Go(func() { h.work(until) })
 	}
+	for i := range quotaRouterCount {
+		router := &quotaRouter{fleet: f, number: i}
+		all.Go(func() { router.work(until) })
+	}
 	for _, event := range s.Events {
 		time.Sleep(time.Duration(event.AtMs)*time.Millisecond - time.Since(begun))
-		all.Go(func() { faultKinds[event.Kind](f, event) })
+		all.Go(func() {
+			f.awaitCall(event)
+			faultKinds[event.Kind](f, event)
+		})
 	}
 	all.Wait()
 }
@@ -154,10 +166,15 @@
 				total.acknowledged += v.acknowledged
 				total.operations += v.operations
 				total.moves += v.moves
+				total.spent += v.spent
 			})
 		}
 	})
-	t.Logf("%d schedules, %d operations, %d writes acknowledged, %d moves of quota units", *walks, total.operations, total.acknowledged, total.moves)
+	t.Logf("%d schedules, %d operations, %d writes acknowledged, %d moves of quota units, %d units spent by routers", *walks, total.operations,
+		total.acknowledged, total.moves, total.spent)
+	if total.spent < 20**walks {
+		t.Errorf("only %d units were spent by routers in %d schedules", total.spent, *walks)
+	}
 	if total.moves < 10**walks {
 		t.Errorf("only %d moves of quota units were made in %d schedules", total.moves, *walks)
 	}
--- a/internal/testing/sim/net.go
+++ b/internal/testing/sim/net.go
@@ -25,6 +25,7 @@
 	listeners   map[string]*listener
 	connections map[*connection]bool
 	cuts        map[[2]string]time.Time // from, to: nothing gets through since then
+	frozen      map[string]time.Time    // machines whose process stands still, since when
 	maxDelay    time.Duration           // the most that a piece is under way
 	sent        int
 	dial        int
@@ -33,7 +34,7 @@
 // NewWorld makes a world whose delays come from the seed.
 func NewWorld(seed uint64) *World {
 	w := &World{rnd: rand.New(rand.NewPCG(seed, 7)), listeners: map[string]*listener{}, connections: map[*connection]bool{},
-		cuts: map[[2]string]time.Time{}, maxDelay: 4 * time.Millisecond}
+		cuts: map[[2]string]time.Time{}, frozen: map[string]time.Time{}, maxDelay: 4 * time.Millisecond}
 	return w
 }
 
@@ -88,15 +89,50 @@
 }
 
 func (w *World) cut(from, to string) bool {
-	_, isCut := w.cuts[[2]string{host(from), host(to)}]
+	_, isCut := w.cutSince(from, to)
 	return isCut
 }
 
+// cutSince tells whether and since when nothing gets from one address's machine to the other's. The caller holds the lock.
+func (w *World) cutSince(from, to string) (since time.Time, isCut bool) {
+	if since, isCut = w.cuts[[2]string{host(from), host(to)}]; isCut {
+		return since, true
+	}
+	if since, isCut = w.frozen[host(from)]; isCut {
+		return since, true
+	}
+	since, isCut = w.frozen[host(to)]
+	return since, isCut
+}
+
 // Heal ends every cut.
 func (w *World) Heal() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.cuts)
+	w.wakeReaders()
+}
+
+// Freeze has nothing that the process at an address writes get out and nothing get in, as while it stands still. Thaw ends
+// it, Heal does not.
+func (w *World) Freeze(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, isFrozen := w.frozen[host(addr)]; !isFrozen {
+		w.frozen[host(addr)] = time.Now()
+	}
+}
+
+// Thaw lets a frozen process go on.
+func (w *World) Thaw(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.frozen, host(addr))
+	w.wakeReaders()
+}
+
+// wakeReaders has all readers look at what has arrived. The caller holds the lock.
+func (w *World) wakeReaders() {
 	for c := range w.connections {
 		c.wakeReader()
 	}
@@ -368,7 +404,7 @@
 		return nil
 	}
 	c.fail()
-	switch since, isCut := c.w.cuts[[2]string{host(c.m.addr), host(c.to)}]; {
+	switch since, isCut := c.w.cutSince(c.m.addr, c.to); {
 	case !c.aborts:
 		c.far.eof = true
 	case isCut:
