Tests of the simulated world: heartbeats, zones and replicas by the field's names

Older words (beat, hall, understudy, bounce) in names, comments and file names of internal/testing/sim; strings, wire names and JSON are untouched. TestLateBeatOfAnEndedRun -> TestLateHeartbeatOfAnEndedRun; beat_test.go -> heartbeat_test.go. No check changed.

--- a/internal/testing/sim/answer_test.go
+++ b/internal/testing/sim/answer_test.go
@@ -100,7 +100,7 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
-// An origin that stops reading holds up neither its runner nor the copy at the understudy, and the
+// An origin that stops reading holds up neither its runner nor the copy at the replica, and the
 // runner does not pay for it with its standing.
 func TestOriginStopsReading(t *testing.T) {
 	t.Parallel()
--- a/internal/testing/sim/core_test.go
+++ b/internal/testing/sim/core_test.go
@@ -167,7 +167,7 @@
 			b.add(p)
 			old := f.cores[k]
 			f.crashCore(old)
-			next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), hall: old.hall, disk: sim.NewDisk()}
+			next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), zone: old.zone, disk: sim.NewDisk()}
 			f.cores[k] = next
 			f.startCore(next)
 			took := f.within(2*f.lost, "the blank core has the lost one's seat", func() bool {
@@ -233,7 +233,7 @@
 }
 
 // The primary's machine, disk and all, is gone right after an acknowledgement: nothing is lost,
-// and service is back in time. Primary and backup never stand in one hall where they need not.
+// and service is back in time. Primary and backup never stand in one zone where they need not.
 func TestPrimaryLost(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/testing/sim/day_test.go
+++ b/internal/testing/sim/day_test.go
@@ -103,14 +103,14 @@
 		}
 	},
 	"cut": func(w *whole) {
-		w.w.Split(w.sides(w.halls[w.chance(4)]))
+		w.w.Split(w.sides(w.zones[w.chance(4)]))
 		w.pass(30000)
 		w.w.Heal()
 	},
 	"leave": func(w *whole) {
 		s := w.runners[w.chance(len(w.runners))]
 		s.mu.Lock()
-		s.state = "leaving" // the next beat says so; ServeHTTP minds the two seconds
+		s.state = "leaving" // the next heartbeat says so; ServeHTTP minds the two seconds
 		s.mu.Unlock()
 		w.pass(8000)
 		s.stop()
--- a/internal/testing/sim/fleet_test.go
+++ b/internal/testing/sim/fleet_test.go
@@ -53,7 +53,7 @@
 	log     *slog.Logger
 	cores   []*coreProc
 	routers []*routerProc
-	halls   []string
+	zones   []string
 	ctx     context.Context
 	end     context.CancelFunc
 	lost    time.Duration
@@ -65,7 +65,7 @@
 }
 
 type coreProc struct {
-	addr, hall string
+	addr, zone string
 	disk       *sim.Disk
 	srv        *core.Server
 	crash      func()
@@ -73,7 +73,7 @@
 }
 
 type routerProc struct {
-	name, addr, hall string
+	name, addr, zone string
 	hub              *cluster.Member
 	crash            func()
 	up               bool
@@ -84,7 +84,7 @@
 
 // emptyFleet is a made world without any process yet.
 func emptyFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), halls: []string{"east", "north", "south", "west"}, lost: 6 * time.Second}
+	f := &fleet{t: t, w: sim.NewWorld(seed), rnd: rand.New(rand.NewPCG(seed, 1)), zones: []string{"east", "north", "south", "west"}, lost: 6 * time.Second}
 	out := io.Discard
 	if *loud {
 		out = os.Stderr
@@ -106,7 +106,7 @@
 		prepare(f)
 	}
 	for i := range 5 {
-		c := &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()}
+		c := &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), zone: f.zones[i%4], disk: sim.NewDisk()}
 		f.cores = append(f.cores, c)
 		f.founder = append(f.founder, c.addr)
 	}
@@ -114,7 +114,7 @@
 		f.startCore(c)
 	}
 	for i := range routers {
-		r := &routerProc{name: fmt.Sprintf("r%02d", i), addr: fmt.Sprintf("10.0.1.%d:1", i+1), hall: f.halls[i%4], raw: map[uint64]string{}}
+		r := &routerProc{name: fmt.Sprintf("r%02d", i), addr: fmt.Sprintf("10.0.1.%d:1", i+1), zone: f.zones[i%4], raw: map[uint64]string{}}
 		f.routers = append(f.routers, r)
 		f.startRouter(r)
 	}
@@ -152,7 +152,7 @@
 	n, crash := f.w.Net(c.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	c.crash = func() { end(); crash() }
-	ec := daemon.Context{Context: ctx, Name: c.addr, Zone: c.hall, RunID: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
+	ec := daemon.Context{Context: ctx, Name: c.addr, Zone: c.zone, RunID: uint64(time.Now().UnixNano()), Log: f.log.With("at", c.addr), Net: n}
 	var srv *core.Server
 	var err error
 	set := core.Settings{Addr: c.addr, Founders: f.founder, Seeds: []string{"10.0.1.1:1", "10.0.1.2:1", f.founder[0]}, LostAfter: f.lost, Codec: f.codec}
@@ -190,7 +190,7 @@
 	n, crash := f.w.Net(r.addr)
 	ctx, end := context.WithCancel(f.ctx)
 	r.crash = func() { end(); crash() }
-	ec := daemon.Context{Context: ctx, Name: r.name, Zone: r.hall, RunID: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
+	ec := daemon.Context{Context: ctx, Name: r.name, Zone: r.zone, RunID: uint64(time.Now().UnixNano()), Log: f.log.With("at", r.name), Net: n}
 	var options []cluster.Option
 	if f.options != nil {
 		options = f.options(r)
--- a/internal/testing/sim/beat_test.go
+++ b/internal/testing/sim/heartbeat_test.go
@@ -9,14 +9,14 @@
 	"yarrowridge/internal/transport/wire"
 )
 
-// The answer to a beat holds the view only where the router does not know it.
+// The answer to a heartbeat holds the view only where the router does not know it.
 func TestViewIsToldOnce(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f := newFleet(t, seed, 1)
 		f.within(5*time.Second, "founding", func() bool { return f.primary() != nil })
 		o := f.operator()
-		beat := func(known uint64) coreapi.HeartbeatResponse {
+		heartbeat := func(known uint64) coreapi.HeartbeatResponse {
 			ctx, end := context.WithTimeout(f.ctx, 5*time.Second)
 			defer end()
 			var told coreapi.HeartbeatResponse
@@ -26,20 +26,20 @@
 			}
 			return told
 		}
-		first := beat(0).View
+		first := heartbeat(0).View
 		if first.Epoch == 0 || first.Addr(first.Primary) == "" {
 			t.Fatalf("a router that knows no view was told %+v", first)
 		}
-		if again := beat(first.Epoch).View; again.Epoch != 0 || len(again.Members) != 0 {
+		if again := heartbeat(first.Epoch).View; again.Epoch != 0 || len(again.Members) != 0 {
 			t.Errorf("a view that was known was told again: %+v", again)
 		}
-		if older := beat(first.Epoch + 1).View; older.Epoch != first.Epoch {
+		if older := heartbeat(first.Epoch + 1).View; older.Epoch != first.Epoch {
 			t.Errorf("a router with another view was told %+v", older)
 		}
 	})
 }
 
-// A new configuration reaches routers by relays. They do not all fetch it from the primary as well, as soon as a beat
+// A new configuration reaches routers by relays. They do not all fetch it from the primary as well, as soon as a heartbeat
 // has told them of it; one that relays do not reach fetches it. It runs beside no other test: traffic is counted over
 // the whole process.
 func TestRelaysComeFirst(t *testing.T) {
--- a/internal/testing/sim/load_test.go
+++ b/internal/testing/sim/load_test.go
@@ -25,7 +25,7 @@
 			all = append(all, model(50, 5*time.Millisecond))
 		}
 		w := newWhole(t, seed, 6, plainLay(""), all...)
-		// The runners' listeners are gone, their beats go on: every dial is refused.
+		// The runners' listeners are gone, their heartbeats go on: every dial is refused.
 		for _, s := range all {
 			s.deaf()
 		}
@@ -65,7 +65,7 @@
 }
 
 // A crowd of ten times the capacity: the first rank keeps its goodput, all runners stay busy, the
-// queue stays bounded, and every bounce comes with its Retry-After as soon as it is certain.
+// queue stays bounded, and every rejection comes with its Retry-After as soon as it is certain.
 func TestCrowd(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/testing/sim/membership_test.go
+++ b/internal/testing/sim/membership_test.go
@@ -17,7 +17,7 @@
 	f := emptyFleet(t, seed)
 	f.lost = 2 * time.Second
 	for i := range cores {
-		f.cores = append(f.cores, &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), hall: f.halls[i%4], disk: sim.NewDisk()})
+		f.cores = append(f.cores, &coreProc{addr: fmt.Sprintf("10.0.0.%d:1", i+1), zone: f.zones[i%4], disk: sim.NewDisk()})
 	}
 	for _, c := range f.cores[:min(3, cores)] {
 		f.founder = append(f.founder, c.addr)
@@ -207,7 +207,7 @@
 		f.within(5*time.Second, "the core leads again", func() bool { return f.primary() == first })
 		o.look(b)
 
-		second := &coreProc{addr: "10.0.0.2:1", hall: f.halls[1], disk: sim.NewDisk()}
+		second := &coreProc{addr: "10.0.0.2:1", zone: f.zones[1], disk: sim.NewDisk()}
 		f.cores = append(f.cores, second)
 		f.startCore(second)
 		f.founder = append(f.founder, second.addr)
@@ -395,7 +395,7 @@
 						lost := f.cores[k]
 						f.crashCore(lost)
 						time.Sleep(time.Duration(f.chance(1000)) * time.Millisecond)
-						next := &coreProc{addr: lost.addr, hall: lost.hall, disk: sim.NewDisk()}
+						next := &coreProc{addr: lost.addr, zone: lost.zone, disk: sim.NewDisk()}
 						if !same {
 							next.addr = fmt.Sprintf("10.0.3.%d:1", i+1)
 						}
@@ -433,7 +433,7 @@
 				b.add(o.put(1, 0, ""))
 				cut := f.cores[f.chance(5)]
 				id := cut.srv.State().ID
-				next := &coreProc{addr: "10.0.0.20:1", hall: "west", disk: sim.NewDisk()}
+				next := &coreProc{addr: "10.0.0.20:1", zone: "west", disk: sim.NewDisk()}
 				f.w.Split([]string{cut.addr}, append(f.rest(cut), o.addr, next.addr))
 				f.cores = append(f.cores, next)
 				f.startCore(next)
@@ -705,7 +705,7 @@
 		replace := func(k int) {
 			lost := f.cores[k]
 			f.crashCore(lost)
-			next := &coreProc{addr: fmt.Sprintf("10.0.3.%d:1", k+1), hall: lost.hall, disk: sim.NewDisk()}
+			next := &coreProc{addr: fmt.Sprintf("10.0.3.%d:1", k+1), zone: lost.zone, disk: sim.NewDisk()}
 			f.cores[k] = next
 			f.startCore(next)
 			for begun := time.Now(); time.Since(begun) < 8*time.Second; mark++ {
--- a/internal/testing/sim/promise_test.go
+++ b/internal/testing/sim/promise_test.go
@@ -186,29 +186,29 @@
 
 func env50() { time.Sleep(50 * time.Millisecond) }
 
-// sides lists the addresses of a hall's processes, and those of all others.
-func (w *whole) sides(hall string) (in, out []string) {
+// sides lists the addresses of a zone's processes, and those of all others.
+func (w *whole) sides(zone string) (in, out []string) {
 	put := func(at, addr string) {
-		if at == hall {
+		if at == zone {
 			in = append(in, addr)
 		} else {
 			out = append(out, addr)
 		}
 	}
 	for _, c := range w.cores {
-		put(c.hall, c.addr)
+		put(c.zone, c.addr)
 	}
 	for _, r := range w.full {
-		put(r.hall, r.addr)
+		put(r.zone, r.addr)
 	}
 	for _, s := range w.runners {
-		put(s.hall, s.addr)
+		put(s.zone, s.addr)
 	}
 	return in, out
 }
 
-// A hall is cut off for long: it serves on with its last layout, marked stale, spends its own share
-// of quotas, bounces keyed once-only queries as not run, and upon rejoining obeys the newest layout.
+// A zone is cut off for long: it serves on with its last layout, marked stale, spends its own share
+// of quotas, rejects keyed once-only queries as not run, and upon rejoining obeys the newest layout.
 func TestCutHall(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -237,7 +237,7 @@
 					mu.Lock()
 					defer mu.Unlock()
 					where := "out "
-					if inside[r.hall] {
+					if inside[r.zone] {
 						where = "in "
 					}
 					sum[where+fmt.Sprint(g.status)+g.code]++
@@ -263,7 +263,7 @@
 			time.Sleep(time.Duration(w.chance(50)) * time.Second)
 		}
 		for _, r := range w.full {
-			if r.r.Cluster.CoreSilent() != inside[r.hall] {
+			if r.r.Cluster.CoreSilent() != inside[r.zone] {
 				t.Errorf("%s: stale %v", r.name, r.r.Cluster.CoreSilent())
 			}
 		}
@@ -300,7 +300,7 @@
 	})
 }
 
-// A withdrawn key bounces at once on whatever connection, and its running streams end explicitly.
+// A withdrawn key is rejected at once on whatever connection, and its running streams end explicitly.
 func TestWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -331,8 +331,8 @@
 
 func tail(b []byte) string { return string(b[max(0, len(b)-200):]) }
 
-// A runner that beats but answers nothing is found out by its answers, and does not come back into
-// standing by its beats alone.
+// A runner that sends heartbeats but answers nothing is found out by its answers, and does not come back into
+// standing by its heartbeats alone.
 func TestStuckRunner(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -581,9 +581,9 @@
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		a := model(8, 5*time.Millisecond)
-		a.hall = "south" // it beats to another hall than the one in question
+		a.zone = "south" // it sends heartbeats to another zone than the one in question
 		w := newWhole(t, seed, 6, plainLay(""), a)
-		told, leaf := w.full[0], w.full[4] // the first of hall east, and its only child there
+		told, leaf := w.full[0], w.full[4] // the first of zone east, and its only child there
 		for _, r := range w.full {
 			if r != told && r != leaf {
 				w.w.Split([]string{told.addr}, []string{r.addr})
@@ -629,8 +629,8 @@
 	})
 }
 
-// Standing does not flap: beats that come late but within 5 s change nothing, and a runner that
-// refuses every connection while it beats on is tried ever more rarely.
+// Standing does not flap: heartbeats that come late but within 5 s change nothing, and a runner that
+// refuses every connection while its heartbeats go on is tried ever more rarely.
 func TestStandingHolds(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/testing/sim/quota_test.go
+++ b/internal/testing/sim/quota_test.go
@@ -11,9 +11,9 @@
 	"yarrowridge/internal/transport/wire"
 )
 
-// A beat of a run that has ended, which comes after the next run at its address has drawn units, sets nothing of
+// A heartbeat of a run that has ended, which comes after the next run at its address has drawn units, sets nothing of
 // them cooling: the living run spends them, and nobody else may have them.
-func TestLateBeatOfAnEndedRun(t *testing.T) {
+func TestLateHeartbeatOfAnEndedRun(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f, _ := newDocumentFleet(t, seed, 3)
 		o := f.operator()
--- a/internal/testing/sim/registry_test.go
+++ b/internal/testing/sim/registry_test.go
@@ -16,8 +16,8 @@
 	"yarrowridge/internal/transport/wire"
 )
 
-// beater is a runner that sends its heartbeats to one core, whichever is primary.
-type beater struct {
+// heartbeatSender is a runner that sends its heartbeats to one core, whichever is primary.
+type heartbeatSender struct {
 	f      *fleet
 	client *coreclient.Client
 	mu     sync.Mutex
@@ -25,18 +25,18 @@
 	mute   bool
 }
 
-func (f *fleet) beater(i int) *beater {
+func (f *fleet) heartbeatSender(i int) *heartbeatSender {
 	c := f.cores[i%5]
 	n, _ := f.w.Net(fmt.Sprintf("10.0.7.%d:1", i+1))
 	ec := daemon.Context{Context: f.ctx, Name: "beater", Log: f.log, Net: n}
-	b := &beater{f: f, client: coreclient.NewClient(ec, wire.NewCaller(n), []string{c.addr}), runner: routing.Runner{
-		ID: fmt.Sprintf("life%02d", i), Service: "s", Address: fmt.Sprintf("10.0.8.%d:1", i+1), Zone: c.hall, State: routing.RunnerReady, Slots: 4}}
-	go runloop.Run(f.ctx, nil, 500*time.Millisecond, func(struct{}) {}, func() { b.beat() })
+	b := &heartbeatSender{f: f, client: coreclient.NewClient(ec, wire.NewCaller(n), []string{c.addr}), runner: routing.Runner{
+		ID: fmt.Sprintf("life%02d", i), Service: "s", Address: fmt.Sprintf("10.0.8.%d:1", i+1), Zone: c.zone, State: routing.RunnerReady, Slots: 4}}
+	go runloop.Run(f.ctx, nil, 500*time.Millisecond, func(struct{}) {}, func() { b.heartbeat() })
 	return b
 }
 
-// beat sends one heartbeat and reports whether it was acknowledged.
-func (b *beater) beat() bool {
+// heartbeat sends one heartbeat and reports whether it was acknowledged.
+func (b *heartbeatSender) heartbeat() bool {
 	b.mu.Lock()
 	if b.mute {
 		b.mu.Unlock()
@@ -50,19 +50,19 @@
 	return b.client.SendRunnerHeartbeat(ctx, runner) == nil
 }
 
-// say sets the state and beats until it is acknowledged.
-func (b *beater) say(state routing.RunnerState) {
+// say sets the state and sends heartbeats until it is acknowledged.
+func (b *heartbeatSender) say(state routing.RunnerState) {
 	b.mu.Lock()
 	b.runner.State = state
 	b.mu.Unlock()
-	for !b.beat() {
+	for !b.heartbeat() {
 		if !runloop.Sleep(b.f.ctx, 50*time.Millisecond) {
 			return
 		}
 	}
 }
 
-func (b *beater) hush(mute bool) {
+func (b *heartbeatSender) hush(mute bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.mute = mute
@@ -96,16 +96,16 @@
 	return f, regs
 }
 
-// Runners beat at any core. Every router knows them, learns of one that drains within 1.5 s of its
+// Runners send heartbeats to any core. Every router knows them, learns of one that drains within 1.5 s of its
 // acknowledgement though the primary falls right then, of one that fell silent, of its return, and of one
 // that left; a new router knows them too, and what is over is forgotten.
 func TestRunnersAreKnownEverywhere(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f, regs := newRegistryFleet(t, seed, 9)
-		var all []*beater
+		var all []*heartbeatSender
 		for i := range 12 {
-			all = append(all, f.beater(i))
+			all = append(all, f.heartbeatSender(i))
 		}
 		everyoneReady := func() bool {
 			for _, b := range all {
@@ -117,7 +117,7 @@
 		}
 		f.within(3*time.Second, "all runners are known", everyoneReady)
 		time.Sleep(time.Duration(f.chance(8000)) * time.Millisecond)
-		drains := func(b *beater, what string, crash bool) {
+		drains := func(b *heartbeatSender, what string, crash bool) {
 			b.say(routing.RunnerDraining)
 			p := f.primary()
 			if crash && p != nil {
@@ -180,7 +180,7 @@
 		// What is over is forgotten, what lives is not.
 		all[0].hush(true)
 		time.Sleep(80 * time.Second)
-		for _, b := range []*beater{all[0], all[11]} {
+		for _, b := range []*heartbeatSender{all[0], all[11]} {
 			if !f.knownAs(regs, b.runner.ID, "") {
 				t.Errorf("%s is still known", b.runner.ID)
 			}
@@ -197,7 +197,7 @@
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f, regs := newRegistryFleet(t, seed, 5)
-		dies, lives := f.beater(0), f.beater(1)
+		dies, lives := f.heartbeatSender(0), f.heartbeatSender(1)
 		both := func() bool {
 			return f.knownAs(regs, dies.runner.ID, routing.RunnerReady) && f.knownAs(regs, lives.runner.ID, routing.RunnerReady)
 		}
@@ -221,9 +221,9 @@
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f, regs := newRegistryFleet(t, seed, 5)
-		var all []*beater
+		var all []*heartbeatSender
 		for i := range 6 {
-			all = append(all, f.beater(i))
+			all = append(all, f.heartbeatSender(i))
 		}
 		known := func() bool {
 			for _, b := range all[1:] {
--- a/internal/testing/sim/restart_test.go
+++ b/internal/testing/sim/restart_test.go
@@ -74,7 +74,7 @@
 }
 
 // Routers that have started before the core serve as soon as the primary is ready, also while another machine of the
-// core is dark: neither their first beat nor their search for a primary waits for its time.
+// core is dark: neither their first heartbeat nor their search for a primary waits for its time.
 func TestRoutersFollowThePrimary(t *testing.T) {
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		f, lead, back := restart(t, seed, 8)
--- a/internal/testing/sim/router_test.go
+++ b/internal/testing/sim/router_test.go
@@ -48,7 +48,7 @@
 }
 
 type fullRouter struct {
-	name, hall, addr, face string
+	name, zone, addr, face string
 	born                   uint64     // of the next run; 0: by the clock
 	mu                     sync.Mutex // guards what follows
 	r                      *router.Router
@@ -71,7 +71,7 @@
 	w      *whole
 	name   string
 	addr   string
-	hall   string
+	zone   string
 	labels map[string]string
 	room   int
 	most   int // longest output it serves
@@ -109,15 +109,15 @@
 func newWhole(t *testing.T, seed uint64, n int, lay string, runners ...*simRunner) *whole {
 	w := &whole{fleet: newFleet(t, seed, 0)}
 	for i := range n {
-		r := &fullRouter{name: fmt.Sprintf("r%02d", i), hall: w.halls[i%4], addr: fmt.Sprintf("10.0.1.%d:1", i+1), face: fmt.Sprintf("10.0.1.%d:2", i+1)}
+		r := &fullRouter{name: fmt.Sprintf("r%02d", i), zone: w.zones[i%4], addr: fmt.Sprintf("10.0.1.%d:1", i+1), face: fmt.Sprintf("10.0.1.%d:2", i+1)}
 		w.full = append(w.full, r)
 		w.more = append(w.more, r.addr)
 		w.startFull(r)
 	}
 	for i, s := range runners {
 		s.w, s.addr = w, fmt.Sprintf("10.0.3.%d:1", i+1)
-		if s.hall == "" {
-			s.hall = w.halls[i%min(4, n)]
+		if s.zone == "" {
+			s.zone = w.zones[i%min(4, n)]
 		}
 		w.runners = append(w.runners, s)
 		s.start()
@@ -176,7 +176,7 @@
 	if r.born > 0 {
 		born = r.born
 	}
-	ec := daemon.Context{Context: ctx, Name: r.name, Zone: r.hall, RunID: born, Log: w.log.With("at", r.name), Net: n}
+	ec := daemon.Context{Context: ctx, Name: r.name, Zone: r.zone, RunID: born, Log: w.log.With("at", r.name), Net: n}
 	run := router.New(ec, r.addr, r.face, []string{w.founder[0], w.founder[1], "10.0.1.1:1"}, func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return n.Dial(ctx, addr)
 	})
@@ -184,12 +184,12 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	beats := http.HandlerFunc((&runner.API{Cluster: run.Cluster, KeyHash: func() string { return "" }}).Heartbeat)
+	heartbeats := http.HandlerFunc((&runner.API{Cluster: run.Cluster, KeyHash: func() string { return "" }}).Heartbeat)
 	lb, err := n.Listen(r.face)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	srv := &http.Server{Handler: beats, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	srv := &http.Server{Handler: heartbeats, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
 	go func() { _ = srv.Serve(lb) }()
 	r.mu.Lock()
 	r.r, r.up = run, true
@@ -232,7 +232,7 @@
 			s.mu.Lock()
 			mute := s.mute
 			s.mu.Unlock()
-			if !mute && !s.beat(ctx, cli, at) {
+			if !mute && !s.heartbeat(ctx, cli, at) {
 				at++
 				runloop.Sleep(ctx, 50*time.Millisecond)
 				continue
@@ -242,7 +242,7 @@
 	}()
 }
 
-// deaf closes the listener; beats go on from the same address.
+// deaf closes the listener; heartbeats go on from the same address.
 func (s *simRunner) deaf() { _ = s.ear.Close() }
 
 // hear listens again, as the same run.
@@ -271,11 +271,11 @@
 	}
 }
 
-// beat tells a router of the own hall, or in need another, how this runner stands.
-func (s *simRunner) beat(ctx context.Context, cli *http.Client, at int) bool {
+// heartbeat tells a router of the own zone, or in need another, how this runner stands.
+func (s *simRunner) heartbeat(ctx context.Context, cli *http.Client, at int) bool {
 	var to []string
 	for _, r := range s.w.full {
-		if r.hall == s.hall {
+		if r.zone == s.zone {
 			to = append([]string{r.face}, to...)
 		} else {
 			to = append(to, r.face)
@@ -584,7 +584,7 @@
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
 		w := newWhole(t, seed, 3, plainLay(""), model(8, 10*time.Millisecond))
-		twin := &fullRouter{name: w.full[1].name, hall: "north", addr: "10.0.8.1:1", face: "10.0.8.1:2"}
+		twin := &fullRouter{name: w.full[1].name, zone: "north", addr: "10.0.8.1:1", face: "10.0.8.1:2"}
 		w.startFull(twin)
 		defer w.crashFull(twin)
 		for range 100 {
--- a/internal/testing/sim/secondloss_test.go
+++ b/internal/testing/sim/secondloss_test.go
@@ -135,7 +135,7 @@
 					b.add(o.put(1, 0, ""))
 					for i := range replaced {
 						old := f.cores[f.chance(len(f.cores))]
-						next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), hall: old.hall, disk: sim.NewDisk()}
+						next := &coreProc{addr: fmt.Sprintf("10.0.2.%d:1", i+1), zone: old.zone, disk: sim.NewDisk()}
 						f.cores = append(f.cores, next)
 						f.startCore(next)
 						time.Sleep(time.Second)
--- a/internal/testing/sim/stream_test.go
+++ b/internal/testing/sim/stream_test.go
@@ -210,7 +210,7 @@
 	return strings.Replace(plainLay(""), `"ask":{"rank":3,`, fmt.Sprintf(`"ask":{"rank":3,"repeat":%v,`, on), 1)
 }
 
-// carrier and understudy of a stream, by their own word.
+// carrier and replica of a stream, by their own word.
 func (w *whole) holders(id string) (carrier, study *fullRouter) {
 	for _, r := range w.full {
 		run := r.now()
@@ -228,7 +228,7 @@
 	return carrier, study
 }
 
-// What becomes of a stream when its router, runner, understudy or two of them fall at any moment, with
+// What becomes of a stream when its router, runner, replica or two of them fall at any moment, with
 // and without a second run. The log is the table of docs/measurements.md.
 func TestCarryOn(t *testing.T) {
 	t.Parallel()
@@ -489,7 +489,7 @@
 	}
 }
 
-// An understudy that is cut off from a living router must not carry its stream on beside it.
+// A replica that is cut off from a living router must not carry its stream on beside it.
 func TestTwoCarriers(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -507,7 +507,7 @@
 	})
 }
 
-// A router that was quiet while its understudy took over learns of it before it shows another piece;
+// A router that was quiet while its replica took over learns of it before it shows another piece;
 // the origin has the rest of the second run.
 func TestLateCarrier(t *testing.T) {
 	t.Parallel()
@@ -565,7 +565,7 @@
 	})
 }
 
-// No reader sees a piece that the understudy does not hold, resumed at the router itself neither.
+// No reader sees a piece that the replica does not hold, resumed at the router itself neither.
 func TestShownIsHeld(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -582,7 +582,7 @@
 		if len(p.o.pieces) > n {
 			t.Errorf("the origin saw %d pieces, the understudy holds %d", len(p.o.pieces), n)
 		}
-		time.Sleep(5 * time.Second) // the understudy finds its router gone
+		time.Sleep(5 * time.Second) // the replica finds its router gone
 		p.hear(p.far, 20*time.Second)
 		if bad := p.o.judge(); bad != "" || p.o.end != "done" {
 			t.Errorf("the stream ended %q with %d pieces: %s", p.o.end, len(p.o.pieces), bad)
@@ -590,7 +590,7 @@
 	})
 }
 
-// A hall cut off serves streams on, on repeatable lanes too: those that begin during the cut end whole on
+// A zone cut off serves streams on, on repeatable lanes too: those that begin during the cut end whole on
 // both sides, those that run when it comes are told to nobody as joined or as whole before their end.
 func TestCutStreams(t *testing.T) {
 	t.Parallel()
@@ -615,14 +615,14 @@
 					begun := time.Now()
 					o := w.stream(i, no, "/ask", 100, never)
 					if bad := o.judge(); bad != "" || o.end == "" {
-						t.Errorf("a stream begun in hall %s ended %q: %s", r.hall, o.end, bad)
+						t.Errorf("a stream begun in hall %s ended %q: %s", r.zone, o.end, bad)
 					}
 					if whole && (o.end != "done" || o.asked != 1) {
-						t.Errorf("a stream begun in hall %s ended %q with %d pieces after %d asks", r.hall, o.end, len(o.pieces), o.asked)
+						t.Errorf("a stream begun in hall %s ended %q with %d pieces after %d asks", r.zone, o.end, len(o.pieces), o.asked)
 					}
 					mu.Lock()
 					defer mu.Unlock()
-					if side := fmt.Sprint("inside ", r.hall == "east"); whole {
+					if side := fmt.Sprint("inside ", r.zone == "east"); whole {
 						slow[side] = max(slow[side], time.Since(begun))
 					}
 				})
