--- a/internal/dataplane/balance/choose_test.go
+++ b/internal/dataplane/balance/choose_test.go
@@ -111,6 +111,33 @@
 	})
 }
 
+// A prompt that one runner keeps is not read again elsewhere to save about the time of the reading: that time is taken from
+// all other requests.
+func TestSharedPromptIsNotReadAgainForAShortWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancerOf(readyRunners(6))
+		home := chosen(b, sessionOf(1))
+		measuredWait(b, home, 100*time.Millisecond)
+		if id := chosen(b, sessionOf(1)); id != home {
+			t.Errorf("got %s for a prompt of 5000 tokens that %s keeps, where requests wait 100 ms, want the latter: reading it takes 50 ms", id, home)
+		}
+	})
+}
+
+// Of runners that are alike the router's own zone serves, for the bytes between zones.
+func TestOwnZoneIsPreferred(t *testing.T) {
+	list := readyRunners(8)
+	for i := range list[1:] {
+		list[1+i].Zone = "west"
+	}
+	b := balancerOf(list)
+	for range 50 {
+		if id := chosen(b, Request{Service: "s"}); id != list[0].ID {
+			t.Fatalf("got %s in another zone, want %s, which is as free", id, list[0].ID)
+		}
+	}
+}
+
 // Routers that never spoke to each other, in other zones, with lists in another order, choose alike.
 func TestBalancersAgree(t *testing.T) {
 	list := readyRunners(7)
--- a/internal/dataplane/gateway/stall_test.go
+++ b/internal/dataplane/gateway/stall_test.go
@@ -12,8 +12,8 @@
 	"yarrowridge/internal/model/routing"
 )
 
-// longStall is more than a runner with a short prompt is usually given.
-const longStall = 1200 * time.Millisecond
+// longStall is more than the stall time-out of a runner with a short prompt, also before any history of its service.
+const longStall = 1500 * time.Millisecond
 
 // A stream whose first runner broke off has one attempt left. However long its second runner stalls, before the first event
 // or between two, the attempt is not ended: no other could follow.
