--- a/internal/testing/modelcheck/coverage_test.go
+++ b/internal/testing/modelcheck/coverage_test.go
@@ -108,7 +108,7 @@
 func (c *corpus) next(seed uint64) Schedule {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := newSchedule(seed, slices.Clone(c.kinds)...)
+	s := newSchedule(seed, c.kinds...)
 	if c.size.cores > 0 {
 		s.Cores, s.Losses = c.size.cores, c.size.losses
 	}
--- a/internal/testing/modelcheck/schedule_test.go
+++ b/internal/testing/modelcheck/schedule_test.go
@@ -131,6 +131,7 @@
 // narrowEvents draws events of a few kinds, close together, those of one kind all of about one length and at machines in the
 // same place. What needs several certain faults in a row seldom comes of an even mix (Groce et al., "Swarm Testing", 2012).
 func narrowEvents(random *rand.Rand, kinds []string) (events []Event) {
+	kinds = slices.Clone(kinds)
 	random.Shuffle(len(kinds), func(i, k int) { kinds[i], kinds[k] = kinds[k], kinds[i] })
 	kinds = kinds[:min(len(kinds), 2+random.IntN(3))]
 	type habit struct {
