--- a/internal/testing/modelcheck/clock_test.go
+++ b/internal/testing/modelcheck/clock_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os/exec"
 	"strings"
 	"testing"
 
@@ -20,10 +19,8 @@
 		t.Skip("built with a mechanism disabled")
 	}
 	t.Parallel()
-	command := exec.Command("go", "test", "-count=1", "-parallel=2", "-overlay="+steppedclock.Overlay(t), "-run=^TestRandomWalks$", "-v",
-		".", fmt.Sprintf("-walks=%d", walksWithClockSteps), fmt.Sprintf("-seed=%d", *first))
-	out, err := command.CombinedOutput()
-	if passed := strings.Count(string(out), "        --- PASS: TestRandomWalks/all/"); err != nil || passed != walksWithClockSteps {
+	out, err := steppedclock.Run(t, "-run=^TestRandomWalks$", fmt.Sprintf("-walks=%d", walksWithClockSteps), fmt.Sprintf("-seed=%d", *first))
+	if passed := strings.Count(out, "        --- PASS: TestRandomWalks/all/"); err != nil || passed != walksWithClockSteps {
 		t.Errorf("got %d schedules passed, want %d, and error %v:\n%s", passed, walksWithClockSteps, err, out)
 	}
 }
--- a/internal/testing/steppedclock/steppedclock.go
+++ b/internal/testing/steppedclock/steppedclock.go
@@ -20,8 +20,17 @@
 		"	sec += int64(uint64(mono/1e8)*0x9e3779b97f4a7c15>>32)%7200 - 3600\n"
 )
 
-// Overlay writes what makes go build with the other time.Now, and returns its path, for the flag -overlay.
-func Overlay(t *testing.T) string {
+// Run builds the tests of the caller's package with the other time.Now, runs them with the arguments that go test is given
+// besides, and returns their output.
+func Run(t *testing.T, arguments ...string) (output string, err error) {
+	t.Helper()
+	command := exec.Command("go", append([]string{"test", "-count=1", "-parallel=2", "-v", "-overlay=" + overlay(t), "."}, arguments...)...)
+	raw, err := command.CombinedOutput()
+	return string(raw), err
+}
+
+// overlay writes what makes go build with the other time.Now, and returns its path, for the flag -overlay.
+func overlay(t *testing.T) string {
 	t.Helper()
 	root, err := exec.Command("go", "env", "GOROOT").Output()
 	if err != nil {
@@ -37,12 +46,12 @@
 	}
 	folder := t.TempDir()
 	changed := filepath.Join(folder, "time.go")
-	overlay := filepath.Join(folder, "overlay.json")
+	path := filepath.Join(folder, "overlay.json")
 	list, _ := json.Marshal(map[string]any{"Replace": map[string]string{original: changed}})
-	for path, content := range map[string]string{changed: strings.Replace(string(source), readClocks, stepClock, 1), overlay: string(list)} {
-		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+	for name, content := range map[string]string{changed: strings.Replace(string(source), readClocks, stepClock, 1), path: string(list)} {
+		if err := os.WriteFile(name, []byte(content), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	return overlay
+	return path
 }
