Quotas: a late heartbeat of an ended run takes no units from the living one

Cause: a heartbeat of a run that the primary did not know counted as proof that all other runs at its address had ended. A heartbeat that was held up in the network, and came after the next run had begun, so set the units of the living run cooling where the primary had just begun and knew neither, or could not ask the router; and it dated the end of later runs back to its own start, so their units cooled for too short.

Ruled out: the tolerance's charges (none was counted twice in the traced run), and the check: the windows it sums are the ones that runners see.

Now the runs beside which others hold units are looked up first, then the router is asked which run of it there is, and only the runs that were known before the question cool. The decision is its own package, replacedruns.

--- a/internal/controlplane/core/quota.go
+++ b/internal/controlplane/core/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/coreapi"
@@ -11,9 +10,6 @@
 	"yarrowridge/internal/controlplane/transaction"
 )
 
-// replacedGatherInterval is how long runs that replaced others are gathered before the units of the latter cool.
-const replacedGatherInterval = 20 * time.Millisecond
-
 // transfer acquires or returns units of one tenant.
 func (s *Server) transfer(ctx context.Context, move *coreapi.QuotaTransfer) (*coreapi.QuotaTransferResult, error) {
 	all, err := s.transferAll(ctx, &coreapi.QuotaTransfersRequest{Holder: move.Holder, Transfers: []coreapi.QuotaTransfer{*move}})
@@ -66,19 +62,14 @@
 	return s.Submit(ctx, pipeline.ClassQuota, func(tx *transaction.Tx) error { return s.pools.StartCooling(tx, holder) })
 }
 
-// replaceHolder has the units of earlier runs at a node's address cool, with those of others that start at the same time.
-// Where that is not done, as the queue is full or writes are not taken, the sweep has them cool from when it sees them.
-func (s *Server) replaceHolder(n coreapi.Node, age time.Duration) {
-	if s.replaced.Add(n, age) {
-		time.AfterFunc(replacedGatherInterval, func() {
-			s.pipeline.SubmitLater(pipeline.ClassQuota, func(tx *transaction.Tx) error { return s.pools.CoolReplaced(tx, &s.replaced) })
-		})
-	}
-}
-
-// sweepQuotas has the run loop make the changes of quota pools that are due.
+// sweepQuotas has the run loop make the changes of quota pools that are due, and the runs of routers confirmed beside which
+// others hold units.
 func (s *Server) sweepQuotas(document *configuration.Document, live quotapool.LiveHolders) {
-	if operation := s.pools.Sweep(s.store.Load(), document, live); operation != nil {
+	operation, successors := s.pools.Sweep(s.store.Load(), document, live)
+	if operation != nil {
 		s.pipeline.SubmitLater(pipeline.ClassQuota, operation)
 	}
+	for _, router := range successors {
+		s.replacedRuns.Add(router, 0)
+	}
 }
--- a/internal/controlplane/core/routerheartbeat.go
+++ b/internal/controlplane/core/routerheartbeat.go
@@ -32,15 +32,14 @@
 		return response, nil
 	}
 	if newRun {
-		s.replaceHolder(router, time.Duration(request.AgeMs)*time.Millisecond)
+		s.replacedRuns.Add(router, time.Duration(request.AgeMs)*time.Millisecond)
 	}
 	s.routerAddresses.Remember(router)
 	return response, nil
 }
 
 // hasRunEnded reports whether a heartbeat is of a run that another one at the same address has replaced: it was delayed in
-// the network. Taken, it would set the units of the living run cooling. Whoever listens there says which run it is; where
-// nobody answers, the heartbeat is taken.
+// the network. Whoever listens there says which run it is; where nobody answers, the heartbeat is taken.
 func (s *Server) hasRunEnded(ctx context.Context, router coreapi.Node) bool {
 	s.mu.Lock()
 	hasOtherRun := s.routers.HasOtherRun(router)
@@ -50,9 +49,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, runQueryTimeout)
 	defer cancel()
+	run, err := s.routerRunAt(ctx, router.Addr)
+	return err == nil && run != router.Run
+}
+
+// routerRunAt asks the router that listens at an address which run of it there is.
+func (s *Server) routerRunAt(ctx context.Context, addr string) (run uint64, err error) {
 	var listening coreapi.Node
-	err := s.call(ctx, router.Addr, "node.run", &coreapi.Empty{}, &listening)
-	return err == nil && listening.Run != router.Run
+	err = s.call(ctx, addr, "node.run", &coreapi.Empty{}, &listening)
+	return listening.Run, err
 }
 
 // fillScarceTenants puts the scarce tenants into the response, unless the router has this very list. The caller holds s.mu.
--- a/internal/controlplane/core/server.go
+++ b/internal/controlplane/core/server.go
@@ -23,6 +23,7 @@
 	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/quotapool"
+	"yarrowridge/internal/controlplane/replacedruns"
 	"yarrowridge/internal/controlplane/replication"
 	"yarrowridge/internal/controlplane/routerleases"
 	"yarrowridge/internal/controlplane/runnerregistry"
@@ -61,7 +62,7 @@
 	runnerStorage   runnerregistry.Storage
 	runnerOutliers  runnerregistry.OutlierDetector
 	runnerLatency   runnerregistry.LatencyTracker
-	replaced        quotapool.ReplacedRuns
+	replacedRuns    *replacedruns.Tracker
 
 	runLoopState
 
@@ -127,6 +128,7 @@
 	s.claims = idempotency.New(func() int { return s.documents.MaxFinishedKeys(s.committedConfig()) })
 	s.registry = runnerregistry.New(settings.RunnerSilentAfter, runnerregistry.NewNotifier(s.pushRunners).Notify)
 	s.runnerStorage = runnerregistry.Storage{Committed: s.store.Load, Submit: s.submitRunner, SubmitLater: s.submitLater(pipeline.ClassRunner)}
+	s.replacedRuns = replacedruns.New(ctx, s.pools, s.routerRunAt, s.submitLater(pipeline.ClassQuota))
 	s.store.Store(opened)
 	s.handlers = wire.Handlers{"view": s.handleView, "core": s.handleCore}
 	return s, nil
--- a/internal/controlplane/core/sweep.go
+++ b/internal/controlplane/core/sweep.go
@@ -53,11 +53,11 @@
 // liveHolders gives the nodes whose lease runs, as holders of quota units and by their addresses. The caller holds s.mu.
 func (s *Server) liveHolders() (live quotapool.LiveHolders, addrs map[string]bool) {
 	s.routers.Expire(time.Now())
-	live = quotapool.LiveHolders{Holders: map[string]bool{}, Addresses: map[string]bool{}}
+	live = quotapool.LiveHolders{Holders: map[string]bool{}, Addresses: map[string]coreapi.Node{}}
 	addrs = map[string]bool{}
 	for _, router := range s.routers.List() {
 		live.Holders[coreapi.Holder(router)] = true
-		live.Addresses[quotapool.NodeAddress(router)] = true
+		live.Addresses[quotapool.NodeAddress(router)] = router
 		addrs[router.Addr] = true
 	}
 	return live, addrs
--- a/internal/controlplane/quotapool/replaced.go
+++ b/internal/controlplane/quotapool/replaced.go
@@ -1,8 +1,8 @@
 package quotapool
 
 import (
+	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"yarrowridge/internal/controlplane/coreapi"
@@ -22,76 +22,99 @@
 	return address
 }
 
-// ReplacedRuns gathers the nodes whose earlier runs have ended. After a restart of the whole fleet there are
-// as many as routers, and each would have all pools written anew. Its own mutex guards it; it is safe for concurrent use.
-type ReplacedRuns struct {
-	mu   sync.Mutex
-	runs map[string]replacedRun // by NodeAddress
+// Successor is a run of a node that was heard of, and may have replaced earlier runs at the node's address.
+type Successor struct {
+	Node    coreapi.Node
+	BegunBy time.Time // it had begun by then
 }
 
-// replacedRun is a node's new run, and when the ones before it had ended at the latest.
-type replacedRun struct {
-	holder string
-	ended  time.Time
+// Replaced is a successor with the other runs at its address that have units, held or cooling.
+type Replaced struct {
+	Successor
+	Holders []string
 }
 
-// Add notes a node's new run, which began age ago, and reports whether it is the first since the last take. The earlier
-// runs at its address ended before it began, so their last spends are at least as old as the new run.
-func (r *ReplacedRuns) Add(n coreapi.Node, age time.Duration) (first bool) {
-	return r.add(NodeAddress(n), replacedRun{holder: coreapi.Holder(n), ended: time.Now().Add(inFlightTime - quota.Margin - age)})
+// FindReplaced lists the successors beside which other runs at the same address have units. These runs have ended once the
+// successor is seen alive after this call: they began before, and only one process can listen at an address. What was heard
+// of the successor before proves nothing, since it may have been delayed until after the successor's own end.
+func (p *Pools) FindReplaced(tx *transaction.Tx, successors map[string]Successor) ([]Replaced, error) {
+	pools, err := p.readAll(tx)
+	if err != nil {
+		return nil, err
+	}
+	var replaced []Replaced
+	for address, holders := range p.otherRuns(pools, successors) {
+		replaced = append(replaced, Replaced{Successor: successors[address], Holders: holders})
+	}
+	return replaced, nil
 }
 
-func (r *ReplacedRuns) add(address string, run replacedRun) (first bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.runs == nil {
-		r.runs = map[string]replacedRun{}
+// otherRuns lists the holders with units at the successors' addresses that are not the successors, by their addresses.
+func (p *Pools) otherRuns(pools map[string]*quota.Pool, successors map[string]Successor) map[string][]string {
+	found := map[string][]string{}
+	add := func(holder string) {
+		address := addressOfHolder(holder)
+		if !slices.Contains(found[address], holder) {
+			found[address] = append(found[address], holder)
+		}
+	}
+	isOther := func(holder string) bool {
+		successor, known := successors[addressOfHolder(holder)]
+		return known && holder != coreapi.Holder(successor.Node)
+	}
+	for holder := range p.cache.holders { // once, not for each pool: a large fleet has hundreds of both
+		if isOther(holder) && hasAllocation(pools, holder) {
+			add(holder)
+		}
+	}
+	for _, pool := range pools {
+		for holder := range pool.Cooling {
+			if isOther(holder) {
+				add(holder)
+			}
+		}
 	}
-	r.runs[address] = run
-	return len(r.runs) == 1
+	return found
 }
 
-// take gives what was gathered, and begins anew.
-func (r *ReplacedRuns) take() map[string]replacedRun {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	runs := r.runs
-	r.runs = nil
-	return runs
+// hasAllocation reports whether a holder is named by any of the pools.
+func hasAllocation(pools map[string]*quota.Pool, holder string) bool {
+	for _, pool := range pools {
+		if _, ok := pool.Allocations[holder]; ok {
+			return true
+		}
+	}
+	return false
 }
 
-// CoolReplaced takes the runs that were gathered, and has the units of the runs that they replaced cool.
-func (p *Pools) CoolReplaced(tx *transaction.Tx, replaced *ReplacedRuns) error {
-	runs := replaced.take()
-	replacedBy := func(holder string) (replacedRun, bool) {
-		run, known := runs[addressOfHolder(holder)]
-		return run, known && holder != run.holder
-	}
+// CoolReplaced has the units of runs cool whose successors were seen alive after FindReplaced had listed them. They cool
+// since their successor began: their last spends are older.
+func (p *Pools) CoolReplaced(tx *transaction.Tx, replaced []Replaced) error {
 	pools, err := p.readAll(tx)
 	if err != nil {
 		return err
 	}
-	// Looked for among the holders once, not among each pool's: a large fleet has hundreds of both.
-	var ended []string
-	for holder := range p.cache.holders {
-		if _, replaced := replacedBy(holder); replaced {
-			ended = append(ended, holder)
-		}
-	}
 	return p.changeEach(tx, pools, func(tenant string, pool *quota.Pool) bool {
 		changed := false
-		for _, holder := range ended {
-			changed = pool.StartCooling(holder) || changed
-		}
-		for holder := range pool.Cooling {
-			if run, replaced := replacedBy(holder); replaced {
-				p.setCoolingSince(tenant, holder, run.ended)
-			}
+		for _, one := range replaced {
+			changed = p.coolReplacedIn(tenant, pool, one) || changed
 		}
 		return changed
 	})
 }
 
+// coolReplacedIn is CoolReplaced of one successor and one tenant's pool. It reports whether the pool changed.
+func (p *Pools) coolReplacedIn(tenant string, pool *quota.Pool, replaced Replaced) (changed bool) {
+	endedBy := replaced.BegunBy.Add(inFlightTime - quota.Margin)
+	for _, holder := range replaced.Holders {
+		changed = pool.StartCooling(holder) || changed
+		if _, cools := pool.Cooling[holder]; cools {
+			p.setCoolingSince(tenant, holder, endedBy)
+		}
+	}
+	return changed
+}
+
 // setCoolingSince notes since when a holder's units cool at the latest.
 func (p *Pools) setCoolingSince(tenant, holder string, since time.Time) {
 	key := coolingKey(tenant, holder)
--- a/internal/controlplane/quotapool/sweep.go
+++ b/internal/controlplane/quotapool/sweep.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"yarrowridge/internal/controlplane/configuration"
+	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/store"
 	"yarrowridge/internal/controlplane/transaction"
 	"yarrowridge/internal/lib/faultinjection"
@@ -15,8 +16,8 @@
 
 // LiveHolders are the holders whose node's lease runs.
 type LiveHolders struct {
-	Holders   map[string]bool // by coreapi.Holder
-	Addresses map[string]bool // by NodeAddress, whatever the node's run
+	Holders   map[string]bool         // by coreapi.Holder
+	Addresses map[string]coreapi.Node // by NodeAddress
 }
 
 // holding names one holder's units of one tenant.
@@ -33,6 +34,8 @@
 	cooled   []holding // units that have cooled
 	departed []holding // units of holders that are gone
 	charges  []expiredCharge
+
+	successors map[string]coreapi.Node // live nodes of which other runs have units, by NodeAddress
 }
 
 // HasCooling reports whether the last sweep found cooling units: the next one is due sooner.
@@ -41,9 +44,12 @@
 // Sweep finds units that have cooled, those of holders that are gone, and charges that count no longer. It returns the
 // operation that frees the first, has the second cool and removes the third, for the core to submit, or nil where nothing
 // is due. Time is counted from when this run of this process first saw each: a restart only makes them last longer.
-func (p *Pools) Sweep(committed *store.Store, document *configuration.Document, live LiveHolders) func(*transaction.Tx) error {
+//
+// successors are live nodes beside which other runs at the same address hold units. Whether these have ended is for the
+// core to find out (FindReplaced).
+func (p *Pools) Sweep(committed *store.Store, document *configuration.Document, live LiveHolders) (operation func(*transaction.Tx) error, successors map[string]coreapi.Node) {
 	ages := &ageTable{firstSeen: p.firstSeen, now: time.Now(), seen: map[string]bool{}}
-	var due dueChanges
+	due := dueChanges{successors: map[string]coreapi.Node{}}
 	p.hasCooling = false
 	pools, _ := p.readAll(transaction.New(committed)) // one that can't be read is left out
 	absent := p.cache.holders.absent(live)            // of all pools together: few, where a look at each pool's holders would be at many
@@ -54,9 +60,9 @@
 	}
 	ages.forgetUnseen()
 	if len(due.cooled)+len(due.departed)+len(due.charges) == 0 {
-		return nil
+		return nil, due.successors
 	}
-	return func(tx *transaction.Tx) error { return p.update(tx, due.apply) }
+	return func(tx *transaction.Tx) error { return p.update(tx, due.apply) }, due.successors
 }
 
 // add adds the cooling units and the charges that are due in one tenant's pool.
@@ -74,15 +80,19 @@
 	}
 }
 
-// addDeparted adds the absent holders whose units in one tenant's pool are to cool.
+// addDeparted adds the absent holders whose units in one tenant's pool are to cool, and the nodes that may have replaced one.
 func (d *dueChanges) addDeparted(tenant string, pool *quota.Pool, absent []string, live LiveHolders, ages *ageTable) {
 	for _, holder := range absent {
 		if _, holds := pool.Allocations[holder]; !holds {
 			continue
 		}
-		isSilent := ages.isOver("silent/"+tenant+"/"+holder, silentHolderTTL)
-		if isSilent || live.Addresses[addressOfHolder(holder)] {
+		if ages.isOver("silent/"+tenant+"/"+holder, silentHolderTTL) {
 			d.departed = append(d.departed, holding{tenant, holder})
+			continue
+		}
+		address := addressOfHolder(holder)
+		if successor, ok := live.Addresses[address]; ok {
+			d.successors[address] = successor
 		}
 	}
 }
--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -62,6 +62,7 @@
 	{"end-of-writes", "core", "TestCommitWithoutLeaseEndsWrites"},                  // a primary that goes on after a write that met a gap in its lease
 	{"lost-backup", "membership", "TestLostBackupStaysUntilThereIsAnother"},        // a backup that timed out, dropped like any member
 	{"config-content", "configuration", "TestUncommittedConfigurationIsNotReused"}, // a configuration that is known by its version alone
+	{"run-query", "replacedruns", "TestUnitsCoolOnceTheSuccessorIsConfirmed"},      // a late heartbeat that proves other runs ended
 }
 
 // TestDisabledInUnitTests disables one mechanism after the other: its unit test has to fail, and to pass with all of them.
