--- a/internal/controlplane/replacedruns/tracker_test.go
+++ b/internal/controlplane/replacedruns/tracker_test.go
@@ -101,6 +101,7 @@
 				tracker := New(t.Context(), r.pools, runAt, r.submit)
 				tracker.Add(node, time.Minute)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				if queries != 1 {
 					t.Errorf("got %d queries, want 1", queries)
 				}
@@ -153,6 +154,7 @@
 		}
 		New(t.Context(), r.pools, runAt, r.submit).Add(coreapi.Node{Name: "a", Addr: "1", Run: 2}, 0)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		r.sweepOut(coreapi.Node{Name: "a", Addr: "1", Run: 3})
 		if held := r.held(100); held != 5 {
 			t.Errorf("got %d units held, want the 5 of the third run", held)
@@ -175,9 +177,11 @@
 		r.drops = true
 		tracker.Add(node, 0)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		r.drops = false
 		tracker.Add(node, 0)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		if queries != 1 {
 			t.Errorf("got %d queries after the dropped lookup, want 1", queries)
 		}
--- a/internal/transport/wire/deadline_test.go
+++ b/internal/transport/wire/deadline_test.go
@@ -15,12 +15,14 @@
 	listener := listen(t)
 	deadlines := make(chan bool, 2)
 	ended := make(chan error, 2)
+	givenUp := make(chan struct{}) // closed once the caller has given up: an answer that comes at that moment may still count
 	handler := func(ctx context.Context, _ string, _ []byte) (msgp.Marshaler, error) {
 		_, bounded := ctx.Deadline()
 		deadlines <- bounded
 		if bounded {
 			<-ctx.Done()
 			ended <- ctx.Err()
+			<-givenUp
 		}
 		return nil, nil
 	}
@@ -31,6 +33,7 @@
 	if err := caller.Call(ctx, listener.Addr().String(), "test.wait", nil, nil); !errors.Is(err, ErrOutcomeUnknown) {
 		t.Errorf("got error %v of a call that was given up, want ErrOutcomeUnknown", err)
 	}
+	close(givenUp)
 	if bounded := <-deadlines; !bounded {
 		t.Fatal("got a handler without deadline, want the caller's")
 	}
