A primary that reaches a backup but no majority hands over to it

A primary cut off with a minority, its backup reaching both sides, held up the others until its lease had run out: writes rested 1.2 s of a term of 1.5 s. Now it asks that backup, after 0.5 s without a majority (two rounds of renewals), whether it reaches one; where it does, the primary ends its writes, forgets its grants, and has the backup pass the release on to the acceptors that it can't reach itself. Until then it serves on.

Ruled out: a release on the word of the backup alone (it may itself be cut off), and a shorter span than two rounds (one lost round would change the primary). Where no backup reaches a majority nothing changes.

--- a/internal/controlplane/core/handlers.go
+++ b/internal/controlplane/core/handlers.go
@@ -7,6 +7,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/handover"
 	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/view"
 	"yarrowridge/internal/lib/faultinjection"
@@ -17,7 +18,17 @@
 const handleTimeout = 4 * time.Second
 
 // handleView answers calls about the view. An error of the acceptor's is one of its disk.
-func (s *Server) handleView(_ context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+func (s *Server) handleView(ctx context.Context, kind string, body []byte) (msgp.Marshaler, error) {
+	switch kind {
+	case "view.reach":
+		return wire.HandleTyped(body, func(request *handover.ReachRequest) (*handover.ReachResponse, error) {
+			return s.handover.Reach(ctx, request, s.acceptor.View()), nil
+		})
+	case "view.relay":
+		return wire.HandleTyped(body, func(request *paxos.ReleaseRequest) (*coreapi.Empty, error) {
+			return s.relayRelease(ctx, request)
+		})
+	}
 	response, err := s.callAcceptor(kind, body)
 	if err != nil && !isRejection(err) {
 		s.failDisk(err)
--- a/internal/controlplane/core/lead.go
+++ b/internal/controlplane/core/lead.go
@@ -50,6 +50,11 @@
 		return
 	}
 	s.finder.PostponeSearch()
+	if ready && s.handover.IsDue(v, primacy, ledSince) {
+		s.handover.FindSuccessor(s.ctx, v, primacy, func(backup view.Member) {
+			s.pipeline.StepLater(func() { s.handOver(v, backup) })
+		})
+	}
 	keep := s.backupsToKeep(v, primacy, ready, ledSince)
 	if !ready || len(keep) < len(v.Backups()) || len(keep) < s.settings.membershipPolicy().BackupCount(v) {
 		if !s.reconcileReplicas(v, self, primacy, keep) {
--- a/internal/controlplane/core/server.go
+++ b/internal/controlplane/core/server.go
@@ -17,6 +17,7 @@
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/discovery"
 	"yarrowridge/internal/controlplane/failuredetector"
+	"yarrowridge/internal/controlplane/handover"
 	"yarrowridge/internal/controlplane/idempotency"
 	"yarrowridge/internal/controlplane/leadership"
 	"yarrowridge/internal/controlplane/membership"
@@ -55,6 +56,7 @@
 	// Primacy and what needs it. All methods may be called concurrently.
 	leadership      *leadership.Leadership
 	detector        *failuredetector.Detector // of the lease holder's end
+	handover        *handover.Coordinator
 	pipeline        pipeline.Pipeline
 	candidates      membership.Candidates
 	routerAddresses discovery.RouterDirectory // the run loop calls Announce
@@ -121,6 +123,7 @@
 	s.replicator = replication.NewReplicator(ctx, acceptor.ID, s.call)
 	s.leadership = leadership.New(settings.LeaseTerm, s.runID, acceptor.View().Epoch)
 	s.detector = failuredetector.New(acceptor, s.call, settings.LeaseTerm)
+	s.handover = handover.New(s.call, settings.LeaseTerm)
 	s.pipeline = pipeline.New(committer{s})
 	search := discovery.Config{Addr: settings.Addr, Founders: settings.Founders, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap, LeaseTerm: settings.LeaseTerm}
 	s.finder = discovery.NewFinder(ctx, search, acceptor, s.call, s.learn)
--- a/internal/controlplane/core/stepdown.go
+++ b/internal/controlplane/core/stepdown.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/view"
+	"yarrowridge/internal/transport/wire"
 )
 
 // stepDownTimeout is how long a planned stop waits for the backup to lead.
@@ -32,6 +35,38 @@
 	}
 }
 
+// handOver gives the lease up for a backup that reaches a majority, where we still reach none. Only the run loop calls it.
+func (s *Server) handOver(v view.View, backup view.Member) {
+	standing := s.leadership.Standing()
+	if s.acceptor.View().Epoch != v.Epoch || !s.handover.IsDue(v, standing.Lease, standing.LedSince) {
+		return
+	}
+	round, ok := s.leadership.HandOver(v.Epoch)
+	if !ok {
+		return
+	}
+	s.ctx.Log.Info("No majority answers: a backup that reaches one takes over.", "epoch", v.Epoch, "backup", backup.Addr)
+	s.release(round)
+	go func() {
+		release := &paxos.ReleaseRequest{Epoch: v.Epoch, PrimaryRun: s.runID, Round: round}
+		if err := s.handover.SendRelease(s.ctx, backup, release); err != nil {
+			s.ctx.Log.Debug("Lease was not released by the backup.", "backup", backup.Addr, "epoch", v.Epoch, "error", err.Error())
+		}
+	}()
+}
+
+// relayRelease passes the primary's release of its lease on to those that it can't reach, and takes over.
+func (s *Server) relayRelease(ctx context.Context, release *paxos.ReleaseRequest) (*coreapi.Empty, error) {
+	if !s.handover.RelayRelease(ctx, release, s.acceptor.View()) {
+		return nil, wire.StatusError{Code: coreapi.CodeNotReached}
+	}
+	s.pipeline.StepLater(func() {
+		s.nextAttempt = time.Time{} // it is our turn: nobody else was asked
+		s.takeStep()
+	})
+	return &coreapi.Empty{}, nil
+}
+
 // notifySuccessor waits until the primary of the newest view knows it: the process that decided it is about to end.
 func (s *Server) notifySuccessor() {
 	v := s.acceptor.View()
--- a/internal/controlplane/leadership/leadership.go
+++ b/internal/controlplane/leadership/leadership.go
@@ -24,6 +24,7 @@
 	renewalRounds   uint64       // rounds of requests for the lease
 	leaseHeldAt     time.Time    // when the lease was last held, or its loss explained by a lack of contact
 	renewalPausedAt time.Time    // since when we ask for no lease, having failed to get one
+	handedOverAt    time.Time    // when the lease of this epoch was given up for a backup; zero: it was not
 	promisedOther   bool         // an acceptor refused a renewal: it has promised the next epoch to another
 	ready           bool         // writes are taken
 	readySince      time.Time
@@ -58,7 +59,7 @@
 	} else {
 		l.ledSince, l.lease = time.Now(), lease.New(l.leaseTerm)
 	}
-	l.epoch, l.ready, l.promisedOther = epoch, false, false
+	l.epoch, l.ready, l.promisedOther, l.handedOverAt = epoch, false, false, time.Time{}
 	return true, continued
 }
 
@@ -110,6 +111,23 @@
 	l.ready = false
 }
 
+// HandOver gives up the lease of an epoch, and asks for no other one for a term, so that a backup can take over. Grants that
+// are on their way count no longer. round is later than that of any renewal so far: the lease may be released in it. ok is
+// false, and nothing changes, where the process takes no writes in that epoch.
+func (l *Leadership) HandOver(epoch uint64) (round uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.epoch != epoch || !l.ready {
+		return 0, false
+	}
+	l.ready, l.handedOverAt = false, time.Now()
+	if !faultinjection.Disabled("handed-over-lease") {
+		l.lease = l.lease.ForNextEpoch()
+	}
+	l.renewalRounds++
+	return l.renewalRounds, true
+}
+
 // IsReady reports whether the process takes writes, for as long as it is primary.
 func (l *Leadership) IsReady() bool {
 	l.mu.Lock()
--- a/internal/controlplane/leadership/leadership_test.go
+++ b/internal/controlplane/leadership/leadership_test.go
@@ -119,3 +119,41 @@
 		}
 	})
 }
+
+// Who hands over acts on no grant, not even one that is on its way, and asks for no other for a term.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, v := New(testTerm, 1, 0), viewOfThree(3)
+		l.BeginEpoch(3)
+		if _, ok := l.HandOver(3); ok {
+			t.Error("got a handover of a primary that takes no writes, want none")
+		}
+		l.BeginWrites()
+		renewal, _ := l.NextRenewal(v, "a")
+		for _, id := range []string{"a", "b"} {
+			renewal.Lease.RecordGrant(id, time.Now())
+		}
+		if !l.HoldsLease(v) {
+			t.Fatal("got no lease before the handover, want one")
+		}
+		if _, ok := l.HandOver(2); ok || !l.IsReady() {
+			t.Error("got a handover of another epoch, want none")
+		}
+		round, ok := l.HandOver(3)
+		if !ok || round <= renewal.Request.Round {
+			t.Errorf("got handover %t in round %d, want one later than %d", ok, round, renewal.Request.Round)
+		}
+		renewal.Lease.RecordGrant("c", time.Now()) // on its way meanwhile
+		if l.HoldsLease(v) || l.IsReady() {
+			t.Errorf("after the handover: got lease held %t, writes taken %t, want neither", l.HoldsLease(v), l.IsReady())
+		}
+		time.Sleep(testTerm - time.Millisecond)
+		if _, due := l.NextRenewal(v, "a"); due {
+			t.Error("got a renewal due within a term of the handover, want none")
+		}
+		time.Sleep(time.Millisecond)
+		if _, due := l.NextRenewal(v, "a"); !due {
+			t.Error("got no renewal due a term after the handover, want one: the backup may have failed")
+		}
+	})
+}
--- a/internal/controlplane/leadership/renewal.go
+++ b/internal/controlplane/leadership/renewal.go
@@ -26,7 +26,7 @@
 	defer l.mu.Unlock()
 	inContact := time.Since(l.ledSince) < l.leaseTerm/2 || l.lease.IsInContact(v.IsMajority, l.leaseTerm/2)
 	leads := v.Primary == id && l.epoch == v.Epoch && !l.diskFailed && v.Epoch > 0
-	leads = !l.isRenewalPaused(v, inContact) && leads
+	leads = !l.isRenewalPaused(v, inContact) && leads && time.Since(l.handedOverAt) >= l.leaseTerm
 	l.renewalRounds++
 	request := paxos.RenewRequest{View: v, PrimaryRun: l.runID, Round: l.renewalRounds}
 	return Renewal{Request: request, Lease: l.lease, InContact: inContact}, leads
--- a/internal/testing/modelcheck/faults_test.go
+++ b/internal/testing/modelcheck/faults_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// cutFromAllButBackup cuts the primary and an operator off from all others but the first backup, which reaches both sides.
+func cutFromAllButBackup(f *fleet, event Event) {
+	v := f.current()
+	primary := f.holder(v.Primary)
+	if primary == nil {
+		return
+	}
+	f.world.Split([]string{primary.addr, operatorHost(0)}, slices.DeleteFunc(f.others(primary, true), func(addr string) bool {
+		return addr == operatorHost(0) || addr == v.Addr(v.FirstBackup)
+	}))
+	time.Sleep(event.span())
+	f.world.Heal()
+}
+
 // isolate cuts a machine and the first operator off from all others.
 func (f *fleet) isolate(p *process) {
 	island := []string{p.addr, operatorHost(0)}
--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -62,6 +62,7 @@
 	{"end-of-writes", "core", "TestCommitWithoutLeaseEndsWrites"},                  // a primary that goes on after a write that met a gap in its lease
 	{"lost-backup", "membership", "TestLostBackupStaysUntilThereIsAnother"},        // a backup that timed out, dropped like any member
 	{"config-content", "configuration", "TestUncommittedConfigurationIsNotReused"}, // a configuration that is known by its version alone
+	{"handed-over-lease", "leadership", "TestHandOver"},                            // a primary that acts on its lease after it handed over
 	{"run-query", "replacedruns", "TestUnitsCoolOnceTheSuccessorIsConfirmed"},      // a late heartbeat that proves other runs ended
 }
 
--- a/internal/testing/modelcheck/schedule_test.go
+++ b/internal/testing/modelcheck/schedule_test.go
@@ -74,12 +74,13 @@
 	"restart rest": restartBehindACut,
 	"late grants":  lateGrants,
 	"freeze":       freezeProcess,
+	"backup only":  cutFromAllButBackup,
 }
 
 // callKinds are the kinds of call between the processes of the walks. A schedule draws from them evenly: a fault at one of the
 // few snapshots or votes of a run is as likely as one at its hundreds of writes.
 var callKinds = []string{"core.beat", "core.copy", "core.hold", "core.join", "core.layout", "core.moves", "core.write",
-	"view.ask", "view.learn", "view.pick", "view.prep", "view.release", "view.renew"}
+	"view.ask", "view.learn", "view.pick", "view.prep", "view.reach", "view.relay", "view.release", "view.renew"}
 
 // Of the events of a schedule so many in 100 begin at a call, and so many faults of messages affect one kind of call.
 const (
--- a/internal/testing/sim/recovery_test.go
+++ b/internal/testing/sim/recovery_test.go
@@ -12,6 +12,9 @@
 // darkBackupMost bounds the time without a write where a backup gives no sign of life.
 const darkBackupMost = 500 * time.Millisecond
 
+// handoverMost bounds the time without a write where the primary hands over to a backup: less than the term of its lease.
+const handoverMost = 800 * time.Millisecond
+
 // The longest time without a write being taken after each fault, over the seeds: 12 s at most.
 // The log is the table of docs/measurements.md.
 func TestRecovery(t *testing.T) {
@@ -27,7 +30,7 @@
 		{"primary cut off", func(f *fleet, lead, _ *coreProc) { f.w.Split([]string{lead.addr}, f.rest(lead)) }, 0},
 		{"primary reaches its backup only", func(f *fleet, lead, back *coreProc) {
 			f.w.Split([]string{lead.addr}, f.rest(lead, back))
-		}, 0},
+		}, handoverMost},
 		{"primary's disk stalls", func(_ *fleet, lead, _ *coreProc) { lead.disk.Stall() }, 0},
 		{"primary's disk is full", func(_ *fleet, lead, _ *coreProc) { lead.disk.Full(true) }, 0},
 		{"backup's disk stalls", func(_ *fleet, _, back *coreProc) { back.disk.Stall() }, 0},
