core.Server: answering callers, renewing the lease and choosing backups are packages

No wire name, setting or stored form changes; service reaches its process by an interface (Host) whose comments say what may block.

--- a/internal/controlplane/core/commit.go
+++ b/internal/controlplane/core/commit.go
@@ -6,7 +6,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"yarrowridge/internal/controlplane/configuration"
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/pipeline"
 	"yarrowridge/internal/controlplane/store"
@@ -24,22 +23,39 @@
 	replaceStepInterval = 5 * time.Millisecond   // between two checks whether the lease of the new epoch is held
 )
 
-// Submit passes an operation of a class to the run loop and waits for its outcome. The code of the error is CodeNotPrimary,
-// CodeNotReady or CodeOverloaded where the operation surely was not and will not be committed, CodeOutcomeUnknown where it
-// may be. Any goroutine may call it but the run loop's.
-func (s *Server) Submit(ctx context.Context, class pipeline.Class, apply func(*transaction.Tx) error) error {
-	return s.submitWeighted(ctx, class, 1, apply)
-}
+// serviceHost is this process as the host of its service.
+type serviceHost struct{ s *Server }
+
+// View implements service.Host.
+func (h serviceHost) View() view.View { return h.s.acceptor.View() }
+
+// IsPrimary implements service.Host.
+func (h serviceHost) IsPrimary() bool { return h.s.isPrimary(h.s.acceptor.View()) }
+
+// TakesWrites implements service.Host.
+func (h serviceHost) TakesWrites() bool { return h.s.leadership.IsReady() }
+
+// RequirePrimary implements service.Host.
+func (h serviceHost) RequirePrimary() error { return h.s.requirePrimary() }
+
+// Store implements service.Host.
+func (h serviceHost) Store() *store.Store { return h.s.store.Load() }
 
-// submitWeighted is Submit of an operation that is as much work as some others.
-func (s *Server) submitWeighted(ctx context.Context, class pipeline.Class, weight int, apply func(*transaction.Tx) error) error {
-	if !s.leadership.IsReady() {
-		if v := s.acceptor.View(); v.Primary != s.acceptor.ID() {
+// Submit implements service.Host. The code of the error is CodeNotPrimary, CodeNotReady or CodeOverloaded where the operation
+// surely was not and will not be committed, CodeOutcomeUnknown where it may be.
+func (h serviceHost) Submit(ctx context.Context, class pipeline.Class, weight int, apply func(*transaction.Tx) error) error {
+	if !h.s.leadership.IsReady() {
+		if v := h.s.acceptor.View(); v.Primary != h.s.acceptor.ID() {
 			return wire.StatusError{Code: coreapi.CodeNotPrimary}
 		}
 		return wire.StatusError{Code: coreapi.CodeNotReady}
 	}
-	return s.pipeline.Submit(ctx, class, weight, apply)
+	return h.s.pipeline.Submit(ctx, class, weight, apply)
+}
+
+// SubmitLater implements service.Host.
+func (h serviceHost) SubmitLater(class pipeline.Class, apply pipeline.Operation) {
+	h.s.pipeline.SubmitLater(class, apply)
 }
 
 // committer is this process as the committer of its pipeline.
@@ -103,7 +119,7 @@
 		}
 		return outcomeUnknown
 	}
-	s.applyCommitted(tx)
+	s.service.ApplyCommitted(tx)
 	return nil
 }
 
@@ -131,13 +147,3 @@
 	}
 	return false
 }
-
-// applyCommitted takes up what a committed batch says: the configuration that nodes are told of, and the finished keys.
-func (s *Server) applyCommitted(tx *transaction.Tx) {
-	s.claims.ApplyCommitted(tx)
-	if config, ok := configuration.Written(tx); ok {
-		s.mu.Lock()
-		s.config = config
-		s.mu.Unlock()
-	}
-}
--- a/internal/controlplane/core/disk.go
+++ b/internal/controlplane/core/disk.go
@@ -51,7 +51,7 @@
 // recovered.
 func (s *Server) failDisk(err error) {
 	if first, round := s.leadership.FailDisk(); first {
-		s.release(round)
+		s.renewer.Release(round)
 		s.ctx.Log.Error("Disk failed. Leadership and replication stop.", "error", err.Error())
 		go s.recoverDisk()
 	}
--- a/internal/controlplane/core/figures.go
+++ b/internal/controlplane/core/figures.go
@@ -1,7 +1,5 @@
 package core
 
-import "time"
-
 // Figures are what a core counts of itself, for those who watch it. Unlike State they cost next to nothing to read.
 type Figures struct {
 	Epoch         uint64 // of the newest view that it knows; 0: no fleet yet
@@ -18,12 +16,17 @@
 // Figures gives what this core counts of itself now.
 func (s *Server) Figures() Figures {
 	v := s.acceptor.View()
-	figures := Figures{Epoch: v.Epoch, Members: len(v.Members), Primary: s.isPrimary(v), StoreVersion: s.store.Load().Version(),
-		Runners: len(s.registry.List(time.Now()))}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.routers.Expire(time.Now())
-	figures.Ready = s.leadership.IsReady() && figures.Primary
-	figures.DiskFailed, figures.ConfigVersion, figures.Nodes = s.leadership.HasDiskFailed(), s.config.Version, s.routers.Len()
-	return figures
+	status := s.service.Status()
+	primary := s.isPrimary(v)
+	return Figures{
+		Epoch:         v.Epoch,
+		Members:       len(v.Members),
+		Primary:       primary,
+		Ready:         status.TakesWrites && primary,
+		DiskFailed:    s.leadership.HasDiskFailed(),
+		StoreVersion:  s.store.Load().Version(),
+		ConfigVersion: status.ConfigVersion,
+		Nodes:         len(status.Routers),
+		Runners:       status.Runners,
+	}
 }
--- a/internal/controlplane/core/handlers.go
+++ b/internal/controlplane/core/handlers.go
@@ -80,42 +80,10 @@
 		return wire.HandleTyped(body, s.backup.HandleSnapshot)
 	case "core.join":
 		return wire.HandleTyped(body, func(request *JoinRequest) (*coreapi.Empty, error) { return s.handleJoin(ctx, request) })
-	case "core.beat":
-		return wire.HandleTyped(body, func(request *coreapi.HeartbeatRequest) (*coreapi.HeartbeatResponse, error) {
-			return s.handleRouterHeartbeat(ctx, request)
-		})
-	case "core.runner":
-		return wire.HandleTyped(body, func(request *coreapi.RunnerHeartbeat) (*coreapi.Empty, error) {
-			return s.handleRunnerHeartbeat(ctx, request)
-		})
-	case "core.layout":
-		return wire.HandleTyped(body, s.readConfig)
-	case "core.write":
-		return wire.HandleTyped(body, func(request *coreapi.WriteRequest) (*coreapi.WriteResponse, error) {
-			return s.writeConfig(ctx, request)
-		})
-	case "core.take":
-		return wire.HandleTyped(body, func(request *coreapi.ClaimRequest) (*coreapi.ClaimResponse, error) { return s.claimKey(ctx, request) })
-	case "core.settle":
-		return wire.HandleTyped(body, func(request *coreapi.CompleteClaimRequest) (*coreapi.Empty, error) {
-			return s.completeClaim(ctx, request)
-		})
-	case "core.move":
-		return wire.HandleTyped(body, func(move *coreapi.QuotaTransfer) (*coreapi.QuotaTransferResult, error) { return s.transfer(ctx, move) })
-	case "core.moves":
-		return wire.HandleTyped(body, func(request *coreapi.QuotaTransfersRequest) (*coreapi.QuotaTransfersResponse, error) {
-			return s.transferAll(ctx, request)
-		})
-	case "core.sessions":
-		return wire.HandleTyped(body, func(*coreapi.ConfigRequest) (*coreapi.SessionDirectory, error) { return s.readSessions() })
-	case "core.sessions.keep":
-		return wire.HandleTyped(body, func(directory *coreapi.SessionDirectory) (*coreapi.Empty, error) {
-			return s.storeSessions(ctx, directory)
-		})
 	case "core.peek":
 		return wire.HandleTyped(body, func(*coreapi.StateRequest) (*coreapi.State, error) { return s.State(), nil })
 	}
-	return nil, wire.StatusError{Code: wire.CodeUnknownKind}
+	return s.service.Handle(ctx, kind, body)
 }
 
 // requirePrimary rejects what only a ready primary may answer.
--- a/internal/controlplane/core/lead.go
+++ b/internal/controlplane/core/lead.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"yarrowridge/internal/controlplane/leadership"
-	"yarrowridge/internal/controlplane/lease"
 	"yarrowridge/internal/controlplane/membership"
 	"yarrowridge/internal/controlplane/view"
 	"yarrowridge/internal/lib/faultinjection"
@@ -57,7 +56,7 @@
 	}
 	keep := s.backupsToKeep(v, primacy, ready, ledSince)
 	if !ready || len(keep) < len(v.Backups()) || len(keep) < s.settings.membershipPolicy().BackupCount(v) {
-		if !s.reconcileReplicas(v, self, primacy, keep) {
+		if !s.reconcileReplicas(v, primacy, keep) {
 			s.changeMembers(v, self, primacy, ledSince) // newcomers may be what is missing
 			return
 		}
@@ -67,7 +66,7 @@
 		s.becomeReady(v)
 	}
 	s.changeMembers(v, self, primacy, ledSince)
-	s.sweep()
+	s.service.Sweep()
 }
 
 // beginEpoch decides the next epoch, by our own view or by one that was accepted for it already.
@@ -88,19 +87,6 @@
 	}
 }
 
-// backupsToKeep lists the backups that respond, did not fail lately and stand where they should. A new primary keeps
-// the former one only where there is nobody else: it has just been lost, or is about to stop.
-func (s *Server) backupsToKeep(v view.View, primacy *lease.Lease, ready bool, ledSince time.Time) []string {
-	keep := slices.DeleteFunc(s.respondingBackups(v, primacy, ledSince), func(id string) bool {
-		return !ready && id == s.predecessor || !s.replicator.IsInSync(id) && s.replicator.HasFailedWithin(id, failedTTL)
-	})
-	worst := s.wronglyPlacedBackup(v, primacy)
-	if len(keep) == len(v.Backups()) && worst != "" && s.attemptDue(replaceInterval) {
-		keep = slices.DeleteFunc(keep, func(id string) bool { return id == worst })
-	}
-	return keep
-}
-
 // beginLeading records that we lead the view's epoch, once at its beginning, and tells how we stand in it.
 func (s *Server) beginLeading(v view.View) leadership.Standing {
 	if began, continued := s.leadership.BeginEpoch(v.Epoch); began {
@@ -109,7 +95,7 @@
 		}
 		// What a former primary sent is stored wholly or not at all before we lead on.
 		s.backup.Exclusively(func() {})
-		s.renew()
+		s.renewer.Renew()
 	}
 	return s.leadership.Standing()
 }
--- a/internal/controlplane/core/members.go
+++ b/internal/controlplane/core/members.go
@@ -6,6 +6,7 @@
 
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/lease"
+	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/view"
 	"yarrowridge/internal/transport/wire"
 )
@@ -25,7 +26,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	if status, err := s.statusOf(ctx, member.Addr); err != nil || status.ID != member.ID {
+	if status, err := paxos.QueryStatus(ctx, s.call, member.Addr); err != nil || status.ID != member.ID {
 		return nil, wire.StatusError{Code: coreapi.CodeNotReached}
 	}
 	s.candidates.Add(member)
--- a/internal/controlplane/core/primary.go
+++ b/internal/controlplane/core/primary.go
@@ -1,10 +1,6 @@
 package core
 
 import (
-	"time"
-
-	"yarrowridge/internal/controlplane/configuration"
-	"yarrowridge/internal/controlplane/runnerregistry"
 	"yarrowridge/internal/controlplane/view"
 	"yarrowridge/internal/lib/faultinjection"
 )
@@ -39,18 +35,13 @@
 
 // becomeReady begins to take writes: the backups are in sync, and the lease is held.
 func (s *Server) becomeReady(v view.View) {
-	config, err := configuration.Current(s.store.Load())
+	version, err := s.service.Start(v.Epoch, s.leadership.Standing().LedSince, func() {
+		s.predecessor = ""
+		s.leadership.BeginWrites()
+	})
 	if err != nil {
 		s.ctx.Log.Error("Stored configuration can't be read.", "error", err.Error())
 		return
 	}
-	s.claims.Load(s.store.Load())
-	s.predecessor = ""
-	s.mu.Lock()
-	s.registry.StartEpoch(runnerregistry.Epoch(v.Epoch, s.ctx.RunID), s.leadership.Standing().LedSince, time.Now(), s.runnerStorage.LoadAll())
-	s.config = config
-	s.routers.Start(s.routerAddresses.Count(), time.Now())
-	s.leadership.BeginWrites() // under s.mu: who sees it and then locks s.mu sees all of the above
-	s.mu.Unlock()
-	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backups", addresses(v, v.Backups()), "sequence", config.Version)
+	s.ctx.Log.Info("Primary is ready.", "epoch", v.Epoch, "backups", addresses(v, v.Backups()), "sequence", version)
 }
--- a/internal/controlplane/core/server.go
+++ b/internal/controlplane/core/server.go
@@ -1,33 +1,27 @@
 // Package core is one process of the control plane. A Server puts together what the packages beside it do: paxos chooses
-// views, leadership and lease tell whether this process may answer, pipeline and replication make writes durable, and
-// configuration, idempotency, quotapool, routerleases and runnerregistry hold what is written. Its run loop's goroutine
-// leads or follows, one step at a time, and applies all writes.
+// views, leadership and renewal tell whether this process may answer, pipeline and replication make writes durable, and
+// service answers routers, runners and operators. Its run loop's goroutine leads or follows, one step at a time, and applies
+// all writes.
 package core
 
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
-	"yarrowridge/internal/controlplane/configuration"
-	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/discovery"
 	"yarrowridge/internal/controlplane/failuredetector"
 	"yarrowridge/internal/controlplane/handover"
-	"yarrowridge/internal/controlplane/idempotency"
 	"yarrowridge/internal/controlplane/leadership"
 	"yarrowridge/internal/controlplane/membership"
 	"yarrowridge/internal/controlplane/paxos"
 	"yarrowridge/internal/controlplane/pipeline"
-	"yarrowridge/internal/controlplane/quotapool"
-	"yarrowridge/internal/controlplane/replacedruns"
+	"yarrowridge/internal/controlplane/renewal"
 	"yarrowridge/internal/controlplane/replication"
-	"yarrowridge/internal/controlplane/routerleases"
-	"yarrowridge/internal/controlplane/runnerregistry"
+	"yarrowridge/internal/controlplane/service"
 	"yarrowridge/internal/controlplane/store"
 	"yarrowridge/internal/lib/daemon"
 	"yarrowridge/internal/lib/runloop"
@@ -54,24 +48,15 @@
 	backup   *replication.Backup
 
 	// Primacy and what needs it. All methods may be called concurrently.
-	leadership      *leadership.Leadership
-	detector        *failuredetector.Detector // of the lease holder's end
-	handover        *handover.Coordinator
-	pipeline        pipeline.Pipeline
-	candidates      membership.Candidates
-	routerAddresses discovery.RouterDirectory // the run loop calls Announce
-	registry        *runnerregistry.Registry
-	runnerStorage   runnerregistry.Storage
-	runnerOutliers  runnerregistry.OutlierDetector
-	runnerLatency   runnerregistry.LatencyTracker
-	replacedRuns    *replacedruns.Tracker
+	leadership *leadership.Leadership
+	detector   *failuredetector.Detector // of the lease holder's end
+	renewer    *renewal.Renewer
+	handover   *handover.Coordinator
+	pipeline   pipeline.Pipeline
+	candidates membership.Candidates
+	service    *service.Service // of routers, runners and operators
 
 	runLoopState
-
-	mu       sync.Mutex           // guards the fields below; taken before any lock of leadership or registry
-	config   coreapi.StoredConfig // the newest one committed; here, since it is set and read together with ready
-	routers  routerleases.Table   // the routers whose lease runs
-	scarcity quotapool.Scarcity   // tenants whose idle units are wanted back
 }
 
 // runLoopState is what only the run loop's goroutine touches.
@@ -79,20 +64,11 @@
 	replicator *replication.Replicator
 	finder     *discovery.Finder // but SetSeeds
 
-	// State machines of what is stored.
-	documents *configuration.Documents
-	claims    *idempotency.Claims
-	pools     *quotapool.Pools
-
 	highestNumber    uint64    // of a proposal seen so far
 	formerPrimary    string    // the primary that we took over from
 	predecessor      string    // the primary that we last followed as backup; "" once we are ready
 	nextMemberChange time.Time // earliest next change of the members
 	nextAttempt      time.Time // earliest next attempt at what attemptDue guards
-
-	sweptAt       time.Time
-	claimsSweptAt time.Time
-	announcedAt   time.Time // when silent routers were last told the view
 }
 
 // Open recovers a core's state from its disk. A disk whose state is damaged counts as blank: its identity is given up, so
@@ -118,20 +94,17 @@
 		caller:   wire.NewCaller(ctx.Net),
 		runID:    rand.Uint64() | 1,
 	}
-	s.documents, s.pools = configuration.New(settings.Codec), quotapool.New()
 	s.backup = replication.NewBackup(host{s}, acceptor)
 	s.replicator = replication.NewReplicator(ctx, acceptor.ID, s.call)
 	s.leadership = leadership.New(settings.LeaseTerm, s.runID, acceptor.View().Epoch)
 	s.detector = failuredetector.New(acceptor, s.call, settings.LeaseTerm)
+	s.renewer = renewal.New(ctx, renewal.Config{Leadership: s.leadership, LeaseTerm: settings.LeaseTerm, RunID: s.runID, ID: acceptor.ID, View: acceptor.View,
+		Call: s.call, Learn: s.learn, LeaseHeld: s.wakeRunLoop})
 	s.handover = handover.New(s.call, settings.LeaseTerm)
 	s.pipeline = pipeline.New(committer{s})
 	search := discovery.Config{Addr: settings.Addr, Founders: settings.Founders, Seeds: settings.Seeds, Bootstrap: settings.Bootstrap, LeaseTerm: settings.LeaseTerm}
 	s.finder = discovery.NewFinder(ctx, search, acceptor, s.call, s.learn)
-	s.routerAddresses = discovery.RouterDirectory{Committed: s.store.Load, SubmitLater: s.submitLater(pipeline.ClassRouter), Notify: s.announceTo}
-	s.claims = idempotency.New(func() int { return s.documents.MaxFinishedKeys(s.committedConfig()) })
-	s.registry = runnerregistry.New(settings.RunnerSilentAfter, runnerregistry.NewNotifier(s.pushRunners).Notify)
-	s.runnerStorage = runnerregistry.Storage{Committed: s.store.Load, Submit: s.submitRunner, SubmitLater: s.submitLater(pipeline.ClassRunner)}
-	s.replacedRuns = replacedruns.New(ctx, s.pools, s.routerRunAt, s.submitLater(pipeline.ClassQuota))
+	s.service = service.New(ctx, service.Settings{Codec: settings.Codec, RunnerSilentAfter: settings.RunnerSilentAfter}, serviceHost{s}, s.caller)
 	s.store.Store(opened)
 	s.handlers = wire.Handlers{"view": s.handleView, "core": s.handleCore}
 	return s, nil
@@ -144,7 +117,7 @@
 
 // Run leads, follows or waits, as the view says, until the context ends.
 func (s *Server) Run() {
-	go runloop.Run(s.ctx, nil, s.settings.LeaseTerm/6, func(struct{}) {}, s.renew)
+	go runloop.Run(s.ctx, nil, s.settings.LeaseTerm/6, func(struct{}) {}, s.renewer.Renew)
 	s.takeStep()
 	s.pipeline.Run(s.ctx, tickInterval, s.takeStep)
 	s.caller.Close()
--- a/internal/controlplane/core/state.go
+++ b/internal/controlplane/core/state.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"time"
-
 	"yarrowridge/internal/controlplane/coreapi"
 	"yarrowridge/internal/controlplane/idempotency"
 	"yarrowridge/internal/controlplane/quotapool"
@@ -12,13 +10,11 @@
 // State tells the core's own state.
 func (s *Server) State() *coreapi.State {
 	committed := s.store.Load()
+	status := s.service.Status()
 	state := &coreapi.State{View: s.acceptor.View(), ID: s.acceptor.ID(), StoreVersion: committed.Version()}
-	s.mu.Lock()
-	s.routers.Expire(time.Now())
-	state.Ready, state.ConfigVersion, state.DiskFailed = s.leadership.IsReady(), s.config.Version, s.leadership.HasDiskFailed()
-	state.Nodes = s.routers.List()
+	state.Ready, state.ConfigVersion, state.DiskFailed = status.TakesWrites, status.ConfigVersion, s.leadership.HasDiskFailed()
+	state.Nodes = status.Routers
 	state.Candidates = s.candidates.Members()
-	s.mu.Unlock()
 	counts := idempotency.Count(committed)
 	state.Claims, state.FinishedKeys, state.FinishedKeyChunks = counts.Claims, counts.FinishedKeys, counts.FinishedKeyChunks
 	state.Shares = quotapool.Shares(committed)
--- a/internal/controlplane/core/stepdown.go
+++ b/internal/controlplane/core/stepdown.go
@@ -46,7 +46,7 @@
 		return
 	}
 	s.ctx.Log.Info("No majority answers: a backup that reaches one takes over.", "epoch", v.Epoch, "backup", backup.Addr)
-	s.release(round)
+	s.renewer.Release(round)
 	go func() {
 		release := &paxos.ReleaseRequest{Epoch: v.Epoch, PrimaryRun: s.runID, Round: round}
 		if err := s.handover.SendRelease(s.ctx, backup, release); err != nil {
--- a/internal/controlplane/core/announce.go
+++ b/internal/controlplane/service/announce.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 const announceTimeout = 500 * time.Millisecond
 
 // announceTo tells the view to the router at an address. Whether it answers does not matter: it is told again.
-func (s *Server) announceTo(addr string, v view.View) {
+func (s *Service) announceTo(addr string, v view.View) {
 	ctx, cancel := context.WithTimeout(s.ctx, announceTimeout)
 	defer cancel()
 	if err := s.caller.Call(ctx, addr, "node.view", &view.LearnRequest{View: v}, nil); err != nil {
--- /dev/null
+++ b/internal/controlplane/service/claims.go
@@ -0,0 +1,41 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"yarrowridge/internal/controlplane/configuration"
+	"yarrowridge/internal/controlplane/coreapi"
+	"yarrowridge/internal/controlplane/pipeline"
+	"yarrowridge/internal/controlplane/transaction"
+)
+
+// claimKey answers a claim of an idempotency key.
+func (s *Service) claimKey(ctx context.Context, request *coreapi.ClaimRequest) (*coreapi.ClaimResponse, error) {
+	response := &coreapi.ClaimResponse{}
+	err := s.host.Submit(ctx, pipeline.ClassClaim, 1, func(tx *transaction.Tx) error { return s.claims.Claim(tx, request, response, s.isRunAlive) })
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// completeClaim records the outcome of a claimed request, or releases its key.
+func (s *Service) completeClaim(ctx context.Context, request *coreapi.CompleteClaimRequest) (*coreapi.Empty, error) {
+	return &coreapi.Empty{}, s.host.Submit(ctx, pipeline.ClassClaim, 1, func(tx *transaction.Tx) error { return s.claims.Complete(tx, request) })
+}
+
+// isRunAlive reports whether a run of a node may be alive. Just after a hand-over every one counts as alive until it has
+// had time to send a heartbeat.
+func (s *Service) isRunAlive(node string, run uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routers.MayBeAlive(node, run, time.Now())
+}
+
+// sweepClaims removes the idempotency records that have expired.
+func (s *Service) sweepClaims(now time.Time, limits configuration.ClaimLimits) {
+	for _, operation := range s.claims.Sweep(s.host.Store(), now, limits) {
+		s.host.SubmitLater(pipeline.ClassClaim, operation)
+	}
+}
--- a/internal/controlplane/core/config.go
+++ b/internal/controlplane/service/configuration.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -13,19 +13,19 @@
 )
 
 // readConfig gives the configuration in force, or an older one that is still kept.
-func (s *Server) readConfig(request *coreapi.ConfigRequest) (*coreapi.StoredConfig, error) {
-	if err := s.requirePrimary(); err != nil {
+func (s *Service) readConfig(request *coreapi.ConfigRequest) (*coreapi.StoredConfig, error) {
+	if err := s.host.RequirePrimary(); err != nil {
 		return nil, err
 	}
 	current := s.committedConfig()
 	if request.Version == 0 || request.Version == current.Version {
 		return &current, nil
 	}
-	return configuration.ReadVersion(s.store.Load(), request.Version, current.Version)
+	return configuration.ReadVersion(s.host.Store(), request.Version, current.Version)
 }
 
 // committedConfig is the newest configuration committed.
-func (s *Server) committedConfig() coreapi.StoredConfig {
+func (s *Service) committedConfig() coreapi.StoredConfig {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.config
@@ -33,14 +33,14 @@
 
 // writeConfig checks and applies an operator's change. It is answered once the disks hold it and each
 // zone's first relays have it, or a short time for that has passed.
-func (s *Server) writeConfig(ctx context.Context, request *coreapi.WriteRequest) (*coreapi.WriteResponse, error) {
-	if len(request.Raw) > s.settings.Codec.MaxBytes() {
+func (s *Service) writeConfig(ctx context.Context, request *coreapi.WriteRequest) (*coreapi.WriteResponse, error) {
+	if len(request.Raw) > s.codec.MaxBytes() {
 		return &coreapi.WriteResponse{Code: http.StatusRequestEntityTooLarge}, nil
 	}
 	response := &coreapi.WriteResponse{Code: http.StatusOK}
 	hash := configuration.Hash(request.Raw)
 	var written coreapi.StoredConfig
-	err := s.Submit(ctx, pipeline.ClassConfig, func(tx *transaction.Tx) (err error) {
+	err := s.host.Submit(ctx, pipeline.ClassConfig, 1, func(tx *transaction.Tx) (err error) {
 		written, err = s.documents.Write(tx, request, hash, response)
 		return err
 	})
@@ -50,7 +50,7 @@
 	if written.Version > 0 {
 		s.ctx.Log.Info("Configuration taken.", "sequence", written.Version)
 		s.push(dissemination.ConfigRecord(written.Version, written.Raw))
-		if !s.isPrimary(s.acceptor.View()) {
+		if !s.host.IsPrimary() {
 			return nil, wire.StatusError{Code: coreapi.CodeOutcomeUnknown}
 		}
 	}
--- a/internal/controlplane/core/push.go
+++ b/internal/controlplane/service/push.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"time"
@@ -12,11 +12,11 @@
 
 // push hands records to the first routers of every zone and waits for routerleases.PushTimeout at most, so that the records
 // outlive this process once it has responded.
-func (s *Server) push(records ...dissemination.Record) { s.pushTo(routersPerZone, records) }
+func (s *Service) push(records ...dissemination.Record) { s.pushTo(routersPerZone, records) }
 
 // pushRunners is push for runners. A primary that has just started has named no routers yet: those that have no list from
 // before cannot pass records on, so all are handed them.
-func (s *Server) pushRunners(records ...dissemination.Record) {
+func (s *Service) pushRunners(records ...dissemination.Record) {
 	perZone := routersPerZone
 	s.mu.Lock()
 	if !s.routers.HavePeerLists(time.Now()) {
@@ -27,7 +27,7 @@
 }
 
 // pushTo hands records to the first perZone routers of every zone.
-func (s *Server) pushTo(perZone int, records []dissemination.Record) {
+func (s *Service) pushTo(perZone int, records []dissemination.Record) {
 	s.mu.Lock()
 	routers := s.routers.List()
 	s.mu.Unlock()
--- a/internal/controlplane/core/quota.go
+++ b/internal/controlplane/service/quota.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 )
 
 // transfer acquires or returns units of one tenant.
-func (s *Server) transfer(ctx context.Context, move *coreapi.QuotaTransfer) (*coreapi.QuotaTransferResult, error) {
+func (s *Service) transfer(ctx context.Context, move *coreapi.QuotaTransfer) (*coreapi.QuotaTransferResult, error) {
 	all, err := s.transferAll(ctx, &coreapi.QuotaTransfersRequest{Holder: move.Holder, Transfers: []coreapi.QuotaTransfer{*move}})
 	if err != nil {
 		return nil, err
@@ -20,9 +20,9 @@
 }
 
 // transferAll makes all transfers of one holder in one write.
-func (s *Server) transferAll(ctx context.Context, request *coreapi.QuotaTransfersRequest) (*coreapi.QuotaTransfersResponse, error) {
+func (s *Service) transferAll(ctx context.Context, request *coreapi.QuotaTransfersRequest) (*coreapi.QuotaTransfersResponse, error) {
 	response := &coreapi.QuotaTransfersResponse{}
-	err := s.submitWeighted(ctx, pipeline.ClassQuota, max(1, len(request.Transfers)), func(tx *transaction.Tx) error {
+	err := s.host.Submit(ctx, pipeline.ClassQuota, max(1, len(request.Transfers)), func(tx *transaction.Tx) error {
 		response.Results = make([]coreapi.QuotaTransferResult, len(request.Transfers))
 		document, err := s.documents.InBatch(tx)
 		if err != nil {
@@ -48,7 +48,7 @@
 }
 
 // markScarcity has the routers told where idle units are wanted back after an acquire.
-func (s *Server) markScarcity(demand quotapool.Demand) {
+func (s *Service) markScarcity(demand quotapool.Demand) {
 	if demand.Units <= 0 {
 		return
 	}
@@ -58,16 +58,16 @@
 }
 
 // coolHolder has a holder's units cool: its process is surely gone.
-func (s *Server) coolHolder(ctx context.Context, holder string) error {
-	return s.Submit(ctx, pipeline.ClassQuota, func(tx *transaction.Tx) error { return s.pools.StartCooling(tx, holder) })
+func (s *Service) coolHolder(ctx context.Context, holder string) error {
+	return s.host.Submit(ctx, pipeline.ClassQuota, 1, func(tx *transaction.Tx) error { return s.pools.StartCooling(tx, holder) })
 }
 
 // sweepQuotas has the run loop make the changes of quota pools that are due, and the runs of routers confirmed beside which
 // others hold units.
-func (s *Server) sweepQuotas(document *configuration.Document, live quotapool.LiveHolders) {
-	operation, successors := s.pools.Sweep(s.store.Load(), document, live)
+func (s *Service) sweepQuotas(document *configuration.Document, live quotapool.LiveHolders) {
+	operation, successors := s.pools.Sweep(s.host.Store(), document, live)
 	if operation != nil {
-		s.pipeline.SubmitLater(pipeline.ClassQuota, operation)
+		s.host.SubmitLater(pipeline.ClassQuota, operation)
 	}
 	for _, router := range successors {
 		s.replacedRuns.Add(router, 0)
--- a/internal/controlplane/core/routerheartbeat.go
+++ b/internal/controlplane/service/routerheartbeat.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 const runQueryTimeout = 250 * time.Millisecond
 
 // handleRouterHeartbeat renews a router's lease, or ends it, and responds with what has changed.
-func (s *Server) handleRouterHeartbeat(ctx context.Context, request *coreapi.HeartbeatRequest) (*coreapi.HeartbeatResponse, error) {
-	if err := s.requirePrimary(); err != nil {
+func (s *Service) handleRouterHeartbeat(ctx context.Context, request *coreapi.HeartbeatRequest) (*coreapi.HeartbeatResponse, error) {
+	if err := s.host.RequirePrimary(); err != nil {
 		return nil, err
 	}
 	router := request.Node
@@ -40,7 +40,7 @@
 
 // hasRunEnded reports whether a heartbeat is of a run that another one at the same address has replaced: it was delayed in
 // the network. Whoever listens there says which run it is; where nobody answers, the heartbeat is taken.
-func (s *Server) hasRunEnded(ctx context.Context, router coreapi.Node) bool {
+func (s *Service) hasRunEnded(ctx context.Context, router coreapi.Node) bool {
 	s.mu.Lock()
 	hasOtherRun := s.routers.HasOtherRun(router)
 	s.mu.Unlock()
@@ -54,14 +54,14 @@
 }
 
 // routerRunAt asks the router that listens at an address which run of it there is.
-func (s *Server) routerRunAt(ctx context.Context, addr string) (run uint64, err error) {
+func (s *Service) routerRunAt(ctx context.Context, addr string) (run uint64, err error) {
 	var listening coreapi.Node
-	err = s.call(ctx, addr, "node.run", &coreapi.Empty{}, &listening)
+	err = s.caller.Call(ctx, addr, "node.run", &coreapi.Empty{}, &listening)
 	return listening.Run, err
 }
 
 // fillScarceTenants puts the scarce tenants into the response, unless the router has this very list. The caller holds s.mu.
-func (s *Server) fillScarceTenants(request *coreapi.HeartbeatRequest, response *coreapi.HeartbeatResponse) {
+func (s *Service) fillScarceTenants(request *coreapi.HeartbeatRequest, response *coreapi.HeartbeatResponse) {
 	tenants, version := s.scarcity.Listed()
 	response.ScarceVersion = version
 	if request.ScarceVersion == version {
@@ -74,7 +74,7 @@
 // recordHeartbeat records a router's heartbeat and makes the response, one consistent picture under the server's lock. The
 // locks of the registry and of the runners' statistics are taken within it. newRun reports whether the router's run was not
 // known. The only error is routerleases.ErrNameTaken.
-func (s *Server) recordHeartbeat(request *coreapi.HeartbeatRequest) (response *coreapi.HeartbeatResponse, newRun bool, err error) {
+func (s *Service) recordHeartbeat(request *coreapi.HeartbeatRequest) (response *coreapi.HeartbeatResponse, newRun bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -83,7 +83,7 @@
 		return nil, false, err
 	}
 	response = &coreapi.HeartbeatResponse{ConfigVersion: s.config.Version}
-	if v := s.acceptor.View(); v.Epoch != request.ViewEpoch {
+	if v := s.host.View(); v.Epoch != request.ViewEpoch {
 		response.View = v
 	}
 	s.routers.FillResponse(request, response, now)
--- a/internal/controlplane/core/routerheartbeat_test.go
+++ b/internal/controlplane/service/routerheartbeat_test.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"testing"
@@ -15,7 +15,7 @@
 // that lost all power takes itself for one of many.
 func TestNewPrimarySaysHowManyRoutersThereWere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, opened := newIdleServer(t)
+		s, host := newService(t)
 		var puts []store.Mutation
 		for _, addr := range []string{"10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70"} {
 			raw, err := (&coreapi.Node{Name: addr, Addr: addr}).MarshalMsg(nil)
@@ -24,10 +24,9 @@
 			}
 			puts = append(puts, store.Mutation{Key: discovery.RouterKey(addr), Value: raw})
 		}
-		if err := opened.Append(store.Batch{Version: opened.Version() + 1, Mutations: puts}); err != nil {
+		if err := host.committed.Append(store.Batch{Version: host.committed.Version() + 1, Mutations: puts}); err != nil {
 			t.Fatal(err)
 		}
-		s.routerAddresses.Committed = s.store.Load
 		s.routers.Start(s.routerAddresses.Count(), time.Now())
 		heartbeat := &coreapi.HeartbeatRequest{Node: coreapi.Node{Name: "a"}}
 		if _, err := s.routers.RecordHeartbeat(heartbeat, time.Now()); err != nil {
--- a/internal/controlplane/core/runnerheartbeat.go
+++ b/internal/controlplane/service/runnerheartbeat.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 
 // handleRunnerHeartbeat takes a runner's heartbeat. A change of its state is pushed to the first routers of every zone before it is
 // acknowledged, so that it outlives this process.
-func (s *Server) handleRunnerHeartbeat(ctx context.Context, request *coreapi.RunnerHeartbeat) (*coreapi.Empty, error) {
-	if err := s.requirePrimary(); err != nil {
+func (s *Service) handleRunnerHeartbeat(ctx context.Context, request *coreapi.RunnerHeartbeat) (*coreapi.Empty, error) {
+	if err := s.host.RequirePrimary(); err != nil {
 		return nil, err
 	}
 	if !isValidHeartbeat(request.Runner) {
@@ -33,8 +33,8 @@
 }
 
 // submitRunner is Submit of what is stored of a runner.
-func (s *Server) submitRunner(ctx context.Context, apply func(*transaction.Tx) error) error {
-	return s.Submit(ctx, pipeline.ClassRunner, apply)
+func (s *Service) submitRunner(ctx context.Context, apply func(*transaction.Tx) error) error {
+	return s.host.Submit(ctx, pipeline.ClassRunner, 1, apply)
 }
 
 // isValidHeartbeat reports whether a runner has a name and is in a state that runners say of themselves.
--- a/internal/controlplane/core/sessions.go
+++ b/internal/controlplane/service/sessions.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"context"
@@ -17,11 +17,11 @@
 const maxSessionsBytes = 1 << 20
 
 // storeSessions stores the directory in place of the one before.
-func (s *Server) storeSessions(ctx context.Context, directory *coreapi.SessionDirectory) (*coreapi.Empty, error) {
+func (s *Service) storeSessions(ctx context.Context, directory *coreapi.SessionDirectory) (*coreapi.Empty, error) {
 	if len(directory.Batch) > maxSessionsBytes {
 		return nil, wire.StatusError{Code: coreapi.CodeTooLarge}
 	}
-	err := s.Submit(ctx, pipeline.ClassRouter, func(tx *transaction.Tx) error { return tx.Put(sessionsKey, directory) })
+	err := s.host.Submit(ctx, pipeline.ClassRouter, 1, func(tx *transaction.Tx) error { return tx.Put(sessionsKey, directory) })
 	if err != nil {
 		return nil, err
 	}
@@ -29,12 +29,12 @@
 }
 
 // readSessions gives the directory that was stored last.
-func (s *Server) readSessions() (*coreapi.SessionDirectory, error) {
-	if err := s.requirePrimary(); err != nil {
+func (s *Service) readSessions() (*coreapi.SessionDirectory, error) {
+	if err := s.host.RequirePrimary(); err != nil {
 		return nil, err
 	}
 	var directory coreapi.SessionDirectory
-	if raw, ok := s.store.Load().Get(sessionsKey); ok {
+	if raw, ok := s.host.Store().Get(sessionsKey); ok {
 		if _, err := directory.UnmarshalMsg(raw); err != nil {
 			return nil, err
 		}
--- a/internal/controlplane/core/sweep.go
+++ b/internal/controlplane/service/sweep.go
@@ -1,4 +1,4 @@
-package core
+package service
 
 import (
 	"time"
@@ -17,16 +17,16 @@
 	claimsSweepInterval  = 10 * time.Second // there may be very many claims, and their retention is not kept to the second
 )
 
-// sweep removes what has expired: cooled units, claims, silent nodes and runners. Time is counted from when this
+// Sweep removes what has expired: cooled units, claims, silent nodes and runners. Time is counted from when this
 // run of this process first saw them, so a restart only makes them last longer. Only the run loop calls it.
-func (s *Server) sweep() {
+func (s *Service) Sweep() {
 	since := time.Since(s.sweptAt)
 	if since < sweepInterval && !(s.pools.HasCooling() && since >= coolingSweepInterval) {
 		return
 	}
 	s.sweptAt = time.Now()
 	s.mu.Lock()
-	ready, config := s.leadership.IsReady(), s.config
+	ready, config := s.host.TakesWrites(), s.config
 	live, addrs := s.liveHolders()
 	s.mu.Unlock()
 	if !ready {
@@ -35,7 +35,7 @@
 	document := s.documents.Decode(config)
 	if time.Since(s.announcedAt) > announceInterval {
 		s.announcedAt = time.Now()
-		s.routerAddresses.Announce(s.acceptor.View(), addrs)
+		s.routerAddresses.Announce(s.host.View(), addrs)
 		s.runnerStorage.SaveTimedOut(s.registry.List(time.Now()))
 	}
 	if document == nil {
@@ -45,13 +45,13 @@
 		s.claimsSweptAt = time.Now()
 		s.sweepClaims(s.claimsSweptAt, document.Claims)
 		s.runnerStorage.DeleteUnknown(s.registry.List(time.Now()))
-		s.pipeline.SubmitLater(pipeline.ClassQuota, s.pools.DropUnusedHolders)
+		s.host.SubmitLater(pipeline.ClassQuota, s.pools.DropUnusedHolders)
 	}
 	s.sweepQuotas(document, live)
 }
 
 // liveHolders gives the nodes whose lease runs, as holders of quota units and by their addresses. The caller holds s.mu.
-func (s *Server) liveHolders() (live quotapool.LiveHolders, addrs map[string]bool) {
+func (s *Service) liveHolders() (live quotapool.LiveHolders, addrs map[string]bool) {
 	s.routers.Expire(time.Now())
 	live = quotapool.LiveHolders{Holders: map[string]bool{}, Addresses: map[string]coreapi.Node{}}
 	addrs = map[string]bool{}
@@ -65,6 +65,6 @@
 
 // submitLater returns a function that submits operations of the core's own and does not wait for them. Where their class has
 // no room they are dropped: a later sweep finds again what is due.
-func (s *Server) submitLater(class pipeline.Class) func(func(tx *transaction.Tx) error) {
-	return func(apply func(tx *transaction.Tx) error) { s.pipeline.SubmitLater(class, apply) }
+func (s *Service) submitLater(class pipeline.Class) func(func(tx *transaction.Tx) error) {
+	return func(apply func(tx *transaction.Tx) error) { s.host.SubmitLater(class, apply) }
 }
--- a/internal/testing/modelcheck/planted_test.go
+++ b/internal/testing/modelcheck/planted_test.go
@@ -55,7 +55,7 @@
 
 // unitMechanisms are disabled one by one.
 var unitMechanisms = []unitMechanism{
-	{"grant-from-request", "core", "TestGrantCountsFromItsRequest"},                // a lease that counts from when it was granted
+	{"grant-from-request", "renewal", "TestGrantCountsFromItsRequest"},             // a lease that counts from when it was granted
 	{"grant-after-promise", "paxos", "TestLeaseAndPromiseExcludeOneAnother"},       // a voter that grants the lease after it promised the next epoch to another
 	{"promise-after-grant", "paxos", "TestLeaseAndPromiseExcludeOneAnother"},       // a voter that promises the next epoch while its grant runs
 	{"release-round", "paxos", "TestReleaseLease"},                                 // a late release that ends a newer grant
