Model check: configurations change the limit that routers spend, and its tolerance

On the platform a lower limit has no higher tolerance; the limits drawn are so now, and the bound is the highest one's.

Also: schedules no longer draw a kind of call for faults that name theirs.

--- a/internal/testing/modelcheck/draws_test.go
+++ b/internal/testing/modelcheck/draws_test.go
@@ -15,7 +15,7 @@
 const (
 	quotaTenant   = "yard"
 	quotaHolders  = 3
-	quotaFormat   = `"tenants":{"yard":{"quota":{"units":%d,"window_s":3600}},"dock":{"quota":{"units":40,"window_s":2}}}`
+	quotaFormat   = `"tenants":{"yard":{"quota":{"units":%d,"window_s":3600}},"dock":{"quota":{"units":%d,"window_s":2}}}`
 	drawDivisor   = 8 // a draw gets this part of the free units at most, as in package core
 	leastQuota    = 60
 	quotaStep     = 40 // between the quotas that configurations give
--- a/internal/testing/modelcheck/operator_test.go
+++ b/internal/testing/modelcheck/operator_test.go
@@ -81,7 +81,8 @@
 func (o *operator) write(base uint64) outcome {
 	o.orders++
 	quota := leastQuota + quotaStep*o.fleet.chance(quotasOfWrite)
-	value := fmt.Sprintf(`{"limits":{"queue":%d},`+quotaFormat+`}`, 1000*(o.number+1)+o.orders, quota)
+	spent := spentLimits[o.fleet.chance(len(spentLimits))]
+	value := fmt.Sprintf(`{"limits":{"queue":%d},`+quotaFormat+`}`, 1000*(o.number+1)+o.orders, quota, spent.units)
 	asked := operation{kind: writeConfig, base: base, value: value, quota: quota}
 	request := coreapi.WriteRequest{ID: fmt.Sprintf("order-%d-%d", o.number, o.orders), BaseVersion: base, Raw: []byte(value)}
 	begun := o.fleet.history.begin()
--- a/internal/testing/modelcheck/quotarouter_test.go
+++ b/internal/testing/modelcheck/quotarouter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yarrowridge/internal/controlplane/configuration"
@@ -20,21 +21,39 @@
 // are free again within a run.
 const (
 	spentTenant      = "dock"
-	spentUnits       = 40
 	spentWindow      = 2 * time.Second
-	spentTolerance   = 6
 	toleranceWindow  = 4 * time.Second
 	quotaRouterCount = 3
 	maxSpentCost     = 6 // requests cost 1 to 6 units
 )
 
+// spentLimit is a limit of spentTenant as a configuration gives it, with its tolerance.
+type spentLimit struct{ units, tolerance int }
+
+// spentLimits are those that operators draw from. A lower limit has no higher tolerance than a higher one: what is out under
+// the limit before, with the tolerance of the new one on top, is then never more than the limit before allowed.
+var spentLimits = []spentLimit{{40, 6}, {40, 6}, {36, 5}, {34, 3}, {28, 0}}
+
+// maxSpent is the most units that routers may spend in a window, whichever configurations were in force.
+func maxSpent() int { return spentLimits[0].units + spentLimits[0].tolerance }
+
+// toleranceOf is the tolerance that goes with a number of units.
+func toleranceOf(units int) int {
+	for _, limit := range spentLimits {
+		if limit.units == units {
+			return limit.tolerance
+		}
+	}
+	return 0
+}
+
 // toleranceCodec reads fleet configurations, and gives spentTenant a tolerance, which these have no field for.
 type toleranceCodec struct{ configuration.FleetCodec }
 
 // Check implements configuration.Codec.
 func (c toleranceCodec) Check(raw []byte) (configuration.Document, []coreapi.ConfigError) {
 	document, configErrors := c.FleetCodec.Check(raw)
-	document.Tolerances, document.ToleranceWindow = map[string]int{spentTenant: spentTolerance}, toleranceWindow
+	document.Tolerances, document.ToleranceWindow = map[string]int{spentTenant: toleranceOf(document.Quotas[spentTenant])}, toleranceWindow
 	return document, configErrors
 }
 
@@ -67,8 +86,8 @@
 		for ; one.at.Sub(l.spends[first].at) >= spentWindow; first++ {
 			sum -= l.spends[first].units
 		}
-		if sum > spentUnits+spentTolerance {
-			return []string{fmt.Sprintf("%d units spent in a window of %s that allows %d and a tolerance of %d", sum, spentWindow, spentUnits, spentTolerance)}
+		if most := maxSpent(); sum > most {
+			return []string{fmt.Sprintf("%d units spent in a window of %s, want at most %d with every tolerance", sum, spentWindow, most)}
 		}
 	}
 	return nil
@@ -118,13 +137,18 @@
 		r.fleet.history.fail("router at %s does not listen: %v", r.addr(), err)
 		return
 	}
-	member := cluster.NewMember(where, r.addr(), r.addr(), r.fleet.seeds(), nil)
+	var limit atomic.Int64 // by the configuration in force; 0: none yet
+	member := cluster.NewMember(where, r.addr(), r.addr(), r.fleet.seeds(), nil, cluster.WithDocument(func(_ uint64, raw []byte) error {
+		document, _ := toleranceCodec{}.Check(raw)
+		limit.Store(int64(document.Quotas[spentTenant]))
+		return nil
+	}))
 	go wire.Serve(ctx, listener, member.Serve)
 	go member.Run()
 	shares := quota.NewShares(where, quota.Config{Transfer: transferVia(member), Nodes: func() int { return len(member.Nodes()) },
 		ScarceTenants: member.ScarceTenants, RecentContact: member.CoreResponsive, InContact: func() bool { return !member.CoreSilent() },
 		Rules: func() []quota.Rule {
-			return []quota.Rule{{Tenant: spentTenant, Units: spentUnits, Window: spentWindow}}
+			return []quota.Rule{{Tenant: spentTenant, Units: int(limit.Load()), Window: spentWindow}}
 		}})
 	go shares.Run()
 	r.spend(ctx, shares, time.Now().Add(lifetime))
--- a/internal/testing/modelcheck/schedule_test.go
+++ b/internal/testing/modelcheck/schedule_test.go
@@ -88,8 +88,9 @@
 	percentOneKind = 50
 )
 
-// isMessageFault says which kinds of fault affect messages.
-var isMessageFault = map[string]bool{"late": true, "doubled": true, "late answers": true, "late writes": true, "late copies": true, "late grants": true}
+// mayBeOfOneCall says which kinds of fault affect messages of all calls or of one kind, as the schedule draws it. The others
+// that affect messages name their kind of call themselves.
+var mayBeOfOneCall = map[string]bool{"late": true, "doubled": true, "late answers": true}
 
 // size is how many cores a fleet has, and how many losses it bears.
 type size struct{ cores, losses int }
@@ -170,7 +171,7 @@
 	if random.IntN(100) < percentAtCall {
 		event.On, event.After = callKinds[random.IntN(len(callKinds))], random.IntN(2) == 0
 	}
-	if isMessageFault[kind] && random.IntN(100) < percentOneKind {
+	if mayBeOfOneCall[kind] && random.IntN(100) < percentOneKind {
 		event.Only = callKinds[random.IntN(len(callKinds))]
 	}
 	return event
