Quotas: another router at an address frees the units of the one that had it before

Units of a router that ended cooled once another run of the same name listened at its address. What proves the end is that one process at most listens at an address, as for the primary's lease (control.md): the name adds nothing. The router that listens is asked as before.

Tests, red before: TestSweep (a run of another node that had the address), TestUnitsCoolOnceTheSuccessorIsConfirmed (the address of another node).

--- a/internal/controlplane/quotapool/cache_test.go
+++ b/internal/controlplane/quotapool/cache_test.go
@@ -320,7 +320,7 @@
 	if err := committed.Append(store.Batch{Version: 1, Mutations: []store.Mutation{{Key: poolKey("t"), Value: raw}}}); err != nil {
 		t.Fatal(err)
 	}
-	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]coreapi.Node{"node@1": {Name: "node", Addr: "1", Run: 2}}}
+	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]coreapi.Node{"1": {Name: "node", Addr: "1", Run: 2}}}
 	if _, successors := pools.Sweep(committed, &configuration.Document{}, live); len(successors) != 1 {
 		t.Errorf("got successors %v, want the node of which an earlier run holds units", successors)
 	}
@@ -363,7 +363,7 @@
 	successor := Successor{Node: coreapi.Node{Name: "node", Addr: "10.0.0.1:1", Run: 2}, BegunBy: time.Now()}
 	fresh := New()
 	tx = beginTx(committed)
-	replaced, err := fresh.FindReplaced(tx, map[string]Successor{NodeAddress(successor.Node): successor})
+	replaced, err := fresh.FindReplaced(tx, map[string]Successor{successor.Node.Addr: successor})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -389,7 +389,7 @@
 	if err := pools.StartCooling(tx, "node@1/1"); err == nil || len(tx.Mutations()) > 0 {
 		t.Errorf("got error %v and %d mutations, want an error and none", err, len(tx.Mutations()))
 	}
-	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]coreapi.Node{"node@1": {Name: "node", Addr: "1", Run: 2}}}
+	live := LiveHolders{Holders: map[string]bool{"node@1/2": true}, Addresses: map[string]coreapi.Node{"1": {Name: "node", Addr: "1", Run: 2}}}
 	if _, successors := pools.Sweep(committed, &configuration.Document{}, live); len(successors) != 1 {
 		t.Errorf("got successors %v, want the node of which an earlier run holds units", successors)
 	}
--- a/internal/controlplane/quotapool/pools_test.go
+++ b/internal/controlplane/quotapool/pools_test.go
@@ -138,7 +138,7 @@
 	begun := time.Now().Add(-time.Second)
 	successors := map[string]Successor{}
 	for _, node := range []coreapi.Node{{Name: "a", Addr: "1", Run: 2}, {Name: "b", Addr: "2", Run: 2}, {Name: "c", Addr: "3", Run: 1}} {
-		successors[NodeAddress(node)] = Successor{Node: node, BegunBy: begun}
+		successors[node.Addr] = Successor{Node: node, BegunBy: begun}
 	}
 	tx = transaction.New(committed)
 	replaced, err := pools.FindReplaced(tx, successors)
@@ -177,7 +177,7 @@
 		t.Fatal(err)
 	}
 	successor := Successor{Node: coreapi.Node{Name: "a", Addr: "1", Run: 2}, BegunBy: time.Now().Add(-time.Second)}
-	replaced, err := pools.FindReplaced(tx, map[string]Successor{"a@1": successor})
+	replaced, err := pools.FindReplaced(tx, map[string]Successor{"1": successor})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -189,3 +189,12 @@
 		t.Errorf("got %v, want %v", pools.firstSeen, want)
 	}
 }
+
+func TestAddressOfHolder(t *testing.T) {
+	node := coreapi.Node{Name: "edge@west/1", Addr: "10.0.0.1:70", Run: 0xab}
+	for holder, want := range map[string]string{coreapi.Holder(node): node.Addr, "a@1/1": "1", "holder-1": "", "": ""} {
+		if got := addressOfHolder(holder); got != want {
+			t.Errorf("holder %q: got address %q, want %q", holder, got, want)
+		}
+	}
+}
--- a/internal/controlplane/quotapool/replaced.go
+++ b/internal/controlplane/quotapool/replaced.go
@@ -13,16 +13,14 @@
 // inFlightTime covers the last requests that a process sent before its end and that had not arrived yet.
 const inFlightTime = 50 * time.Millisecond
 
-// NodeAddress is the part of a holder's name (coreapi.Holder) that all runs of a node at one address share.
-func NodeAddress(n coreapi.Node) string { return n.Name + "@" + n.Addr }
-
-// addressOfHolder is the NodeAddress in a holder's name.
+// addressOfHolder is the address in a holder's name, as coreapi.Holder makes it of a node's name, address and run; "": none.
 func addressOfHolder(holder string) string {
-	address, _, _ := strings.Cut(holder, "/")
-	return address
+	_, address, _ := strings.Cut(holder[:max(0, strings.LastIndex(holder, "/"))], "@")
+	return address[strings.LastIndex(address, "@")+1:]
 }
 
-// Successor is a run of a node that was heard of, and may have replaced earlier runs at the node's address.
+// Successor is a run of a node that was heard of, and may have replaced earlier runs at the node's address: of the same node,
+// or of another one that had the address before.
 type Successor struct {
 	Node    coreapi.Node
 	BegunBy time.Time // it had begun by then
@@ -34,7 +32,7 @@
 	Holders []string
 }
 
-// FindReplaced lists the successors beside which other runs at the same address have units. These runs have ended once the
+// FindReplaced lists the successors, given by their addresses, beside which other runs at the same address have units. These runs have ended once the
 // successor is seen alive after this call: they began before, and only one process can listen at an address. What was heard
 // of the successor before proves nothing, since it may have been delayed until after the successor's own end.
 func (p *Pools) FindReplaced(tx *transaction.Tx, successors map[string]Successor) ([]Replaced, error) {
--- a/internal/controlplane/quotapool/sweep.go
+++ b/internal/controlplane/quotapool/sweep.go
@@ -17,7 +17,7 @@
 // LiveHolders are the holders whose node's lease runs.
 type LiveHolders struct {
 	Holders   map[string]bool         // by coreapi.Holder
-	Addresses map[string]coreapi.Node // by NodeAddress
+	Addresses map[string]coreapi.Node // by address
 }
 
 // holding names one holder's units of one tenant.
@@ -35,7 +35,7 @@
 	departed []holding // units of holders that are gone
 	charges  []expiredCharge
 
-	successors map[string]coreapi.Node // live nodes of which other runs have units, by NodeAddress
+	successors map[string]coreapi.Node // live nodes at whose address other runs have units, by address
 }
 
 // HasCooling reports whether the last sweep found cooling units: the next one is due sooner.
--- a/internal/controlplane/quotapool/sweep_test.go
+++ b/internal/controlplane/quotapool/sweep_test.go
@@ -19,7 +19,7 @@
 	const window = 3 * time.Second
 	document := &configuration.Document{Quotas: map[string]int{"t": 100}, Windows: map[string]time.Duration{"t": window}}
 	liveNode := coreapi.Node{Name: "new", Addr: "1", Run: 2}
-	live := LiveHolders{Holders: map[string]bool{"new@1/2": true}, Addresses: map[string]coreapi.Node{"new@1": liveNode}}
+	live := LiveHolders{Holders: map[string]bool{"new@1/2": true}, Addresses: map[string]coreapi.Node{"1": liveNode}}
 	for _, c := range []struct {
 		name       string
 		pool       quota.Pool
@@ -32,7 +32,9 @@
 		{"a silent holder", quota.Pool{Allocations: map[string]quota.Allocation{"silent@2/1": {Units: 2, Sequence: 1}}}, silentHolderTTL,
 			quota.Pool{Cooling: map[string]int{"silent@2/1": 2}}, nil},
 		{"an earlier run of a live node", quota.Pool{Allocations: map[string]quota.Allocation{"new@1/1": {Units: 2, Sequence: 1}}}, silentHolderTTL,
-			quota.Pool{Cooling: map[string]int{"new@1/1": 2}}, map[string]coreapi.Node{"new@1": liveNode}},
+			quota.Pool{Cooling: map[string]int{"new@1/1": 2}}, map[string]coreapi.Node{"1": liveNode}},
+		{"a run of another node that had the address", quota.Pool{Allocations: map[string]quota.Allocation{"old@1/1": {Units: 2, Sequence: 1}}}, silentHolderTTL,
+			quota.Pool{Cooling: map[string]int{"old@1/1": 2}}, map[string]coreapi.Node{"1": liveNode}},
 		{"a live holder", quota.Pool{Allocations: map[string]quota.Allocation{"new@1/2": {Units: 2, Sequence: 1}}}, -1, quota.Pool{}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/controlplane/replacedruns/tracker.go
+++ b/internal/controlplane/replacedruns/tracker.go
@@ -32,7 +32,7 @@
 	submit func(operation func(*transaction.Tx) error)
 
 	mu       sync.Mutex
-	gathered map[string]quotapool.Successor // by quotapool.NodeAddress; guarded by mu
+	gathered map[string]quotapool.Successor // by address; guarded by mu
 }
 
 // RunAtFunc asks the router that listens at an address which run of it there is.
@@ -60,12 +60,11 @@
 	if isFirst {
 		t.gathered = map[string]quotapool.Successor{}
 	}
-	address := quotapool.NodeAddress(node)
-	known, ok := t.gathered[address]
+	known, ok := t.gathered[node.Addr]
 	if ok && known.Node.Run == node.Run && known.BegunBy.Before(begunBy) {
 		return isFirst
 	}
-	t.gathered[address] = quotapool.Successor{Node: node, BegunBy: begunBy}
+	t.gathered[node.Addr] = quotapool.Successor{Node: node, BegunBy: begunBy}
 	return isFirst
 }
 
--- a/internal/controlplane/replacedruns/tracker_test.go
+++ b/internal/controlplane/replacedruns/tracker_test.go
@@ -78,18 +78,20 @@
 	node := coreapi.Node{Name: "a", Addr: "1", Run: 2}
 	for _, c := range []struct {
 		name      string
+		holder    string // that has units
 		run       uint64 // that answers
 		err       error
 		wantFreed bool
 	}{
-		{"the run answers", 2, nil, true},
-		{"another run answers", 3, nil, false},
-		{"nobody answers", 0, errNoAnswer, false},
+		{"the run answers", "a@1/1", 2, nil, true},
+		{"the run answers, which has the address of another node", "old@1/1", 2, nil, true},
+		{"another run answers", "a@1/1", 3, nil, false},
+		{"nobody answers", "a@1/1", 0, errNoAnswer, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newPoolRunner(t)
-				r.acquire("a@1/1", 1, 4)
+				r.acquire(c.holder, 1, 4)
 				queries := 0
 				runAt := func(_ context.Context, addr string) (uint64, error) {
 					queries++
@@ -196,11 +198,11 @@
 	if !tracker.gather(node, now.Add(-time.Minute)) || tracker.gather(node, now) {
 		t.Error("got the gathering started by another than the first report")
 	}
-	if got := tracker.gathered["a@1"]; got.Node != node || !got.BegunBy.Equal(now.Add(-time.Minute)) {
+	if got := tracker.gathered["1"]; got.Node != node || !got.BegunBy.Equal(now.Add(-time.Minute)) {
 		t.Errorf("got %+v, want run 2 begun a minute ago", got)
 	}
 	tracker.gather(other, now)
-	if got := tracker.take()["a@1"]; got.Node != other || !got.BegunBy.Equal(now) {
+	if got := tracker.take()["1"]; got.Node != other || !got.BegunBy.Equal(now) {
 		t.Errorf("got %+v, want run 3 begun now", got)
 	}
 	if left := tracker.take(); len(left) > 0 {
--- a/internal/controlplane/service/sweep.go
+++ b/internal/controlplane/service/sweep.go
@@ -57,7 +57,7 @@
 	addrs = map[string]bool{}
 	for _, router := range s.routers.List() {
 		live.Holders[coreapi.Holder(router)] = true
-		live.Addresses[quotapool.NodeAddress(router)] = router
+		live.Addresses[router.Addr] = router
 		addrs[router.Addr] = true
 	}
 	return live, addrs
