--- a/internal/testing/drill/drill_test.go
+++ b/internal/testing/drill/drill_test.go
@@ -132,7 +132,7 @@
 		}
 		var a, b any
 		if json.Unmarshal(raw, &a) != nil || json.Unmarshal(mix.Raw(), &b) != nil || fmt.Sprint(a) != fmt.Sprint(b) {
-			t.Errorf("examples/%s.json differs from the mix: write it anew with drill layout", mix.Name)
+			t.Errorf("examples/%s.json differs from the mix: write it anew with drill config", mix.Name)
 		}
 		if _, bad := fleetconfig.Parse(raw); len(bad) > 0 {
 			t.Errorf("examples/%s.json: %v", mix.Name, bad)
--- a/internal/testing/drill/fault_test.go
+++ b/internal/testing/drill/fault_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	s := Total(outcomes)
-	t.Logf("tries %d: done %d, bounced %d, troubled %d, broken %d %v", s.Requests, s.Done, s.Rejected, s.Failed, s.Broken, s.Codes)
+	t.Logf("tries %d: done %d, rejected %d, troubled %d, broken %d %v", s.Requests, s.Done, s.Rejected, s.Failed, s.Broken, s.Codes)
 	return outcomes
 }
 
@@ -239,18 +239,18 @@
 	takeFleetSlot(t)
 	for range 2 {
 		if bounced, old := thaw(t, bin, ""); old > 0 || bounced != 200 {
-			t.Errorf("of 200 reads that met a thawing primary %d were bounced, %d told the old layout", bounced, old)
+			t.Errorf("of 200 reads that met a thawing primary %d were rejected, %d told the old configuration", bounced, old)
 		}
 	}
 	// Who is first as it thaws, a reader or the others in the core, is chance.
 	from := buildWithFaultInjection(t)
 	for i := range 8 {
 		if bounced, old := thaw(t, from, "lease"); old > 0 {
-			t.Logf("without a lease, fleet %d: of 200 reads %d were bounced, %d told the old layout", i+1, bounced, old)
+			t.Logf("without a lease, fleet %d: of 200 reads %d were rejected, %d told the old configuration", i+1, bounced, old)
 			return
 		}
 	}
-	t.Error("without a lease no read told the old layout")
+	t.Error("without a lease no read told the old configuration")
 }
 
 // thaw freezes and thaws the primary of a new fleet, and counts what 200 readers are told as it thaws.
--- a/internal/testing/drill/fleet.go
+++ b/internal/testing/drill/fleet.go
@@ -262,10 +262,10 @@
 // Describe prints where everything listens.
 func (f *Fleet) Describe(w io.Writer) {
 	for _, p := range f.Cores {
-		printf(w, "%-8s hall %-6s operators http://%s\n", p.Name, p.Zone, p.Operator)
+		printf(w, "%-8s zone %-6s operators http://%s\n", p.Name, p.Zone, p.Operator)
 	}
 	for _, p := range f.Routers {
-		printf(w, "%-8s hall %-6s origins http://%s operators http://%s\n", p.Name, p.Zone, p.Client, p.Operator)
+		printf(w, "%-8s zone %-6s origins http://%s operators http://%s\n", p.Name, p.Zone, p.Client, p.Operator)
 	}
 	var keys []string
 	for _, t := range tenantNames(f.Mix) {
--- a/internal/testing/drill/main.go
+++ b/internal/testing/drill/main.go
@@ -113,7 +113,7 @@
 	printf(r.out, "course %s\n", course)
 	ev, err := NewDay(r.fleet, load, r.seed, r.out).Run(ctx, r.course, r.slack)
 	Total(ev.Outcomes).Print(r.out)
-	printf(r.out, "seen: %d queries at runners, %d writes, %d looks at layouts\n", len(ev.Seen), len(ev.ConfigWrites), len(ev.ConfigReadings))
+	printf(r.out, "seen: %d queries at runners, %d writes, %d looks at configurations\n", len(ev.Seen), len(ev.ConfigWrites), len(ev.ConfigReadings))
 	return r.verdict(Check(ev), course, err)
 }
 
@@ -153,7 +153,7 @@
 		lost = p.Zone // the hardest zone to lose
 	}
 	at := time.Now()
-	printf(out, "hall %s is lost\n", lost)
+	printf(out, "zone %s is lost\n", lost)
 	procs, runs := f.In(lost)
 	for _, p := range procs {
 		p.Signal(syscall.SIGKILL)
@@ -176,5 +176,5 @@
 			printf(out, "drill: %s\n", err)
 		}
 	}
-	printf(out, "hall %s is back\n", lost)
+	printf(out, "zone %s is back\n", lost)
 }
--- a/internal/testing/drill/stream_test.go
+++ b/internal/testing/drill/stream_test.go
@@ -208,7 +208,7 @@
 }
 
 // A router is killed in the middle of two streams, and the runner of a third breaks off: what is
-// answered alike by every run comes whole, through the understudy or another runner; what is not ends as
+// answered alike by every run comes whole, through the standby or another runner; what is not ends as
 // run-differs.
 func TestStreamsCarryOn(t *testing.T) {
 	takeFleetSlot(t)
--- a/internal/testing/drill/total.go
+++ b/internal/testing/drill/total.go
@@ -43,7 +43,7 @@
 
 // Print writes the figures.
 func (s Sum) Print(w io.Writer) {
-	printf(w, "tries %d: done %d, bounced %d, troubled %d, connection lost %d; median %s, 99th of a hundred %s\n",
+	printf(w, "tries %d: done %d, rejected %d, troubled %d, connection lost %d; median %s, 99th of a hundred %s\n",
 		s.Requests, s.Done, s.Rejected, s.Failed, s.Broken, s.P50.Round(time.Millisecond), s.P99.Round(time.Millisecond))
 	var codes []string
 	for c := range s.Codes {
--- a/internal/testing/sim/core_test.go
+++ b/internal/testing/sim/core_test.go
@@ -16,8 +16,8 @@
 	"yarrowridge/internal/testing/sim"
 )
 
-// Faults of every kind, at random, under operators who race: no acknowledged layout is lost, no
-// bounced one is ever obeyed, no router goes back, and service returns in time.
+// Faults of every kind, at random, under operators who race: no acknowledged configuration is lost, no
+// rejected one is ever obeyed, no router goes back, and service returns in time.
 func TestCoreStorm(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -249,7 +249,7 @@
 			b.add(p)
 			lost := f.primary()
 			if v := lost.srv.State().View; v.ZoneOf(v.Primary) == v.ZoneOf(v.FirstBackup) {
-				t.Errorf("primary and backup both stand in hall %s", v.ZoneOf(v.Primary))
+				t.Errorf("primary and backup both stand in zone %s", v.ZoneOf(v.Primary))
 			}
 			f.crashCore(lost)
 			lost.disk = sim.NewDisk()
--- a/internal/testing/sim/day_test.go
+++ b/internal/testing/sim/day_test.go
@@ -157,7 +157,7 @@
 	return append(out, []string{"cores", "routers", "cut"}[rnd.IntN(3)]) // the closing fault
 }
 
-// mind looks at every router all the time: none goes back to an older layout in one life.
+// mind looks at every router all the time: none goes back to an older configuration in one life.
 func (w *whole) mind(over func() bool) {
 	type life struct {
 		run *router.Router
@@ -214,7 +214,7 @@
 		for range 2 {
 			wg.Go(func() {
 				for o := w.operator(); !over.Load(); w.pass(1500) {
-					// Whole layouts, each unlike all others; half of them on condition of what was read last.
+					// Whole configurations, each unlike all others; half of them on condition of what was read last.
 					in := &coreapi.WriteRequest{Raw: []byte(strings.Replace(lay, `{"services"`, fmt.Sprintf(`{"limits":{"queue":%d},"services"`, 2000+mark.Add(1)), 1)), AnyVersion: w.chance(2) == 0}
 					if o.look(b); !in.AnyVersion {
 						b.mu.Lock()
--- a/internal/testing/sim/fleet_test.go
+++ b/internal/testing/sim/fleet_test.go
@@ -58,7 +58,7 @@
 	end     context.CancelFunc
 	lost    time.Duration
 	founder []string
-	codec   configuration.Codec                // of the cores; nil: layouts
+	codec   configuration.Codec                // of the cores; nil: configurations
 	options func(*routerProc) []cluster.Option // of the routers' hubs
 	place   func(c *coreProc) core.Settings    // in place of the usual settings of a core
 	more    []string                           // addresses that a fault may cut off from a core, besides cores and routers
@@ -289,7 +289,7 @@
 	return &operator{f, addr, coreclient.NewClient(ec, wire.NewCaller(n), append([]string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"}, f.founder...))}
 }
 
-// sheet is a small layout that differs from all others by its mark.
+// sheet is a small configuration that differs from all others by its mark.
 func sheet(mark int) []byte { return []byte(fmt.Sprintf(`{"limits":{"queue":%d}}`, mark)) }
 
 // put is one write as its operator saw it.
@@ -307,7 +307,7 @@
 	return p
 }
 
-// raw puts a whole layout.
+// raw puts a whole configuration.
 func (o *operator) raw(lay []byte, id string) put {
 	return o.write(&coreapi.WriteRequest{ID: id, AnyVersion: true, Raw: lay})
 }
@@ -337,7 +337,7 @@
 	raw   string
 }
 
-// look reads the layout back.
+// look reads the configuration back.
 func (o *operator) look(b *book) {
 	l := look{begun: time.Now()}
 	ctx, end := context.WithTimeout(o.f.ctx, 2*time.Second)
--- a/internal/testing/sim/load_test.go
+++ b/internal/testing/sim/load_test.go
@@ -119,7 +119,7 @@
 				t.Errorf("%s: %d queries came while its room was full", s.addr, s.over)
 			}
 		}
-		t.Logf("%d of a capacity of %d done (%.2f), first rank %d of %d, longest queue %d, slowest bounce %s",
+		t.Logf("%d of a capacity of %d done (%.2f), first rank %d of %d, longest queue %d, slowest rejection %s",
 			done, full, float64(done)/float64(full), hotDone, hot, most, slow)
 		if float64(done) < 0.9*float64(full) {
 			t.Errorf("goodput %d of a capacity of %d", done, full)
@@ -131,14 +131,14 @@
 			t.Errorf("%d queries waited where 60 may", most)
 		}
 		if slow > 2100*time.Millisecond {
-			t.Errorf("a bounce took %s, patience is 2 s", slow)
+			t.Errorf("a rejection took %s, patience is 2 s", slow)
 		}
 		w.honest(l)
 	})
 }
 
 // From acknowledgement to the last router, also when the primary dies with its answer: within 2 s,
-// for 14, 50 and 200 routers. The log gives the time and the messages a layout costs.
+// for 14, 50 and 200 routers. The log gives the time and the messages a configuration costs.
 func TestReach(t *testing.T) {
 	t.Parallel()
 	for _, n := range []int{14, 50, 200} {
@@ -180,7 +180,7 @@
 				p := o.put(2, 0, "")
 				f.crashCore(f.primary())
 				dead := reach(p)
-				t.Logf("%d routers: %s; primary dead with its answer: %s; %d messages, some %d of them beats (%d a second when idle)", n, calm, dead, calls, share, idle/2)
+				t.Logf("%d routers: %s; primary dead with its answer: %s; %d messages, some %d of them heartbeats (%d a second when idle)", n, calm, dead, calls, share, idle/2)
 			})
 		})
 	}
@@ -230,7 +230,7 @@
 	})
 }
 
-// A layout near the largest size goes through, one beyond it does not.
+// A configuration near the largest size goes through, one beyond it does not.
 func TestLargeLayout(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -254,7 +254,7 @@
 		o := f.operator()
 		p := o.raw([]byte(lay), "")
 		if p.code != 200 {
-			t.Fatalf("a layout of %d bytes was answered %d", len(lay), p.code)
+			t.Fatalf("a configuration of %d bytes was answered %d", len(lay), p.code)
 		}
 		f.within(2*time.Second, "all obey", func() bool {
 			for _, r := range f.routers {
@@ -265,12 +265,12 @@
 			return true
 		})
 		if q := o.raw([]byte(lay+strings.Repeat(" ", 1<<20)), ""); q.code != 413 {
-			t.Errorf("too large a layout was answered %d", q.code)
+			t.Errorf("too large a configuration was answered %d", q.code)
 		}
 	})
 }
 
-// Many operators put layouts near the largest size at once: each is answered, and none of it costs
+// Many operators put configurations near the largest size at once: each is answered, and none of it costs
 // the primary its backup.
 func TestLargeStorm(t *testing.T) {
 	t.Parallel()
@@ -291,7 +291,7 @@
 			sum[<-codes]++
 		}
 		if sum[200] != 12 {
-			t.Errorf("twelve large layouts were answered %v", sum)
+			t.Errorf("twelve large configurations were answered %v", sum)
 		}
 		if e := f.primary().srv.State().View.Epoch; e != epoch {
 			t.Errorf("the view went from epoch %d to %d", epoch, e)
--- a/internal/testing/sim/membership_test.go
+++ b/internal/testing/sim/membership_test.go
@@ -620,7 +620,7 @@
 }
 
 // Faults of every kind at random, on a fleet of seven founded from three seeds that bears two losses,
-// while cores are replaced for good: no acknowledged layout is lost.
+// while cores are replaced for good: no acknowledged configuration is lost.
 func TestMembershipStorm(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
--- a/internal/testing/sim/promise_test.go
+++ b/internal/testing/sim/promise_test.go
@@ -62,7 +62,7 @@
 			w.t.Errorf("query %d was answered %s", g.n, g.body)
 		}
 		if (g.status == 503 || g.status == 429) && g.retry == "" {
-			w.t.Errorf("query %d was bounced with %s and no Retry-After", g.n, g.code)
+			w.t.Errorf("query %d was rejected with %s and no Retry-After", g.n, g.code)
 		}
 	}
 	for n := range once {
@@ -207,8 +207,8 @@
 	return in, out
 }
 
-// A zone is cut off for long: it serves on with its last layout, marked stale, spends its own share
-// of quotas, rejects keyed once-only queries as not run, and upon rejoining obeys the newest layout.
+// A zone is cut off for long: it serves on with its last configuration, marked stale, spends its own share
+// of quotas, rejects keyed once-only queries as not run, and upon rejoining obeys the newest configuration.
 func TestCutHall(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -270,7 +270,7 @@
 		o := w.operator()
 		p := o.raw([]byte(plainLay(quota(20))), "")
 		if p.code != 200 {
-			t.Fatalf("the greater part took no layout: %d", p.code)
+			t.Fatalf("the greater part took no configuration: %d", p.code)
 		}
 		w.w.Heal()
 		w.within(2*time.Second, "all obey the newest layout", func() bool {
@@ -452,7 +452,7 @@
 	})
 }
 
-// A query that waits obeys the layout in force when it goes, not the one it came under.
+// A query that waits obeys the configuration in force when it goes, not the one it came under.
 func TestQueuedObeyNewLayout(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -473,7 +473,7 @@
 		all.Wait()
 		for _, s := range w.seen() {
 			if s.runner == "a" && s.at.Sub(acked) > 2*time.Second {
-				t.Errorf("a runner that the layout left out got query %d %s after it", s.n, s.at.Sub(acked))
+				t.Errorf("a runner that the configuration left out got query %d %s after it", s.n, s.at.Sub(acked))
 			}
 			if s.tenant == "gone" && s.at.Sub(acked) > 2*time.Second {
 				t.Errorf("query %d of a withdrawn key went to a runner %s after it", s.n, s.at.Sub(acked))
@@ -491,7 +491,7 @@
 	})
 }
 
-// Beyond the bound on queries under way, a crowd is bounced before its bodies are read.
+// Beyond the bound on queries under way, a crowd is rejected before its bodies are read.
 func TestTooMany(t *testing.T) {
 	t.Parallel()
 	overSeeds(t, func(t *testing.T, seed uint64) {
@@ -507,7 +507,7 @@
 		for _, g := range l.list() {
 			sum[fmt.Sprint(g.status, g.code)]++
 			if g.code == "too-many" && g.took > 0 {
-				t.Errorf("the bounce took %s", g.took)
+				t.Errorf("the rejection took %s", g.took)
 			}
 		}
 		if sum["200"] != 5 || sum["503too-many"] != 15 {
@@ -677,9 +677,9 @@
 				done++
 			}
 		}
-		t.Logf("in 60 s, over 4 routers: %d changes for a runner of late beats, %d for one that refuses all; %d of %d queries answered", turns[late.addr], turns[deaf.addr], done, len(l.list()))
+		t.Logf("in 60 s, over 4 routers: %d changes for a runner of late heartbeats, %d for one that refuses all; %d of %d queries answered", turns[late.addr], turns[deaf.addr], done, len(l.list()))
 		if turns[late.addr] > 0 {
-			t.Errorf("the standing of a runner whose beats are late changed %d times", turns[late.addr])
+			t.Errorf("the standing of a runner whose heartbeats are late changed %d times", turns[late.addr])
 		}
 		if turns[deaf.addr] > 4*16 {
 			t.Errorf("the standing of a runner that refuses all changed %d times", turns[deaf.addr])
--- a/internal/testing/sim/router_test.go
+++ b/internal/testing/sim/router_test.go
@@ -105,7 +105,7 @@
 	up     bool
 }
 
-// newWhole founds a fleet of five cores, n routers and the runners given, and puts a layout.
+// newWhole founds a fleet of five cores, n routers and the runners given, and puts a configuration.
 func newWhole(t *testing.T, seed uint64, n int, lay string, runners ...*simRunner) *whole {
 	w := &whole{fleet: newFleet(t, seed, 0)}
 	for i := range n {
@@ -146,13 +146,13 @@
 	}
 }
 
-// put puts a layout and waits until every router that is up obeys it.
+// put puts a configuration and waits until every router that is up obeys it.
 func (w *whole) put(lay string) uint64 {
 	w.t.Helper()
 	o := w.operator()
 	p := o.raw([]byte(lay), "")
 	if p.code != 200 {
-		w.t.Fatalf("layout answered %d", p.code)
+		w.t.Fatalf("configuration answered %d", p.code)
 	}
 	w.within(2*time.Second, "routers obey, and know the runners", func() bool {
 		for _, r := range w.full {
@@ -514,7 +514,7 @@
 
 func key(tenant string) string { return fleetconfig.HashKey("demo-" + tenant) }
 
-// plainLay is a layout with one pool of model runners and one of an ordinary application.
+// plainLay is a configuration with one pool of model runners and one of an ordinary application.
 func plainLay(more string) string {
 	return `{"services":{"model":{},"app":{}},
 	"pools":{"m":{"select":"app=model","service":"model"},"a":{"select":"app=orders","service":"app"}},
--- a/internal/testing/sim/stream_test.go
+++ b/internal/testing/sim/stream_test.go
@@ -447,7 +447,7 @@
 	var gone *fullRouter
 	gone, p.study = p.holders(p.o.id)
 	if gone != p.owner || p.study == nil {
-		t.Fatalf("carried by %v, understudy %v", gone, p.study)
+		t.Fatalf("carried by %v, standby %v", gone, p.study)
 	}
 	for _, r := range p.full {
 		if r != p.owner {
@@ -580,7 +580,7 @@
 		p.differFrom(n + 1)
 		p.hear(p.owner, 350*time.Millisecond)
 		if len(p.o.pieces) > n {
-			t.Errorf("the origin saw %d pieces, the understudy holds %d", len(p.o.pieces), n)
+			t.Errorf("the origin saw %d pieces, the standby holds %d", len(p.o.pieces), n)
 		}
 		time.Sleep(5 * time.Second) // the replica finds its router gone
 		p.hear(p.far, 20*time.Second)
@@ -615,10 +615,10 @@
 					begun := time.Now()
 					o := w.stream(i, no, "/ask", 100, never)
 					if bad := o.judge(); bad != "" || o.end == "" {
-						t.Errorf("a stream begun in hall %s ended %q: %s", r.zone, o.end, bad)
+						t.Errorf("a stream begun in zone %s ended %q: %s", r.zone, o.end, bad)
 					}
 					if whole && (o.end != "done" || o.asked != 1) {
-						t.Errorf("a stream begun in hall %s ended %q with %d pieces after %d asks", r.zone, o.end, len(o.pieces), o.asked)
+						t.Errorf("a stream begun in zone %s ended %q with %d pieces after %d asks", r.zone, o.end, len(o.pieces), o.asked)
 					}
 					mu.Lock()
 					defer mu.Unlock()
