--- a/internal/controlplane/core/figures.go
+++ b/internal/controlplane/core/figures.go
@@ -1,6 +1,6 @@
 package core
 
-// Figures are what a core counts of itself, for those who watch it. Unlike State they cost next to nothing to read.
+// Figures are what a core counts of itself, for those who watch it. Unlike State they cost little to read.
 type Figures struct {
 	Epoch         uint64 // of the newest view that it knows; 0: no fleet yet
 	Members       int    // cores that vote in that view
