Revert "Core client: a search that a call has joined does not cut its backoff short"

A failed try. The end of a search has all calls that wait wake together, so that they share one connection attempt; without it each calls by its own timer.

A remedy has to keep the waking together: wait for the search after the one that ends, at its end, in place of a timer of each call.

--- a/internal/controlplane/coreclient/search.go
+++ b/internal/controlplane/coreclient/search.go
@@ -20,17 +20,24 @@
 	viewTTL        = 5 * time.Second        // a client that makes calls asks for the view once it was learned so long ago
 )
 
-// waitForSearch searches for a primary until a newer view is known, for the backoff at most: the known primary may be called
-// again then, and machines that do not answer must not hold up those that do. The end of the search does not end the wait:
-// one that this call has joined may end at any time, and would cut the backoff short. It reports whether ctx still runs.
+// waitForSearch searches for a primary until a newer view is known or the search has ended, for the backoff at most: the
+// known primary may be called again then, and machines that do not answer must not hold up those that do. It reports
+// whether ctx still runs.
 func (c *Client) waitForSearch(ctx context.Context) bool {
 	timer := time.NewTimer(c.backoff.afterFailure(time.Now()))
 	defer timer.Stop()
-	_, newer := c.joinSearch()
+	return c.waitForSearchUntil(ctx, timer.C)
+}
+
+// waitForSearchUntil is waitForSearch that ends with its backoff. A nil backoff never ends the wait.
+func (c *Client) waitForSearchUntil(ctx context.Context, backoff <-chan time.Time) bool {
+	ended, newer := c.joinSearch()
 	select {
+	case <-ended:
+		return true
 	case <-newer:
 		return true
-	case <-timer.C:
+	case <-backoff:
 		return true
 	case <-ctx.Done():
 		return false
@@ -111,12 +118,7 @@
 
 // searchView searches until a newer view is known or the search or ctx has ended, and gives the newest view known.
 func (c *Client) searchView(ctx context.Context) view.View {
-	ended, newer := c.joinSearch()
-	select {
-	case <-ended:
-	case <-newer:
-	case <-ctx.Done():
-	}
+	c.waitForSearchUntil(ctx, nil)
 	return c.View()
 }
 
