--- a/internal/controlplane/core/commit.go
+++ b/internal/controlplane/core/commit.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,41 +22,6 @@
 	replaceStepInterval = 5 * time.Millisecond   // between two checks whether the lease of the new epoch is held
 )
 
-// serviceHost is this process as the host of its service.
-type serviceHost struct{ s *Server }
-
-// View implements service.Host.
-func (h serviceHost) View() view.View { return h.s.acceptor.View() }
-
-// IsPrimary implements service.Host.
-func (h serviceHost) IsPrimary() bool { return h.s.isPrimary(h.s.acceptor.View()) }
-
-// TakesWrites implements service.Host.
-func (h serviceHost) TakesWrites() bool { return h.s.leadership.IsReady() }
-
-// RequirePrimary implements service.Host.
-func (h serviceHost) RequirePrimary() error { return h.s.requirePrimary() }
-
-// Store implements service.Host.
-func (h serviceHost) Store() *store.Store { return h.s.store.Load() }
-
-// Submit implements service.Host. The code of the error is CodeNotPrimary, CodeNotReady or CodeOverloaded where the operation
-// surely was not and will not be committed, CodeOutcomeUnknown where it may be.
-func (h serviceHost) Submit(ctx context.Context, class pipeline.Class, weight int, apply func(*transaction.Tx) error) error {
-	if !h.s.leadership.IsReady() {
-		if v := h.s.acceptor.View(); v.Primary != h.s.acceptor.ID() {
-			return wire.StatusError{Code: coreapi.CodeNotPrimary}
-		}
-		return wire.StatusError{Code: coreapi.CodeNotReady}
-	}
-	return h.s.pipeline.Submit(ctx, class, weight, apply)
-}
-
-// SubmitLater implements service.Host.
-func (h serviceHost) SubmitLater(class pipeline.Class, apply pipeline.Operation) {
-	h.s.pipeline.SubmitLater(class, apply)
-}
-
 // committer is this process as the committer of its pipeline.
 type committer struct{ s *Server }
 
--- a/internal/controlplane/discovery/routers.go
+++ b/internal/controlplane/discovery/routers.go
@@ -50,9 +50,9 @@
 	return count
 }
 
-// Announce tells the view to each router that sends no heartbeats; live has the addresses of those that do. Routers silent for long
+// Announce tells the view to each router that sends no heartbeats; live are those that do, by their addresses. Routers silent for long
 // are forgotten. Time is counted from when this process first saw them silent.
-func (d *RouterDirectory) Announce(v view.View, live map[string]bool) {
+func (d *RouterDirectory) Announce(v view.View, live map[string]coreapi.Node) {
 	if d.silentSince == nil {
 		d.silentSince = map[string]time.Time{}
 	}
@@ -60,7 +60,7 @@
 	var expired []string
 	d.Committed().ForEachWithPrefix(routerKeyPrefix, func(key string, _ []byte) {
 		addr := strings.TrimPrefix(key, routerKeyPrefix)
-		if live[addr] {
+		if _, sends := live[addr]; sends {
 			return
 		}
 		silent[key] = true
--- a/internal/controlplane/handover/handover.go
+++ b/internal/controlplane/handover/handover.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,29 +103,30 @@
 }
 
 // callAll makes a call to each member at once. It returns when a majority has succeeded, and reports that, or when all calls
-// have ended.
+// have ended. Calls that are still under way then go on.
 func (c *Coordinator) callAll(ctx context.Context, v view.View, call func(ctx context.Context, m view.Member) bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	var mu sync.Mutex
-	succeeded := map[string]bool{} // guarded by mu
-	majority := make(chan bool, len(v.Members)+1)
-	var calls sync.WaitGroup
+	results := make(chan callResult, len(v.Members))
 	for _, m := range v.Members {
-		calls.Go(func() {
-			if !call(ctx, m) {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if succeeded[m.ID] = true; v.IsMajority(succeeded) {
-				majority <- true
-			}
-		})
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			results <- callResult{id: m.ID, succeeded: call(ctx, m)}
+		}()
 	}
-	go func() {
-		calls.Wait()
-		cancel()
-		majority <- false
-	}()
-	return <-majority
+	succeeded := map[string]bool{}
+	for range v.Members {
+		if result := <-results; result.succeeded {
+			succeeded[result.id] = true
+		}
+		if v.IsMajority(succeeded) {
+			return true
+		}
+	}
+	return false
+}
+
+// callResult is how a call to one member ended.
+type callResult struct {
+	id        string
+	succeeded bool
 }
--- a/internal/controlplane/quotapool/replaced.go
+++ b/internal/controlplane/quotapool/replaced.go
@@ -15,8 +15,11 @@
 
 // addressOfHolder is the address in a holder's name, as coreapi.Holder makes it of a node's name, address and run; "": none.
 func addressOfHolder(holder string) string {
-	_, address, _ := strings.Cut(holder[:max(0, strings.LastIndex(holder, "/"))], "@")
-	return address[strings.LastIndex(address, "@")+1:]
+	begin, end := strings.LastIndex(holder, "@")+1, strings.LastIndex(holder, "/")
+	if begin == 0 || end < begin {
+		return ""
+	}
+	return holder[begin:end]
 }
 
 // Successor is a run of a node that was heard of, and may have replaced earlier runs at the node's address: of the same node,
--- a/internal/controlplane/replacedruns/tracker.go
+++ b/internal/controlplane/replacedruns/tracker.go
@@ -19,9 +19,6 @@
 // there are as many as routers, and each would have all pools written anew.
 const gatherInterval = 20 * time.Millisecond
 
-// queryTimeout is how long a router may take to say which run of it there is.
-const queryTimeout = 250 * time.Millisecond
-
 // Tracker gathers runs that may have replaced others, has those confirmed whose predecessors have units, and has the units
 // of these cool. Where it fails at any step nothing cools: the sweep of the pools finds the run again. Its methods may be
 // called concurrently.
@@ -35,7 +32,8 @@
 	gathered map[string]quotapool.Successor // by address; guarded by mu
 }
 
-// RunAtFunc asks the router that listens at an address which run of it there is.
+// RunAtFunc asks the router that listens at an address which run of it there is. It has a time-out of its own: the units of all
+// runs that are asked about together wait for the slowest answer.
 type RunAtFunc func(ctx context.Context, addr string) (run uint64, err error)
 
 // New makes a tracker whose queries end with ctx. submit has the run loop of the pools apply an operation some time later;
@@ -91,12 +89,10 @@
 
 // confirm asks the successors whether they are alive, and has the units of the runs cool that the living ones replaced.
 func (t *Tracker) confirm(replaced []quotapool.Replaced) {
-	ctx, cancel := context.WithTimeout(t.ctx, queryTimeout)
-	defer cancel()
 	alive := make([]bool, len(replaced))
 	var queries sync.WaitGroup
 	for i, one := range replaced {
-		queries.Go(func() { alive[i] = t.isAlive(ctx, one.Node) })
+		queries.Go(func() { alive[i] = t.isAlive(one.Node) })
 	}
 	queries.Wait()
 	var confirmed []quotapool.Replaced
@@ -111,10 +107,10 @@
 }
 
 // isAlive reports whether a node's run answers at its address.
-func (t *Tracker) isAlive(ctx context.Context, node coreapi.Node) bool {
+func (t *Tracker) isAlive(node coreapi.Node) bool {
 	if faultinjection.Disabled("run-query") {
 		return true
 	}
-	run, err := t.runAt(ctx, node.Addr)
+	run, err := t.runAt(t.ctx, node.Addr)
 	return err == nil && run == node.Run
 }
--- a/internal/controlplane/service/routerheartbeat.go
+++ b/internal/controlplane/service/routerheartbeat.go
@@ -47,14 +47,14 @@
 	if !hasOtherRun || faultinjection.Disabled("run-query") {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, runQueryTimeout)
-	defer cancel()
 	run, err := s.routerRunAt(ctx, router.Addr)
 	return err == nil && run != router.Run
 }
 
-// routerRunAt asks the router that listens at an address which run of it there is.
+// routerRunAt asks the router that listens at an address which run of it there is. It waits for runQueryTimeout at most.
 func (s *Service) routerRunAt(ctx context.Context, addr string) (run uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, runQueryTimeout)
+	defer cancel()
 	var listening coreapi.Node
 	err = s.caller.Call(ctx, addr, "node.run", &coreapi.Empty{}, &listening)
 	return listening.Run, err
--- a/internal/controlplane/service/sweep.go
+++ b/internal/controlplane/service/sweep.go
@@ -27,7 +27,7 @@
 	s.sweptAt = time.Now()
 	s.mu.Lock()
 	ready, config := s.host.TakesWrites(), s.config
-	live, addrs := s.liveHolders()
+	live := s.liveHolders()
 	s.mu.Unlock()
 	if !ready {
 		return
@@ -35,7 +35,7 @@
 	document := s.documents.Decode(config)
 	if time.Since(s.announcedAt) > announceInterval {
 		s.announcedAt = time.Now()
-		s.routerAddresses.Announce(s.host.View(), addrs)
+		s.routerAddresses.Announce(s.host.View(), live.Addresses)
 		s.runnerStorage.SaveTimedOut(s.registry.List(time.Now()))
 	}
 	if document == nil {
@@ -51,16 +51,14 @@
 }
 
 // liveHolders gives the nodes whose lease runs, as holders of quota units and by their addresses. The caller holds s.mu.
-func (s *Service) liveHolders() (live quotapool.LiveHolders, addrs map[string]bool) {
+func (s *Service) liveHolders() quotapool.LiveHolders {
 	s.routers.Expire(time.Now())
-	live = quotapool.LiveHolders{Holders: map[string]bool{}, Addresses: map[string]coreapi.Node{}}
-	addrs = map[string]bool{}
+	live := quotapool.LiveHolders{Holders: map[string]bool{}, Addresses: map[string]coreapi.Node{}}
 	for _, router := range s.routers.List() {
 		live.Holders[coreapi.Holder(router)] = true
 		live.Addresses[router.Addr] = router
-		addrs[router.Addr] = true
 	}
-	return live, addrs
+	return live
 }
 
 // submitLater returns a function that submits operations of the core's own and does not wait for them. Where their class has
