gateway: a response that breaks off is logged and counted with its cause

The record of the incident names four requests and says nothing of why they ended; no log line or metric could tell a runner's silence from a cut at the end of the grace. Each connection that is closed without a complete response while its client is there now gives one warning with the client's id, cause, runner, its silence, the attempts and the time since the stop began, and counts in yarrowridge_responses_broken_off_total. No decision changes.

--- a/internal/dataplane/balance/stall.go
+++ b/internal/dataplane/balance/stall.go
@@ -70,6 +70,14 @@
 	return max(minStallTimeout, stallTimeoutFactor*r.stats.stalls.longestGap(now), time.Duration(expectedMs)*time.Millisecond)
 }
 
+// Silence returns how long ago the runner last sent data to this router, or the first request after idle began there. It may be
+// called concurrently.
+func (r *Runner) Silence() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.lastActivity)
+}
+
 // Stalled reports whether requests are in flight and the runner has sent nothing for longer than its stall timeout. It
 // may be called concurrently.
 func (r *Runner) Stalled() bool {
--- a/internal/dataplane/gateway/attempt.go
+++ b/internal/dataplane/gateway/attempt.go
@@ -43,7 +43,10 @@
 	if stream != nil {
 		stream.guard = nil
 		if r.mayBeResumed() {
-			stream.guard = newStallGuard(attempt.Runner(), cancel)
+			stallCtx, cancelStalled := context.WithCancelCause(ctx)
+			ctx = stallCtx
+			defer cancelStalled(nil)
+			stream.guard = newStallGuard(attempt.Runner(), cancelStalled)
 			defer stream.guard.stop()
 		}
 	}
--- a/internal/dataplane/gateway/counters.go
+++ b/internal/dataplane/gateway/counters.go
@@ -9,11 +9,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// counters counts ended requests by route and code since the process started. mu guards both maps.
+// counters counts ended requests by route and code, and interrupted responses by cause, since the process started. mu guards
+// the maps.
 type counters struct {
 	mu     *sync.Mutex
 	ended  map[resultKey]int
 	logged map[resultKey]int // the counts in ended that have been logged
+	broken map[InterruptionCause]int
 }
 
 // resultKey identifies a counter.
@@ -23,7 +25,7 @@
 }
 
 func newCounters() counters {
-	return counters{mu: &sync.Mutex{}, ended: map[resultKey]int{}, logged: map[resultKey]int{}}
+	return counters{mu: &sync.Mutex{}, ended: map[resultKey]int{}, logged: map[resultKey]int{}, broken: map[InterruptionCause]int{}}
 }
 
 // add counts a request that ended with a code.
@@ -37,6 +39,13 @@
 	c.ended[resultKey{name, code}]++
 }
 
+// addInterruption counts a response that broke off.
+func (c counters) addInterruption(cause InterruptionCause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken[cause]++
+}
+
 // takeUnreported returns the counts since its last call, sorted by route and code.
 func (c counters) takeUnreported() []slog.Attr {
 	c.mu.Lock()
@@ -52,10 +61,16 @@
 	return counts
 }
 
-var requestsEnded = prometheus.NewDesc("yarrowridge_requests_total", "Requests ended, by route and code.", []string{"route", "code"}, nil)
+var (
+	requestsEnded = prometheus.NewDesc("yarrowridge_requests_total", "Requests ended, by route and code.", []string{"route", "code"}, nil)
+	interruptions = prometheus.NewDesc("yarrowridge_responses_broken_off_total", "Responses that broke off, by cause.", []string{"cause"}, nil)
+)
 
 // Describe implements prometheus.Collector.
-func (c counters) Describe(out chan<- *prometheus.Desc) { out <- requestsEnded }
+func (c counters) Describe(out chan<- *prometheus.Desc) {
+	out <- requestsEnded
+	out <- interruptions
+}
 
 // Collect implements prometheus.Collector. It may run concurrently with requests.
 func (c counters) Collect(out chan<- prometheus.Metric) {
@@ -64,9 +79,12 @@
 	for key, count := range c.ended {
 		out <- prometheus.MustNewConstMetric(requestsEnded, prometheus.CounterValue, float64(count), key.route, string(key.code))
 	}
+	for cause, count := range c.broken {
+		out <- prometheus.MustNewConstMetric(interruptions, prometheus.CounterValue, float64(count), string(cause))
+	}
 }
 
-// Counts returns the collector of the metric of ended requests.
+// Counts returns the collector of the metrics of ended requests and interrupted responses.
 func (g *Gateway) Counts() prometheus.Collector { return g.counts }
 
 // Report logs the counts of requests that ended since the last report, if any.
--- a/internal/dataplane/gateway/counters_test.go
+++ b/internal/dataplane/gateway/counters_test.go
@@ -15,6 +15,8 @@
 	counts.add(ended, codeCompleted)
 	counts.add(ended, codeCompleted)
 	counts.add(&request{}, CodeNoRoute)
+	counts.addInterruption(CauseRunnerStalled)
+	counts.addInterruption(CauseRunnerStalled)
 	if reported := counts.takeUnreported(); len(reported) != 2 || reported[0].String() != "ask/done=2" || reported[1].String() != "none/no-route=1" {
 		t.Errorf("first report: got %v, want ask/done=2 and none/no-route=1", reported)
 	}
@@ -28,14 +30,19 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(counts)
 	families, err := registry.Gather()
-	if err != nil || len(families) != 1 {
-		t.Fatalf("got %d metrics, error %v, want one", len(families), err)
+	if err != nil || len(families) != 2 {
+		t.Fatalf("got %d metrics, error %v, want two", len(families), err)
 	}
-	total := 0.0
-	for _, metric := range families[0].GetMetric() {
-		total += metric.GetCounter().GetValue()
+	totals := map[string]float64{}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			totals[family.GetName()] += metric.GetCounter().GetValue()
+		}
 	}
-	if total != 4 {
-		t.Errorf("requests in the metric: got %v, want 4", total)
+	if got := totals["yarrowridge_requests_total"]; got != 4 {
+		t.Errorf("requests in the metric: got %v, want 4", got)
+	}
+	if got := totals["yarrowridge_responses_broken_off_total"]; got != 2 {
+		t.Errorf("interrupted responses in the metric: got %v, want 2", got)
 	}
 }
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -54,7 +54,7 @@
 type Gateway struct {
 	Options
 	retryBudget     *retry.Budget
-	draining        atomic.Bool
+	drainingSince   atomic.Pointer[time.Time] // nil: the graceful shutdown has not begun
 	inFlight        atomic.Int64
 	counts          counters
 	maxOutputTokens routeMaxima[int]           // the largest output that a client requested, by route
@@ -67,7 +67,22 @@
 }
 
 // Drain begins the graceful shutdown: from now on each response asks the client to close its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	now := time.Now()
+	g.drainingSince.CompareAndSwap(nil, &now)
+}
+
+// isDraining reports whether the graceful shutdown has begun.
+func (g *Gateway) isDraining() bool { return g.drainingSince.Load() != nil }
+
+// drainingFor returns the time since the graceful shutdown began, 0 before it.
+func (g *Gateway) drainingFor() time.Duration {
+	since := g.drainingSince.Load()
+	if since == nil {
+		return 0
+	}
+	return time.Since(*since)
+}
 
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
@@ -77,7 +92,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.draining.Load() {
+	if g.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	request := &request{gateway: g, writer: w, httpRequest: r, received: time.Now()}
@@ -93,6 +108,9 @@
 	}
 	g.counts.add(request, rejection.Code)
 	if rejection.Status == 0 || request.responseStarted {
+		if rejection.Code != CodeClientDisconnected {
+			request.reportInterruption(rejection)
+		}
 		// Abort the connection so that the client cannot mistake a truncated response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/dataplane/gateway/gateway_test.go
+++ b/internal/dataplane/gateway/gateway_test.go
@@ -79,6 +79,7 @@
 	gateway  *Gateway
 	balancer *balance.Balancer
 	quotas   *fakeQuotas
+	server   *httptest.Server
 	url      string
 	table    atomic.Pointer[routing.Table]
 	mu       sync.Mutex
@@ -94,9 +95,9 @@
 	t.Cleanup(pool.Close)
 	f.gateway = New(Options{Dialect: testDialect{}, Table: f.table.Load, NotReadyReason: func() string { return "" }, Balancer: f.balancer, Pool: pool,
 		Quotas: f.quotas, Retries: RetryBounds{Ratio: 1, Allowance: 10}, LocalShare: func(n int) int { return n }, Log: slog.New(slog.DiscardHandler)})
-	server := httptest.NewServer(f.gateway)
-	t.Cleanup(server.Close)
-	f.url = server.URL
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(f.server.Close)
+	f.url = f.server.URL
 	return f
 }
 
--- a/internal/dataplane/gateway/outcome.go
+++ b/internal/dataplane/gateway/outcome.go
@@ -43,6 +43,7 @@
 func (r *request) handleResponseLost(attempt *balance.Attempt, err error) (attemptOutcome, error) {
 	r.tried[attempt.Runner().Index] = true
 	r.mayHaveRun = true
+	r.lost = newInterruption(attempt.Runner(), err)
 	switch {
 	case r.httpRequest.Context().Err() != nil:
 		attempt.Abandon()
--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -35,6 +35,7 @@
 	tried           map[int]bool // by Runner.Index
 	sentAttempts    int          // attempts of which a byte may have reached a runner
 	mayHaveRun      bool         // a runner may have run the request, and its response is lost
+	lost            interruption // the latest response that was lost
 }
 
 // run processes the request from routing to the end of its response. If the gateway itself ends the request, the error is a
--- a/internal/dataplane/gateway/stall.go
+++ b/internal/dataplane/gateway/stall.go
@@ -2,23 +2,27 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"yarrowridge/internal/dataplane/balance"
 )
 
+// errRunnerStalled is the cause with which a stallGuard cancels an attempt.
+var errRunnerStalled = errors.New("the runner has stalled")
+
 // stallGuard cancels an attempt whose runner exceeds its stall time-out, so that the stream can be resumed at another runner.
 // Its timer runs concurrently with the request.
 type stallGuard struct {
 	runner *balance.Runner
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	timer  *time.Timer
 }
 
 // stallCheckInterval is the interval of stall checks while no event arrives.
 const stallCheckInterval = 200 * time.Millisecond
 
-func newStallGuard(runner *balance.Runner, cancel context.CancelFunc) *stallGuard {
+func newStallGuard(runner *balance.Runner, cancel context.CancelCauseFunc) *stallGuard {
 	g := &stallGuard{runner: runner, cancel: cancel}
 	g.timer = time.AfterFunc(stallCheckInterval, g.check)
 	return g
@@ -26,7 +30,7 @@
 
 func (g *stallGuard) check() {
 	if g.runner.Stalled() {
-		g.cancel()
+		g.cancel(errRunnerStalled)
 		return
 	}
 	g.timer.Reset(stallCheckInterval)
--- a/internal/dataplane/gateway/wait.go
+++ b/internal/dataplane/gateway/wait.go
@@ -27,7 +27,7 @@
 // awaitReady waits until the router is ready or draining, and reports whether it is ready.
 func (r *request) awaitReady() bool {
 	ready := func() bool { return r.gateway.NotReadyReason() == "" }
-	return r.waitUntil(func() bool { return ready() || r.gateway.draining.Load() }) && ready()
+	return r.waitUntil(func() bool { return ready() || r.gateway.isDraining() }) && ready()
 }
 
 // awaitConfirmedKeys waits for confirmation if keys are stale. After a wait it looks up the route in the current routing
