gateway: a stalled stream stays with its runner until another one has sent an event

Callers saw streams closed without their end, around SIGTERM and far from it, with places free at other runners.

Cause: after 0.4 s or more of silence the stall guard cancelled the running attempt, and only then was asked whether the stream may go on elsewhere. It may not if no retry is left in the budget (a router that has just started has earned none, and one silent runner holds many streams), if no other runner is left, or if the next one is full or fails. Class: the working resource is given up before its replacement is had (break before make).

The seven cases of TestSilenceEndsNoStreamThatNoOtherRunnerTakes red, and TestSilentRunnersStreamIsTakenOver where the silent runner resumes first.

Fix: make before break. The request is sent to another runner beside the silent one (within maxAttempts and the retry budget, and only for what may be repeated). The present attempt is cancelled once that runner has sent the next event; an event of the present runner before that cancels the try. So silence alone ends nothing, and each event is forwarded once. A request that is still being sent is cancelled as before: it has no response that could be lost.

Ruled out: a longer stall timeout (the budget is as empty later); a look at the budget before the cut (the next runner may still be full).

--- a/internal/dataplane/gateway/attempt.go
+++ b/internal/dataplane/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yarrowridge/internal/dataplane/balance"
+	"yarrowridge/internal/dataplane/upstream"
 )
 
 // attemptOutcome is the result of one attempt. It determines whether another attempt is permitted.
@@ -28,9 +29,19 @@
 // response can still arrive.
 const deadlineGrace = 150 * time.Millisecond
 
+// attemptContext returns the context of an attempt.
+func (r *request) attemptContext() (context.Context, context.CancelCauseFunc) {
+	deadlineCtx, cancelDeadline := context.WithDeadline(r.httpRequest.Context(), r.deadline.Add(deadlineGrace))
+	ctx, cancel := context.WithCancelCause(deadlineCtx)
+	return ctx, func(cause error) {
+		cancel(cause)
+		cancelDeadline()
+	}
+}
+
 // attempt sends the request to one runner and forwards its response.
-func (r *request) attempt(stream *streamResponse) (attemptOutcome, error) {
-	attempt := r.chooseRunner()
+func (r *request) attempt(stream *streamResponse) (outcome attemptOutcome, err error) {
+	attempt := r.chooseRunner(r.tried)
 	if attempt == nil {
 		return outcomeFinal, r.rejectNoRunner()
 	}
@@ -38,19 +49,15 @@
 		attempt.Cancel()
 		return outcomeFinal, err
 	}
-	ctx, cancel := context.WithDeadline(r.httpRequest.Context(), r.deadline.Add(deadlineGrace))
-	defer cancel()
+	ctx, cancel := r.attemptContext()
+	defer cancel(nil)
+	lastID := ""
 	if stream != nil {
-		stream.guard = nil
-		if r.mayBeResumed() {
-			stallCtx, cancelStalled := context.WithCancelCause(ctx)
-			ctx = stallCtx
-			defer cancelStalled(nil)
-			stream.guard = newStallGuard(attempt.Runner(), cancelStalled)
-			defer stream.guard.stop()
-		}
+		lastID = stream.lastID
+		stream.watch(attempt, cancel, r.retriesLeft()-1)
+		defer func() { stream.endWatch(outcome) }()
 	}
-	exchange, err := r.send(ctx, attempt, stream)
+	exchange, err := r.send(ctx, attempt, lastID, r.urgency(r.responseStarted))
 	if err != nil {
 		return r.handleSendError(attempt, err)
 	}
@@ -59,6 +66,7 @@
 		attempt.Cancel()
 		return outcomeFinal, err
 	}
+	stream.markSent()
 	head, err := exchange.ReadHead(r.isOwnResponse)
 	if err != nil {
 		exchange.Abort()
@@ -78,15 +86,15 @@
 		return outcomeFinal, err
 	}
 	if stream != nil && head.Status == http.StatusOK && isEventStream(head.Header) {
-		return stream.forward(attempt, exchange, head)
+		return stream.forward(attempt, exchange, head, upstream.NewEventReader(exchange.Body))
 	}
 	return r.forwardBuffered(attempt, exchange, head, stream)
 }
 
-// chooseRunner chooses a runner and counts the request as in flight there. It returns nil if no runner is available.
-func (r *request) chooseRunner() *balance.Attempt {
+// chooseRunner chooses a runner that has not been tried and counts the request as in flight there. It returns nil if no runner is available.
+func (r *request) chooseRunner(tried map[int]bool) *balance.Attempt {
 	return r.gateway.Balancer.Choose(balance.Request{Service: r.service.Name, Model: r.meta.Model, Parts: promptParts(r.meta.Prefix),
-		Input: r.meta.InputTokens, Output: r.meta.OutputTokens, Tried: r.tried})
+		Input: r.meta.InputTokens, Output: r.meta.OutputTokens, Tried: tried})
 }
 
 // promptParts converts the parts of a prompt's prefix to the balancer's type.
@@ -101,12 +109,24 @@
 	return parts
 }
 
-// mayBeResumed reports, before an attempt, whether the stream could be resumed at another runner if this attempt is ended.
-// The last permitted attempt is not ended for a stall, because no other could follow.
-func (r *request) mayBeResumed() bool {
-	return r.route.Idempotent() && r.sentAttempts+1 < r.route.MaxAttempts
+// continueAt forwards the rest of a stream from the runner that has taken it over.
+func (r *request) continueAt(next *successor, stream *streamResponse) (outcome attemptOutcome, err error) {
+	defer next.cancel(nil)
+	for _, state := range []State{Selected, Sent, Responding} {
+		if err := r.chart.advance(state); err != nil {
+			next.abandon()
+			return outcomeFinal, err
+		}
+	}
+	stream.watch(next.attempt, next.cancel, r.retriesLeft())
+	defer func() { stream.endWatch(outcome) }()
+	stream.markSent()
+	return stream.forward(next.attempt, next.exchange, next.head, next.events)
 }
 
+// retriesLeft returns how many requests may still be sent to runners by the number of attempts that the route permits.
+func (r *request) retriesLeft() int { return max(1, r.route.MaxAttempts) - r.sentAttempts }
+
 // isOwnResponse reports whether a response belongs to this request rather than to an earlier one on the same connection.
 func (r *request) isOwnResponse(status int, header http.Header) bool {
 	id := r.gateway.Dialect.ReadResponse(status, header).AttemptID
--- a/internal/dataplane/gateway/outcome.go
+++ b/internal/dataplane/gateway/outcome.go
@@ -10,8 +10,7 @@
 // handleSendError classifies an attempt whose request was not sent completely. The outcome is outcomeNotSent only if package
 // upstream reports that no byte was sent. Otherwise the runner may have run the request.
 func (r *request) handleSendError(attempt *balance.Attempt, err error) (attemptOutcome, error) {
-	var failure *upstream.SendError
-	if errors.As(err, &failure) && !failure.Sent {
+	if !isSent(err) {
 		return r.handleNotSent(attempt, err)
 	}
 	if err := r.markSent(); err != nil {
@@ -60,14 +59,8 @@
 // handleRunnerRejection ends an attempt whose request the runner promised not to have run.
 func (r *request) handleRunnerRejection(attempt *balance.Attempt, exchange *upstream.Exchange, meta ResponseMeta) (attemptOutcome, error) {
 	r.tried[attempt.Runner().Index] = true
-	if meta.OtherRunner {
-		r.gateway.Balancer.AddressReused(attempt.Runner())
-		attempt.Cancel()
-	} else {
-		attempt.Rejected()
-	}
 	r.chart.notExecuted = true
-	discard(exchange)
+	r.endRejected(attempt, exchange, meta)
 	return outcomeNotExecuted, reject(CodeRunnersFull)
 }
 
--- a/internal/dataplane/gateway/send.go
+++ b/internal/dataplane/gateway/send.go
@@ -7,16 +7,13 @@
 	"yarrowridge/internal/dataplane/upstream"
 )
 
-// send sends the request to the runner with headers in the runner's dialect.
-func (r *request) send(ctx context.Context, attempt *balance.Attempt, stream *streamResponse) (*upstream.Exchange, error) {
+// send sends the request to the runner with headers in the runner's dialect. It only reads the request's state.
+func (r *request) send(ctx context.Context, attempt *balance.Attempt, lastEventID string, urgency int) (*upstream.Exchange, error) {
 	info := attempt.Runner().Info()
-	meta := RunnerMeta{RunnerID: info.ID, Deadline: r.remaining(), Urgency: r.urgency()}
+	meta := RunnerMeta{RunnerID: info.ID, Deadline: r.remaining(), LastEventID: lastEventID, Urgency: urgency}
 	if r.tenant != nil {
 		meta.Tenant = r.tenant.Name
 	}
-	if stream != nil {
-		meta.LastEventID = stream.lastID
-	}
 	header := r.httpRequest.Header.Clone()
 	r.gateway.Dialect.WriteRequest(header, meta)
 	r.gateway.Pool.SetMaxConnections(info.Address, r.maxConnections())
--- a/internal/dataplane/gateway/serve.go
+++ b/internal/dataplane/gateway/serve.go
@@ -20,10 +20,7 @@
 		stream = &streamResponse{request: r, lastID: r.meta.LastEventID}
 	}
 	for {
-		if err := r.revalidate(); err != nil {
-			return err
-		}
-		outcome, err := r.attempt(stream)
+		outcome, err := r.nextAttempt(stream)
 		switch outcome {
 		case outcomeCompleted, outcomeFinal:
 			return err
@@ -33,7 +30,7 @@
 			}
 			continue
 		case outcomeNotExecuted, outcomeUnknown:
-			if !r.mayRetry(outcome) {
+			if !stream.hasSuccessor() && !r.mayRetry(outcome) {
 				return r.finalError(err)
 			}
 		case outcomeRetryGranted:
@@ -44,6 +41,18 @@
 	}
 }
 
+// nextAttempt continues the stream at the runner that has taken it over, if there is one. Otherwise it makes an attempt under the
+// current routing table.
+func (r *request) nextAttempt(stream *streamResponse) (attemptOutcome, error) {
+	if next := stream.takeSuccessor(); next != nil {
+		return r.continueAt(next, stream)
+	}
+	if err := r.revalidate(); err != nil {
+		return outcomeFinal, err
+	}
+	return r.attempt(stream)
+}
+
 // retryPolicy returns this router's share of the fleet-wide retry limit.
 func (r *request) retryPolicy() retry.Policy {
 	bounds := r.gateway.Retries
@@ -56,19 +65,19 @@
 	if last == outcomeUnknown && !r.route.Idempotent() {
 		return false
 	}
-	if r.sentAttempts >= max(1, r.route.MaxAttempts) || r.remaining() <= 0 || r.httpRequest.Context().Err() != nil {
+	if r.retriesLeft() <= 0 || r.remaining() <= 0 || r.httpRequest.Context().Err() != nil {
 		return false
 	}
-	if !r.hasUntriedRunner() {
+	if !r.hasUntriedRunner(r.tried) {
 		return false
 	}
 	return r.gateway.retryBudget.Take(r.service.Name)
 }
 
-// hasUntriedRunner reports whether the service has a ready runner that this request has not tried.
-func (r *request) hasUntriedRunner() bool {
+// hasUntriedRunner reports whether the service has a ready runner other than those tried, by Runner.Index.
+func (r *request) hasUntriedRunner(tried map[int]bool) bool {
 	for _, runner := range r.gateway.Balancer.Runners(r.service.Name) {
-		if !r.tried[runner.Index] && runner.Info().State == routing.RunnerReady {
+		if !tried[runner.Index] && runner.Info().State == routing.RunnerReady {
 			return true
 		}
 	}
@@ -108,6 +117,22 @@
 	return nil
 }
 
+// isStillAllowed reports whether the current routing table allows the request as the table of its present attempt does: with the
+// same route, tenant and service. It only reads the request's state.
+func (r *request) isStillAllowed() bool {
+	table := r.gateway.Table()
+	if table.Revision == r.table.Revision {
+		return true
+	}
+	route := table.Match(r.httpRequest.Host, r.httpRequest.URL.Path)
+	if route == nil || route.Kind != r.route.Kind || !route.Idempotent() {
+		return false
+	}
+	tenant, known := tenantFor(table, route, r.meta.Key)
+	sameTenant := (tenant == nil) == (r.tenant == nil) && (tenant == nil || tenant.Name == r.tenant.Name)
+	return known && sameTenant && r.serviceFor(table, route).Name == r.service.Name
+}
+
 // serviceFor returns the request's service in a newer table. The service stays the same as long as the route leads there.
 func (r *request) serviceFor(table *routing.Table, route *routing.Route) *routing.Service {
 	service := &table.Services[route.Pick(hashAttemptID(r.meta.AttemptID))]
--- a/internal/dataplane/gateway/stream.go
+++ b/internal/dataplane/gateway/stream.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,7 +19,8 @@
 	request    *request
 	lastID     string                   // ID of the last event forwarded; before that, the client's Last-Event-ID
 	controller *http.ResponseController // nil: the response's head has not been written yet
-	guard      *stallGuard              // of the current attempt; nil: it has no stall time-out
+	takeover   *takeover                // of the present attempt; nil: no other runner may take over
+	successor  *successor               // continues the stream in the next attempt; nil: none
 }
 
 // writeGrace is how long past the request's deadline writes to the client may continue.
@@ -39,28 +42,65 @@
 	r.writer.WriteHeader(head.Status)
 }
 
+// watch lets another runner take over if the runner of an attempt stalls, up to maxTries requests.
+func (s *streamResponse) watch(attempt *balance.Attempt, cancel context.CancelCauseFunc, maxTries int) {
+	s.takeover = nil
+	if s.request.route.Idempotent() && maxTries > 0 {
+		s.takeover = newTakeover(s, attempt, cancel, maxTries)
+	}
+}
+
+// markSent records that the request of the present attempt has been sent. It does nothing if the response is no stream.
+func (s *streamResponse) markSent() {
+	if s != nil {
+		s.takeover.markSent()
+	}
+}
+
+// endWatch ends what watch began, and adds the requests that were sent to other runners to the request's attempts.
+func (s *streamResponse) endWatch(outcome attemptOutcome) {
+	if s.takeover == nil {
+		return
+	}
+	isLost := outcome == outcomeNotExecuted || outcome == outcomeUnknown || outcome == outcomeRetryGranted
+	next, result := s.takeover.end(isLost)
+	s.successor = next
+	r := s.request
+	r.sentAttempts += result.sent
+	r.mayHaveRun = r.mayHaveRun || result.mayHaveRun
+	maps.Copy(r.tried, result.tried)
+}
+
+// hasSuccessor reports whether another runner has taken the stream over. It is false for a response that is no stream.
+func (s *streamResponse) hasSuccessor() bool { return s != nil && s.successor != nil }
+
+// takeSuccessor returns the attempt that continues the stream, if there is one, and forgets it.
+func (s *streamResponse) takeSuccessor() *successor {
+	if s == nil {
+		return nil
+	}
+	next := s.successor
+	s.successor = nil
+	return next
+}
+
 // forward forwards a runner's events as they arrive.
-func (s *streamResponse) forward(attempt *balance.Attempt, exchange *upstream.Exchange, head upstream.Head) (attemptOutcome, error) {
+func (s *streamResponse) forward(attempt *balance.Attempt, exchange *upstream.Exchange, head upstream.Head, events *upstream.EventReader) (attemptOutcome, error) {
 	r := s.request
-	reader := upstream.NewEventReader(exchange.Body)
 	for {
-		event, id, err := reader.Next()
+		event, id, err := events.Next()
+		if err == nil && !s.takeover.beginEvent() {
+			err = errRunnerStalled // another runner has taken over; this event comes from that one
+		}
 		switch {
 		case err == nil:
 			attempt.Progress()
-			s.guard.progress()
-			if s.isDuplicate(id) {
-				continue
-			}
-			s.start(head)
-			if !s.writeEvent(event) {
+			if !s.forwardEvent(event, id, head) {
 				exchange.Abort()
 				attempt.Cancel()
 				return outcomeFinal, reject(CodeClientDisconnected)
 			}
-			if id != "" {
-				s.lastID = id
-			}
+			s.takeover.endEvent(s.lastID)
 		case errors.Is(err, upstream.ErrIncompleteEvent) && head.Framed:
 			s.start(head)
 			s.writeEvent(event) // a write error is ignored: the next read returns io.EOF and ends the attempt
@@ -76,6 +116,21 @@
 	}
 }
 
+// forwardEvent writes an event unless it has been forwarded from an earlier run. It reports whether the client still reads.
+func (s *streamResponse) forwardEvent(event []byte, id string, head upstream.Head) bool {
+	if s.isDuplicate(id) {
+		return true
+	}
+	s.start(head)
+	if !s.writeEvent(event) {
+		return false
+	}
+	if id != "" {
+		s.lastID = id
+	}
+	return true
+}
+
 // isDuplicate reports whether an event has already been forwarded from an earlier run. Numeric IDs increase within a stream.
 func (s *streamResponse) isDuplicate(id string) bool {
 	if s.lastID == "" || id == "" {
--- a/internal/dataplane/gateway/urgency.go
+++ b/internal/dataplane/gateway/urgency.go
@@ -11,8 +11,8 @@
 // urgency returns the request's urgency for the runner; 0 is the most urgent. A request that is already late and has time left
 // gets the lowest urgency. After an outage its target latency is missed in any case, while other requests can still meet
 // theirs.
-func (r *request) urgency() int {
-	if r.isLateWithTimeLeft() {
+func (r *request) urgency(responseStarted bool) int {
+	if r.isLateWithTimeLeft(responseStarted) {
 		return lowestUrgency
 	}
 	rank := r.route.Priority
@@ -25,8 +25,8 @@
 // isLateWithTimeLeft reports whether the client has waited for longer than its route's target latency and has more time left
 // than it has waited. With less time left, a request of the lowest urgency might not be served at all. A resumed stream is
 // never late, because its client is waiting for the next event.
-func (r *request) isLateWithTimeLeft() bool {
-	if r.route.TargetLatency <= 0 || r.responseStarted || r.meta.LastEventID != "" {
+func (r *request) isLateWithTimeLeft(responseStarted bool) bool {
+	if r.route.TargetLatency <= 0 || responseStarted || r.meta.LastEventID != "" {
 		return false
 	}
 	waited := r.waitedInEarlierAttempts() + time.Since(r.received)
--- a/internal/dataplane/upstream/events.go
+++ b/internal/dataplane/upstream/events.go
@@ -50,12 +50,28 @@
 //   - io.ErrNoProgress: the source returned neither a byte nor an error too often;
 //   - any other error of the source, such as io.ErrUnexpectedEOF; the bytes of an incomplete event are dropped.
 func (r *EventReader) Next() (raw []byte, id string, err error) {
+	if r.Await() != nil {
+		return r.endResult()
+	}
+	raw, id = r.buffer[r.eventStart:r.lineStart], string(r.id)
+	if len(raw) > MaxEventBytes {
+		r.err = eris.Wrapf(ErrEventTooLarge, "upstream: %d bytes", len(raw))
+		r.buffer, r.eventStart, r.lineStart, r.scanned, r.complete = nil, 0, 0, 0, false
+		return nil, "", r.err
+	}
+	r.eventStart, r.hasField, r.id, r.complete = r.lineStart, false, nil, false
+	return raw, id, nil
+}
+
+// Await reads until Next can return an event without reading from the source, or a read fails. Its error is the one that ends the
+// stream; Next then returns it, or first the bytes of an incomplete event.
+func (r *EventReader) Await() error {
 	for empty := 0; !r.Ready(); {
 		if len(r.buffer)-r.eventStart > MaxEventBytes {
 			r.err = eris.Wrapf(ErrEventTooLarge, "upstream: more than %d bytes", MaxEventBytes)
 		}
 		if r.err != nil {
-			return r.endResult()
+			return r.err
 		}
 		n := r.fill()
 		if empty++; n > 0 {
@@ -65,14 +81,7 @@
 			r.err = io.ErrNoProgress
 		}
 	}
-	raw, id = r.buffer[r.eventStart:r.lineStart], string(r.id)
-	if len(raw) > MaxEventBytes {
-		r.err = eris.Wrapf(ErrEventTooLarge, "upstream: %d bytes", len(raw))
-		r.buffer, r.eventStart, r.lineStart, r.scanned, r.complete = nil, 0, 0, 0, false
-		return nil, "", r.err
-	}
-	r.eventStart, r.hasField, r.id, r.complete = r.lineStart, false, nil, false
-	return raw, id, nil
+	return nil
 }
 
 // Ready reports whether Next can return an event without reading from the source.
