router: what is open when the grace ends gets an answer, and the cut scales with the grace

Callers saw a closed connection for a request that still waited, in its runner's queue, at the router for quota, or for a first event, when the grace of its router ended: the process simply exited. Nor did such a request count as one at which a runner is at work. With a grace below 6 s the cut also came before its last sixth, since the reserve of 1 s did not scale.

From the code: 1 s of a grace of 5 s is a fifth, the last sixth is allowed. Class: a bound that doesn't look at what it ends; a constant where a share was meant.

Fix: at the end of the drain the server ends the context of all requests with a cause of its own. A request without a response is answered, by 503 only if it has not run, else 502; a stream that has begun breaks off as before and is logged with cause=shutdown. The reserve is an eighth of the grace, 1 s at the most: nothing changes at 8 s.

--- a/internal/dataplane/gateway/interruption.go
+++ b/internal/dataplane/gateway/interruption.go
@@ -19,6 +19,7 @@
 	CauseRunnerFailed   InterruptionCause = "runner-failed"    // the connection failed, or the response was malformed
 	CauseNoRunner       InterruptionCause = "no-runner"        // no runner was left that could resume the stream
 	CauseDeadline       InterruptionCause = "deadline"         // the request's deadline passed
+	CauseShutdown       InterruptionCause = "shutdown"         // the router's grace period ended
 )
 
 // interruption describes the latest attempt whose response was lost.
@@ -43,6 +44,8 @@
 // causeOf returns why a request that ended with a rejection was interrupted.
 func (r *request) causeOf(rejection *Rejection) InterruptionCause {
 	switch {
+	case r.isEndedByShutdown():
+		return CauseShutdown
 	case rejection.Code == CodeDeadline:
 		return CauseDeadline
 	case r.lost.runner == nil:
--- a/internal/dataplane/gateway/outcome.go
+++ b/internal/dataplane/gateway/outcome.go
@@ -24,9 +24,9 @@
 func (r *request) handleNotSent(attempt *balance.Attempt, err error) (attemptOutcome, error) {
 	r.tried[attempt.Runner().Index] = true
 	switch {
-	case r.httpRequest.Context().Err() != nil:
+	case r.hasEnded():
 		attempt.Cancel()
-		return outcomeFinal, reject(CodeClientDisconnected)
+		return outcomeFinal, r.finalError(reject(CodeNoRunner))
 	case errors.Is(err, upstream.ErrConnectionLimit):
 		attempt.Rejected()
 	default:
@@ -44,9 +44,9 @@
 	r.mayHaveRun = true
 	r.lost = newInterruption(attempt.Runner(), err)
 	switch {
-	case r.httpRequest.Context().Err() != nil:
+	case r.hasEnded():
 		attempt.Abandon()
-		return outcomeFinal, reject(CodeClientDisconnected)
+		return outcomeFinal, r.finalError(reject(CodeRunnerLost))
 	case r.remaining() <= 0:
 		attempt.Abandon()
 		return outcomeFinal, reject(CodeDeadline)
--- a/internal/dataplane/gateway/serve.go
+++ b/internal/dataplane/gateway/serve.go
@@ -25,7 +25,7 @@
 		case outcomeCompleted, outcomeFinal:
 			return err
 		case outcomeNotSent:
-			if r.remaining() <= 0 || errors.Is(r.httpRequest.Context().Err(), context.Canceled) {
+			if r.remaining() <= 0 || r.hasEnded() {
 				return r.finalError(err)
 			}
 			continue
@@ -65,7 +65,7 @@
 	if last == outcomeUnknown && !r.route.Idempotent() {
 		return false
 	}
-	if r.retriesLeft() <= 0 || r.remaining() <= 0 || r.httpRequest.Context().Err() != nil {
+	if r.retriesLeft() <= 0 || r.remaining() <= 0 || r.hasEnded() {
 		return false
 	}
 	if !r.hasUntriedRunner(r.tried) {
@@ -84,9 +84,17 @@
 	return false
 }
 
+// hasEnded reports whether the client has disconnected or the shutdown has ended the request.
+func (r *request) hasEnded() bool { return r.httpRequest.Context().Err() != nil }
+
+// isEndedByShutdown reports whether the shutdown has ended the request.
+func (r *request) isEndedByShutdown() bool {
+	return errors.Is(context.Cause(r.httpRequest.Context()), errShutdown)
+}
+
 // finalError returns the error of a request that is not attempted again. A client's disconnect takes precedence over err.
 func (r *request) finalError(err error) error {
-	if r.httpRequest.Context().Err() != nil {
+	if r.hasEnded() && !r.isEndedByShutdown() {
 		return reject(CodeClientDisconnected)
 	}
 	return err
--- a/internal/dataplane/gateway/stream.go
+++ b/internal/dataplane/gateway/stream.go
@@ -155,7 +155,7 @@
 // handleStreamError classifies an attempt whose stream ended early.
 func (s *streamResponse) handleStreamError(attempt *balance.Attempt, err error) (attemptOutcome, error) {
 	outcome, failure := s.request.handleResponseLost(attempt, err)
-	if s.started() && outcome == outcomeUnknown {
+	if s.started() && (outcome == outcomeUnknown || s.request.isEndedByShutdown()) {
 		return outcome, reject(CodeResponseTruncated)
 	}
 	return outcome, failure
--- a/internal/dataplane/router/gatewayrun.go
+++ b/internal/dataplane/router/gatewayrun.go
@@ -53,28 +53,50 @@
 	return nil
 }
 
+// Parts of the grace period that are reserved for what follows the last request. Requests may use at least seven eighths.
 const (
-	leaveReserve = time.Second            // of the grace period: to hand over session entries and release the lease after the last request
-	exitReserve  = 200 * time.Millisecond // of the grace period: for the process to exit
+	maxLeaveReserve     = time.Second
+	leaveReserveDivisor = 8 // of the grace period
+	stepDivisor         = 5 // of the reserve: to end the remaining requests, and for the process to exit
 )
 
+// shutdownPlan has the times of a shutdown, counted from the stop signal.
+type shutdownPlan struct {
+	drainEnd time.Duration // until then requests in flight complete
+	cutEnd   time.Duration // until then the remaining requests are ended
+	leaveEnd time.Duration // until then session entries are handed over and the lease is released; then the process exits
+}
+
+// planShutdown divides a grace period.
+func planShutdown(grace time.Duration) shutdownPlan {
+	reserve := min(maxLeaveReserve, grace/leaveReserveDivisor)
+	step := reserve / stepDivisor
+	return shutdownPlan{drainEnd: grace - reserve, cutEnd: grace - reserve + step, leaveEnd: grace - step}
+}
+
 // shutDown shuts the router down gracefully within the grace period: the requests in flight complete, and the router leaves
 // the fleet.
 func (g *Gateway) shutDown(ctx daemon.Context, server *gateway.Server) {
 	ctx.Log.Info("Router leaves. Requests in flight are finished.", slog.Int("open", g.ClientHandler.InFlight()))
-	startedAt := time.Now()
+	startedAt, plan := time.Now(), planShutdown(g.settings.GracePeriod)
 	g.Cluster.StartDraining()
 	g.ClientHandler.Drain()
 	runloop.Sleep(ctx, g.settings.DrainNotice)
-	drainCtx, cancel := context.WithTimeout(ctx, g.settings.GracePeriod-time.Since(startedAt)-leaveReserve)
-	defer cancel()
-	if err := server.Drain(drainCtx); err != nil {
+	if err := drainServer(ctx, server.Drain, startedAt.Add(plan.drainEnd)); err != nil {
 		ctx.Log.Warn("The grace ended before the requests did.", slog.Int("open", g.ClientHandler.InFlight()))
+		_ = drainServer(ctx, server.EndRequests, startedAt.Add(plan.cutEnd)) // whatever does not end then ends with the process
 	}
-	leaveFleet(ctx, startedAt.Add(g.settings.GracePeriod-exitReserve), g.sessions.handOver, g.Cluster.Leave)
+	leaveFleet(ctx, startedAt.Add(plan.leaveEnd), g.sessions.handOver, g.Cluster.Leave)
 	g.Pool.Close()
 }
 
+// drainServer calls drain with a context that ends at a deadline.
+func drainServer(ctx context.Context, drain func(context.Context) error, deadline time.Time) error {
+	drainCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return drain(drainCtx)
+}
+
 // leaveFleet hands over the last session entries and releases the lease, both before a deadline: even if no peer answers,
 // the process must exit by itself before it is killed. The hand-over may take half of the remaining time.
 func leaveFleet(ctx context.Context, deadline time.Time, handOver, releaseLease func(context.Context)) {
