runnerregistry: a deregistration outlives the primary that acknowledged it

Callers: a runner that had deregistered and was acknowledged got 18 requests a second again (rule DRAIN), 6 s later, if the primary had changed and a heartbeat that the runner had sent before came late.

Cause: the acknowledged deregistration was kept only in the primary's memory. On disk the runner's record was deleted, and with it its sequence, so the next primary took the late heartbeat for that of a new runner. Class: what was acknowledged was not stored, only the absence of what it ended.

--- a/internal/controlplane/runnerregistry/storage.go
+++ b/internal/controlplane/runnerregistry/storage.go
@@ -1,6 +1,7 @@
 package runnerregistry
 
 import (
+	"bytes"
 	"context"
 	"strings"
 
@@ -21,25 +22,23 @@
 	SubmitLater func(func(tx *transaction.Tx) error)                        // changes the state asynchronously, best effort
 }
 
-// Save stores a runner if the disk has another version of it, in what routers need to know. A draining runner, or the
-// removal of one that is gone, is committed before Save returns, so that a primary that takes over does not direct routers
-// to it again. A ready runner is stored asynchronously. The only errors are those of Submit.
+// Save stores a runner if the disk has another version of it, in what routers need to know. A draining runner, or one that is
+// gone, is committed before Save returns, so that a primary that takes over does not direct routers to it again; the record of
+// one that is gone stays until the registry has forgotten it, since a late heartbeat may still arrive. A ready runner is stored
+// asynchronously. The only errors are those of Submit.
 func (s Storage) Save(ctx context.Context, runner routing.Runner) error {
 	if runner.ID == "" || runner.State == routing.RunnerTimedOut {
 		return nil
 	}
-	if stored, ok := s.Load(runner.ID); ok == (runner.State != routing.RunnerGone) && (!ok || stored.EqualForRouting(runner)) {
+	if stored, ok := s.Load(runner.ID); ok && stored.EqualForRouting(runner) {
 		return nil
 	}
 	apply := func(tx *transaction.Tx) error {
 		key := runnerPrefix + runner.ID
-		if runner.State != routing.RunnerGone {
-			return tx.Put(key, &runner)
+		if stored, ok := decodeRunner(tx.Get(key)); ok && !supersedes(runner, stored) {
+			return nil
 		}
-		if _, ok := tx.Get(key); ok {
-			tx.Delete(key)
-		}
-		return nil
+		return tx.Put(key, &runner)
 	}
 	if runner.State == routing.RunnerReady {
 		s.SubmitLater(apply)
@@ -48,6 +47,11 @@
 	return s.Submit(ctx, apply)
 }
 
+// supersedes reports whether a runner's record replaces the stored one. A record that is stored late, after a newer one, does not.
+func supersedes(next, stored routing.Runner) bool {
+	return stored.State != routing.RunnerGone && next.Sequence >= stored.Sequence
+}
+
 // Load reads a stored runner. ok is false if there is none, or if it cannot be decoded.
 func (s Storage) Load(id string) (runner routing.Runner, ok bool) {
 	return decodeRunner(s.Committed().Get(runnerPrefix + id))
@@ -95,24 +99,27 @@
 	}
 }
 
-// DeleteUnknown asynchronously deletes the stored runners that are not among the known ones.
+// DeleteUnknown asynchronously deletes the stored runners that are not among the known ones, except those that are stored again
+// before the deletion is applied.
 func (s Storage) DeleteUnknown(known []routing.Runner) {
 	isKnown := map[string]bool{}
 	for _, runner := range known {
 		isKnown[runner.ID] = true
 	}
-	var unknown []string
-	s.Committed().ForEachWithPrefix(runnerPrefix, func(key string, _ []byte) {
+	var unknown []store.Mutation // the records as they are now
+	s.Committed().ForEachWithPrefix(runnerPrefix, func(key string, record []byte) {
 		if !isKnown[strings.TrimPrefix(key, runnerPrefix)] {
-			unknown = append(unknown, key)
+			unknown = append(unknown, store.Mutation{Key: key, Value: bytes.Clone(record)})
 		}
 	})
 	if len(unknown) == 0 {
 		return
 	}
 	s.SubmitLater(func(tx *transaction.Tx) error {
-		for _, key := range unknown {
-			tx.Delete(key)
+		for _, seen := range unknown {
+			if record, ok := tx.Get(seen.Key); ok && bytes.Equal(record, seen.Value) {
+				tx.Delete(seen.Key)
+			}
 		}
 		return nil
 	})
