runnerregistry: a draining runner that falls silent stays draining

Callers: a runner that had said draining and was acknowledged got some 20 requests a second again (rule DRAIN), 4.2 s later, while a cut kept its heartbeats and those of the service's other runners from the cores.

Cause: after 4 s without a heartbeat "timed out" took the place of "draining" in the primary's memory, and routers accepted it. A runner that has timed out is a last resort, a draining one is never used. On disk the case was excluded. Class: one field for two facts, so that what was observed (silence) overwrites what was promised (no more work).

Fix: only a ready runner times out, at the core and at the router (which may hear it from a core of another release).

--- a/internal/controlplane/runnerregistry/registry.go
+++ b/internal/controlplane/runnerregistry/registry.go
@@ -45,7 +45,7 @@
 	notified    <-chan struct{} // closed once the push of the last change has ended; nil: nothing was pushed in this epoch
 }
 
-// New returns an empty registry. A runner that sends no heartbeat for longer than timeout is timed out. notify is called
+// New returns an empty registry. A ready runner that sends no heartbeat for longer than timeout is timed out. notify is called
 // with the registry's lock held, for each change that routers must learn of at once. It must neither block nor call the
 // registry. The channel that it returns is closed once the attempt to notify the routers has ended.
 func New(timeout time.Duration, notify func(routing.Runner) <-chan struct{}) *Registry {
@@ -111,7 +111,7 @@
 	return known.notified
 }
 
-// expire sets the state of runners that have timed out, and removes runners without a heartbeat for runnerTTL. It does so
+// expire sets the state of ready runners that have timed out, and removes runners without a heartbeat for runnerTTL. It does so
 // once per expiryInterval at most. The caller holds the lock.
 func (r *Registry) expire(now time.Time) {
 	if now.Sub(r.expiredAt) < expiryInterval {
@@ -124,8 +124,8 @@
 			delete(r.runners, id)
 			continue
 		}
-		state := entry.runner.State
-		if age > r.timeout && state != routing.RunnerGone && state != routing.RunnerTimedOut {
+		// A draining runner stays draining: routers use a runner that has timed out as a last resort, but never a draining one.
+		if age > r.timeout && entry.runner.State == routing.RunnerReady {
 			entry.runner.State = routing.RunnerTimedOut
 			r.version++
 			entry.version = r.version
--- a/internal/dataplane/registry/merge.go
+++ b/internal/dataplane/registry/merge.go
@@ -24,15 +24,16 @@
 	return true, !known || !old.runner.EqualForRouting(runner)
 }
 
-// supersedes reports whether a report of a runner replaces the known one. RunnerGone is final. RunnerTimedOut is set by the
-// core, with the sequence number of the last heartbeat that it received or has on disk. That number may be lower than the
-// one known here; the report is then accepted only if no report has just arrived by dissemination.
+// supersedes reports whether a report of a runner replaces the known one. RunnerGone is final. RunnerTimedOut replaces only
+// RunnerReady, since a draining runner must get no work even as a last resort. It is set by the core, with the sequence number
+// of the last heartbeat that it received or has on disk. That number may be lower than the one known here; the report is then
+// accepted only if no report has just arrived by dissemination.
 func supersedes(next routing.Runner, known entry) bool {
 	switch {
 	case known.runner.State == routing.RunnerGone:
 		return false
 	case next.State == routing.RunnerTimedOut:
-		return known.runner.State != routing.RunnerTimedOut &&
+		return known.runner.State == routing.RunnerReady &&
 			(next.Sequence >= known.runner.Sequence || !known.isFresh())
 	}
 	return next.Sequence > known.runner.Sequence
--- a/internal/dataplane/registry/registry_test.go
+++ b/internal/dataplane/registry/registry_test.go
@@ -34,7 +34,8 @@
 	return out
 }
 
-// The report with the highest sequence number wins. A later report replaces the state silent, but none replaces gone.
+// The report with the highest sequence number wins. A later report replaces the state silent, but none replaces gone, and silence
+// does not replace draining.
 func TestNewestReportWins(t *testing.T) {
 	reg := New(nil)
 	for _, step := range []struct {
@@ -48,6 +49,8 @@
 		{runner("a", 3, routing.RunnerReady), "a:ready "},
 		{runner("a", 3, routing.RunnerDraining), "a:ready "},
 		{runner("a", 4, routing.RunnerDraining), "a:draining "},
+		{runner("a", 4, routing.RunnerTimedOut), "a:draining "},
+		{runner("a", 5, routing.RunnerTimedOut), "a:draining "},
 		{runner("a", 5, routing.RunnerGone), "a:gone "},
 		{runner("a", 5, routing.RunnerTimedOut), "a:gone "},
 		{runner("a", 9, routing.RunnerReady), "a:gone "},
