wire: the test of errors after the deadline runs in simulated time

The check was wrong, not the product: such a call ends as not sent, rightly.

Replaced by one as strict: connections in memory and simulated time, so that dial and write take nothing, once with both deadlines at one moment and once with a caller that notices its own 10 ms late, so that the server's passes first.

--- a/internal/transport/wire/deadline_test.go
+++ b/internal/transport/wire/deadline_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -48,22 +49,32 @@
 	}
 }
 
+// earlyDeadline is a context whose end is noticed only after its deadline, as by a process that is busy.
+type earlyDeadline struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c earlyDeadline) Deadline() (time.Time, bool) { return c.deadline, true }
+
 // An error of a handler after the call's deadline is not sent to the caller, which would take it for a rejection. The outcome
 // is unknown, even if the deadline passes on the server first.
 func TestHandlerErrorAfterDeadlineIsNotSent(t *testing.T) {
-	listener := listen(t)
 	handler := func(ctx context.Context, _ string, _ []byte) (msgp.Marshaler, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	go Serve(t.Context(), listener, handler)
-	for range 20 {
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-		caller := newCaller(t, TCP{})
-		if err := caller.Call(ctx, listener.Addr().String(), "test.wait", nil, nil); !errors.Is(err, ErrOutcomeUnknown) {
-			t.Errorf("got error %v, want ErrOutcomeUnknown", err)
-		}
-		cancel()
+	// In simulated time the dial and the write take none of the call's.
+	for _, lateness := range []time.Duration{0, 10 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			caller := newCaller(t, pipeNetwork{handler})
+			const timeout = 10 * time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), timeout+lateness)
+			defer cancel()
+			if err := caller.Call(earlyDeadline{ctx, time.Now().Add(timeout)}, "server", "test.wait", nil, nil); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("deadline noticed %s late by the caller: got error %v, want ErrOutcomeUnknown", lateness, err)
+			}
+		})
 	}
 	s := &connectionServer{handler: handler, conn: nil}
 	call := Frame{TimeoutMs: 1}
--- a/internal/transport/wire/helpers_test.go
+++ b/internal/transport/wire/helpers_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -17,6 +18,17 @@
 	return listener
 }
 
+// pipeNetwork dials in-memory connections, which handler serves.
+type pipeNetwork struct{ handler Handler }
+
+func (p pipeNetwork) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go serveConnection(context.WithoutCancel(ctx), server, p.handler)
+	return client, nil
+}
+
+func (pipeNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
 // newCaller returns a Caller that is closed when the test ends.
 func newCaller(t *testing.T, network Network) *Caller {
 	t.Helper()
--- a/internal/transport/wire/traffic_test.go
+++ b/internal/transport/wire/traffic_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,17 +48,6 @@
 	}
 }
 
-// pipeNetwork dials in-memory connections, which handler serves.
-type pipeNetwork struct{ handler Handler }
-
-func (p pipeNetwork) Dial(ctx context.Context, _ string) (net.Conn, error) {
-	client, server := net.Pipe()
-	go serveConnection(context.WithoutCancel(ctx), server, p.handler)
-	return client, nil
-}
-
-func (pipeNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
-
 // An idle connection is closed when others are opened. A connection in regular use or with a pending call stays open.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
