coreclient: one backoff for all waiting calls, which the end of a search does not cut short

Callers: in an outage a router called the primary more often than its backoff allows, now and then twice in one backoff.

Cause: a call that failed waited for its own timer or the end of the search in progress, and joined the search of its last wait, which ended soon after. Class: a wake-up that belongs to another wait.

Now the client has one backoff at a time, which all waiting calls join, and the end of a search wakes nobody but the hedge. A newer view wakes all at once and, with a new primary, ends the backoff, as does a call that succeeds.

--- a/internal/controlplane/coreclient/backoff_test.go
+++ b/internal/controlplane/coreclient/backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -73,6 +74,56 @@
 	}
 }
 
+// Guards against calls that are made twice in an outage: the end of a search that a call has joined does not cut its backoff short.
+func TestJoinedSearchDoesNotCutTheBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const headStart = minBackoff - time.Millisecond // of the search, which ends a millisecond after it is joined
+		var queries, calls atomic.Int64
+		client := newTestClient(t, pipeNetwork{"old": coreHandler(viewLedBy("old", 1), &queries, rejectUntil(coreapi.CodeNotReady, time.Now().Add(time.Hour), &calls))}, "old")
+		client.Learn(viewLedBy("old", 1))
+		client.joinSearch()
+		time.Sleep(headStart)
+		if err := call(client, minBackoff-time.Millisecond, true); err == nil {
+			t.Error("got a response of a primary that is not ready, want an error")
+		}
+		if got := calls.Load(); got != 1 {
+			t.Errorf("got %d calls within the backoff, want 1", got)
+		}
+	})
+}
+
+// Calls that fail at different times within a backoff are retried together, so that they share a connection attempt.
+func TestWaitingCallsAreRetriedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var queries atomic.Int64
+		retries := map[time.Duration]int{} // by the time since the start; handlers of one connection run one at a time here
+		start := time.Now()
+		var mu sync.Mutex
+		reject := func(context.Context, string, []byte) (msgp.Marshaler, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			retries[time.Since(start)]++
+			return nil, wire.StatusError{Code: coreapi.CodeNotReady}
+		}
+		client := newTestClient(t, pipeNetwork{"old": coreHandler(viewLedBy("old", 1), &queries, reject)}, "old")
+		client.Learn(viewLedBy("old", 1))
+		var waiting sync.WaitGroup
+		const count = 10
+		for i := range count {
+			waiting.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				_ = call(client, minBackoff+minBackoff/2, true) // it fails in any case
+			})
+		}
+		waiting.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		if got := retries[minBackoff]; got != count {
+			t.Errorf("got %d of %d calls retried after the first one's backoff (all calls, by time: %v)", got, count, retries)
+		}
+	})
+}
+
 // A new primary is called immediately, regardless of the duration of the outage before.
 func TestNewPrimaryResetsBackoff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/controlplane/coreclient/client.go
+++ b/internal/controlplane/coreclient/client.go
@@ -36,6 +36,8 @@
 	viewChanged chan struct{} // closed and replaced when a newer view is learned
 	searches    int           // number since a newer view was learned or a call succeeded
 	searchEnded chan struct{} // closed when the search in progress ends; nil: none is in progress
+
+	backoffElapsed chan struct{} // closed when the backoff in progress has elapsed; nil: none is in progress
 }
 
 // NewClient returns a client that finds the fleet through seeds, the addresses of any of its processes. Searches are cancelled
@@ -59,6 +61,7 @@
 	if v.Epoch > c.view.Epoch {
 		if v.Addr(v.Primary) != c.view.Addr(c.view.Primary) {
 			c.backoff.recordNewPrimary()
+			c.backoffElapsed = nil // a call to the new primary that fails begins a backoff of its own
 		}
 		c.view = v
 		c.searches = 0
--- a/internal/controlplane/coreclient/retry.go
+++ b/internal/controlplane/coreclient/retry.go
@@ -53,7 +53,7 @@
 		if next := c.View(); ctx.Err() == nil && next.Addr(next.Primary) != v.Addr(v.Primary) {
 			continue // another primary was found in the meantime
 		}
-		if ctx.Err() != nil || !c.waitForSearch(ctx) {
+		if ctx.Err() != nil || !c.waitToRetry(ctx) {
 			break
 		}
 	}
--- a/internal/controlplane/coreclient/search.go
+++ b/internal/controlplane/coreclient/search.go
@@ -20,32 +20,48 @@
 	viewTTL           = 5 * time.Second        // a client that makes calls refreshes a view that is older
 )
 
-// waitForSearch searches for a primary until a newer view is known, the search has ended or the backoff has elapsed. After the
-// backoff the known primary may be called again, so that machines that do not respond do not delay the call to one that does.
-// It returns false if ctx ended.
-func (c *Client) waitForSearch(ctx context.Context) bool {
-	timer := time.NewTimer(c.backoff.afterFailure(time.Now()))
-	defer timer.Stop()
-	return c.waitForSearchUntil(ctx, timer.C)
-}
-
-// waitForSearchUntil is like waitForSearch, with a channel that ends the wait after the backoff. A nil channel never ends it.
-func (c *Client) waitForSearchUntil(ctx context.Context, backoff <-chan time.Time) bool {
-	ended, newer := c.joinSearch()
+// waitToRetry searches for a primary until a newer view is known or the backoff has elapsed. After the backoff the known primary
+// may be called again, so that machines that do not respond do not delay the call to one that does. It returns false if ctx
+// ended.
+func (c *Client) waitToRetry(ctx context.Context) bool {
+	c.joinSearch()
+	elapsed, newer := c.joinBackoff()
 	select {
-	case <-ended:
+	case <-elapsed:
 		return true
 	case <-newer:
 		return true
-	case <-backoff:
-		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// joinBackoff joins the backoff in progress or starts one. All waiting calls thus retry at the same time and share one connection
+// attempt. It returns a channel that is closed when the backoff has elapsed and one that is closed when a newer view is known.
+func (c *Client) joinBackoff() (elapsed, newer <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.backoffElapsed == nil {
+		current := make(chan struct{})
+		c.backoffElapsed = current
+		time.AfterFunc(c.backoff.afterFailure(time.Now()), func() { c.endBackoff(current) })
+	}
+	return c.backoffElapsed, c.viewChanged
+}
+
+// endBackoff ends a backoff, which is no longer the one in progress if the client has found a primary in the meantime.
+func (c *Client) endBackoff(elapsed chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.backoffElapsed == elapsed {
+		c.backoffElapsed = nil
+	}
+	close(elapsed)
+}
+
 // joinSearch joins the search in progress or starts one, so that any number of waiting calls cause only one search. It returns
-// a channel that is closed when the search has ended and one that is closed when a newer view is known.
+// a channel that is closed when the search has ended and one that is closed when a newer view is known. The end of a search is
+// no reason to retry a call: the search may have been joined shortly before.
 func (c *Client) joinSearch() (ended, newer <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,7 +134,12 @@
 
 // searchView searches until a newer view is known, the search has ended or ctx ends, and returns the newest view known.
 func (c *Client) searchView(ctx context.Context) view.View {
-	c.waitForSearchUntil(ctx, nil)
+	ended, newer := c.joinSearch()
+	select {
+	case <-ended:
+	case <-newer:
+	case <-ctx.Done():
+	}
 	return c.View()
 }
 
@@ -127,6 +148,7 @@
 	c.backoff.recordSuccess()
 	c.mu.Lock()
 	c.searches = 0
+	c.backoffElapsed = nil
 	c.mu.Unlock()
 	c.refreshView()
 }
--- a/internal/controlplane/coreclient/search_test.go
+++ b/internal/controlplane/coreclient/search_test.go
@@ -196,19 +196,19 @@
 			}
 			return total
 		}
-		client.waitForSearchUntil(t.Context(), nil)
+		client.searchView(t.Context())
 		if got := totalQueries(); got != initialSearchSize || queries[7].Load() != 1 || queries[8].Load() != 1 || queries[0].Load() != 0 {
 			t.Errorf("got %d queries of the first search, of them %d and %d to the backups and %d to the primary, want %d, 1, 1 and 0",
 				got, queries[7].Load(), queries[8].Load(), queries[0].Load(), initialSearchSize)
 		}
-		client.waitForSearchUntil(t.Context(), nil)
-		client.waitForSearchUntil(t.Context(), nil)
+		client.searchView(t.Context())
+		client.searchView(t.Context())
 		if got := totalQueries(); got != initialSearchSize+2*initialSearchSize+members {
 			t.Errorf("got %d queries of three searches, want %d", got, initialSearchSize+2*initialSearchSize+members)
 		}
 		client.Learn(viewLedBy("core5", 2))
 		before := totalQueries()
-		client.waitForSearchUntil(t.Context(), nil)
+		client.searchView(t.Context())
 		if got := totalQueries() - before; got > initialSearchSize {
 			t.Errorf("got %d queries after a newer view was learned, want at most %d", got, initialSearchSize)
 		}
