gateway: a request that only rejections have met is answered by 503, not 502

Callers: a request that one runner had refused unrun, and whose next runner could not be reached, got 502 "may have run". A client may not repeat that where it could.

Cause: the promise of the last runner is cleared when the next one is chosen; the rejection then looked at that promise and at whether anything had been sent. It now looks at what was recorded for just this purpose: whether a runner may have run the request (mayHaveRun).

--- a/internal/dataplane/gateway/outcome.go
+++ b/internal/dataplane/gateway/outcome.go
@@ -66,7 +66,7 @@
 
 // rejectNoRunner returns the rejection of a request for which no runner is available.
 func (r *request) rejectNoRunner() error {
-	if r.sentAttempts > 0 && !r.chart.notExecuted {
+	if r.mayHaveRun {
 		return reject(CodeRunnerLost)
 	}
 	return reject(CodeNoRunner)
--- a/internal/dataplane/gateway/outcome_test.go
+++ b/internal/dataplane/gateway/outcome_test.go
@@ -40,3 +40,22 @@
 	}
 	t.Error("the runner that closes its connection got no request, want one")
 }
+
+// Guards against a status that says that a request may have run where it has not: if one runner promises not to have run it, and no
+// other can be reached, the request has not run.
+func TestRejectedThenUnreachable(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 2, false))
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addRunner("full", rejectNotExecuted)
+	f.addRunnerAt("down", closed.Addr().String())
+	closeQuietly(closed)
+	for i := range 10 {
+		response, _, err := f.send(fmt.Sprint(i), "/a/x", "k1", "")
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Fatalf("request %d: got %v, error %v, want status 503 with Retry-After", i, response, err)
+		}
+	}
+}
--- a/internal/dataplane/gateway/serve.go
+++ b/internal/dataplane/gateway/serve.go
@@ -158,7 +158,7 @@
 	switch {
 	case r.responseStarted:
 		return reject(CodeResponseTruncated)
-	case r.sentAttempts > 0 && !r.chart.notExecuted:
+	case r.mayHaveRun:
 		return reject(CodeRunnerLost)
 	}
 	return reject(code)
