gateway: a client's Connection header removes none of the headers that the system sets

Cause: the system set its headers, and the connection options of the client were applied to all of them when the request was written. Now they are applied to the client's own headers, before. Responses: a Connection header with several names was taken for one name.

--- a/internal/dataplane/gateway/buffered.go
+++ b/internal/dataplane/gateway/buffered.go
@@ -69,14 +69,12 @@
 var hopByHopHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
 	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true}
 
-// copyHeader copies a response's headers, except hop-by-hop headers and those named as connection options.
+// copyHeader copies a response's headers, except hop-by-hop headers and those named as connection options. It removes the latter
+// from the original.
 func copyHeader(to, from http.Header) {
-	connectionOptions := map[string]bool{}
-	for _, value := range from.Values("Connection") {
-		connectionOptions[http.CanonicalHeaderKey(value)] = true
-	}
+	upstream.RemoveConnectionOptions(from)
 	for key, values := range from {
-		if !hopByHopHeaders[key] && !connectionOptions[key] {
+		if !hopByHopHeaders[key] {
 			to[key] = values
 		}
 	}
--- a/internal/dataplane/gateway/forwarding_test.go
+++ b/internal/dataplane/gateway/forwarding_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+// Guards against a client that keeps the system's own headers from the runner: fields that the client's Connection header lists are
+// removed before the system sets its own, and in a response all fields are that a runner's Connection header lists.
+func TestConnectionOptionsRemoveNoHeaderOfTheSystem(t *testing.T) {
+	f := newFleet(t, route(routing.Unsafe, 1, false))
+	var got http.Header
+	f.addRunner("one", func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Connection", "X-Hop, X-Other-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-Other-Hop", "1")
+		respondWith("text")(w, r)
+	})
+	response, _, err := f.send("1", "/a/x", "k1", "", "Connection", "Test-Tenant, Test-Runner,X-Hop", "X-Hop", "1", "Test-Tenant", "other")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Get("Test-Tenant") != "yard" || got.Get("Test-Runner") != "one" || got.Get("X-Hop") != "" {
+		t.Errorf("the runner got headers %v, want the system's tenant and runner, and no X-Hop", got)
+	}
+	if response.Header.Get("X-Hop") != "" || response.Header.Get("X-Other-Hop") != "" {
+		t.Errorf("the client got headers %v, want none that the runner's Connection header lists", response.Header)
+	}
+}
--- a/internal/dataplane/gateway/send.go
+++ b/internal/dataplane/gateway/send.go
@@ -15,6 +15,7 @@
 		meta.Tenant = r.tenant.Name
 	}
 	header := r.httpRequest.Header.Clone()
+	upstream.RemoveConnectionOptions(header) // before the system sets its own headers, which a client must not remove
 	r.gateway.Dialect.WriteRequest(header, meta)
 	r.gateway.Pool.SetMaxConnections(info.Address, r.maxConnections())
 	return r.gateway.Pool.Send(ctx, info.Address, upstream.Request{Method: r.httpRequest.Method, Target: r.httpRequest.RequestURI,
--- a/internal/dataplane/upstream/headerfields.go
+++ b/internal/dataplane/upstream/headerfields.go
@@ -31,6 +31,14 @@
 	return buffer, nil
 }
 
+// RemoveConnectionOptions removes the Connection fields of a header and the fields that they list.
+func RemoveConnectionOptions(header http.Header) {
+	for _, name := range connectionOptions(header) {
+		delete(header, name)
+	}
+	delete(header, "Connection")
+}
+
 // connectionOptions returns the names of the fields that the Connection header lists as hop-by-hop.
 func connectionOptions(header http.Header) (names []string) {
 	for _, value := range header["Connection"] {
