gateway: a stream is resumed only right after an event with an ID

The users' streams have IDs, so this is by reading, while the takeover was reviewed.

Fix: after an event without an ID the position is not known; the stream is then neither retried nor taken over. Before its first event, and after the next one with an ID, it may be again.

Evidence: TestStreamWithoutIDsIsNotResumed red before in both cases, each event twice after 2 runs.

--- a/internal/dataplane/gateway/serve.go
+++ b/internal/dataplane/gateway/serve.go
@@ -30,7 +30,7 @@
 			}
 			continue
 		case outcomeNotExecuted, outcomeUnknown:
-			if !stream.hasSuccessor() && !r.mayRetry(outcome) {
+			if !stream.hasSuccessor() && !(stream.canResume() && r.mayRetry(outcome)) {
 				return r.finalError(err)
 			}
 		case outcomeRetryGranted:
--- a/internal/dataplane/gateway/stream.go
+++ b/internal/dataplane/gateway/stream.go
@@ -18,6 +18,7 @@
 type streamResponse struct {
 	request    *request
 	lastID     string                   // ID of the last event forwarded; before that, the client's Last-Event-ID
+	lacksID    bool                     // the last event forwarded has no ID, so that the stream cannot be resumed after it
 	controller *http.ResponseController // nil: the response's head has not been written yet
 	takeover   *takeover                // of the present attempt; nil: no other runner may take over
 	successor  *successor               // continues the stream in the next attempt; nil: none
@@ -100,7 +101,7 @@
 				attempt.Cancel()
 				return outcomeFinal, reject(CodeClientDisconnected)
 			}
-			s.takeover.endEvent(s.lastID)
+			s.takeover.endEvent(s.lastID, s.canResume())
 		case errors.Is(err, upstream.ErrIncompleteEvent) && head.Framed:
 			s.start(head)
 			s.writeEvent(event) // a write error is ignored: the next read returns io.EOF and ends the attempt
@@ -125,12 +126,16 @@
 	if !s.writeEvent(event) {
 		return false
 	}
-	if id != "" {
+	if s.lacksID = id == ""; !s.lacksID {
 		s.lastID = id
 	}
 	return true
 }
 
+// canResume reports whether another run can continue the stream after the last event forwarded. It is true for a response that is
+// no stream.
+func (s *streamResponse) canResume() bool { return s == nil || !s.lacksID }
+
 // isDuplicate reports whether an event has already been forwarded from an earlier run. Numeric IDs increase within a stream.
 func (s *streamResponse) isDuplicate(id string) bool {
 	if s.lastID == "" || id == "" {
--- a/internal/dataplane/gateway/takeover.go
+++ b/internal/dataplane/gateway/takeover.go
@@ -36,6 +36,7 @@
 	forwarding bool                    // an event of the present attempt is being written to the client
 	ended      bool                    // the present attempt has ended
 	lastID     string                  // ID of the last event forwarded; before that, the client's Last-Event-ID
+	canResume  bool                    // another run can continue the stream after the last event forwarded
 	started    bool                    // an event has been forwarded, in this attempt or an earlier one
 	granted    bool                    // a retry has been taken from the budget and not been used
 	tryDone    chan struct{}           // closed when the try under way ends; nil: none is under way
@@ -58,7 +59,7 @@
 	maps.Copy(tried, stream.request.tried)
 	tried[present.Runner().Index] = true
 	t := &takeover{request: stream.request, present: present, cancelPresent: cancelPresent, maxTries: maxTries, lastID: stream.lastID,
-		started: stream.started(), result: takeoverResult{tried: tried}}
+		canResume: stream.canResume(), started: stream.started(), result: takeoverResult{tried: tried}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(stallCheckInterval, t.check)
@@ -87,7 +88,7 @@
 // t.mu.
 func (t *takeover) mayTry() bool {
 	r := t.request
-	if t.result.sent >= t.maxTries || r.remaining() <= 0 || !r.isStillAllowed() || !r.hasUntriedRunner(t.result.tried) {
+	if t.result.sent >= t.maxTries || !t.canResume || r.remaining() <= 0 || !r.isStillAllowed() || !r.hasUntriedRunner(t.result.tried) {
 		return false
 	}
 	t.granted = t.granted || r.gateway.retryBudget.Take(r.service.Name)
@@ -158,14 +159,15 @@
 	return true
 }
 
-// endEvent records that the event was forwarded, and postpones the next check.
-func (t *takeover) endEvent(lastID string) {
+// endEvent records that the event was forwarded, with the ID after which the stream can be resumed, if it can, and postpones the
+// next check.
+func (t *takeover) endEvent(lastID string, canResume bool) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forwarding, t.started, t.lastID = false, true, lastID
+	t.forwarding, t.started, t.lastID, t.canResume = false, true, lastID, canResume
 	t.timer.Reset(stallCheckInterval)
 }
 
--- a/internal/dataplane/gateway/takeover_test.go
+++ b/internal/dataplane/gateway/takeover_test.go
@@ -79,3 +79,36 @@
 		t.Errorf("got %d runs of %d streams, want some streams taken over", runs.Load(), hushedStreams)
 	}
 }
+
+// Guards against events that are sent twice: a stream whose events have no IDs cannot be resumed after its last one, so it is not resumed.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	const text = "data: one\n\ndata: two\n\n"
+	for _, c := range []struct {
+		name string
+		end  func(conn net.Conn)
+		want string
+	}{
+		{"the runner closes the connection", func(conn net.Conn) { closeQuietly(conn) }, text},
+		{"the runner is silent", func(conn net.Conn) {
+			time.Sleep(hush)
+			endStream(conn)
+		}, text},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, route(routing.Streaming, 2, true))
+			var runs atomic.Int64
+			for i := range 2 {
+				f.addRawRunner(fmt.Sprintf("runner-%d", i), func(conn net.Conn, r *http.Request) {
+					runs.Add(1)
+					writeStreamHead(conn, r)
+					writeText(conn, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+					c.end(conn)
+				})
+			}
+			if _, got, _ := f.send("1", "/a/x", "k1", ""); got != c.want || runs.Load() != 1 {
+				t.Errorf("got %q after %d runs, want %q after 1", got, runs.Load(), c.want)
+			}
+		})
+	}
+}
