gateway: one lookup in a newer table for retries and takeovers; tests: what stood twice

Read again, no change of behaviour. `revalidate` and the takeover's `isStillAllowed` matched route, kind, tenant and service in a newer table each for itself; both call `resolve` now. The context in `successor` was set and never read. All assertions are as they were.

--- a/internal/controlplane/runnerregistry/storage_test.go
+++ b/internal/controlplane/runnerregistry/storage_test.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// storeState commits a state of the runner a directly, before the operations that have been submitted.
+func (r *storedRegistry) storeState(t *testing.T, state routing.RunnerState) {
+	t.Helper()
+	tx := transaction.New(r.committed)
+	if err := tx.Put(runnerPrefix+"a", &routing.Runner{ID: "a", State: state}); err != nil {
+		t.Fatal(err)
+	}
+	r.append(t, tx)
+}
+
 // heartbeat records and saves a heartbeat of the runner a like the primary does, and commits the submitted operations.
 func (r *storedRegistry) heartbeat(t *testing.T, state routing.RunnerState, sequence uint64) {
 	t.Helper()
@@ -184,11 +194,7 @@
 		r := newStoredRegistry(t)
 		r.heartbeat(t, routing.RunnerReady, 1)
 		r.DeleteUnknown(nil)
-		tx := transaction.New(r.committed)
-		if err := tx.Put(runnerPrefix+"a", &routing.Runner{ID: "a", State: routing.RunnerGone}); err != nil {
-			t.Fatal(err)
-		}
-		r.append(t, tx)
+		r.storeState(t, routing.RunnerGone)
 		r.commit(t)
 		if stored, _ := r.Load("a"); stored.State != routing.RunnerGone {
 			t.Errorf("got stored state %q, want %q", stored.State, routing.RunnerGone)
@@ -255,11 +261,7 @@
 		r.heartbeat(t, routing.RunnerReady, 1)
 		time.Sleep(5 * time.Second)
 		r.SaveTimedOut(r.List(time.Now()))
-		tx := transaction.New(r.committed)
-		if err := tx.Put(runnerPrefix+"a", &routing.Runner{ID: "a", State: routing.RunnerDraining}); err != nil {
-			t.Fatal(err)
-		}
-		r.append(t, tx)
+		r.storeState(t, routing.RunnerDraining)
 		r.commit(t)
 		if stored, _ := r.Load("a"); stored.State != routing.RunnerDraining {
 			t.Errorf("got stored state %q, want %q", stored.State, routing.RunnerDraining)
--- a/internal/dataplane/gateway/serve.go
+++ b/internal/dataplane/gateway/serve.go
@@ -110,16 +110,9 @@
 	if table.Revision == r.table.Revision {
 		return nil
 	}
-	route := table.Match(r.httpRequest.Host, r.httpRequest.URL.Path)
-	if route == nil || route.Kind != r.route.Kind {
-		return r.rejectRevoked(CodeNoRoute)
-	}
-	tenant, known := tenantFor(table, route, r.meta.Key)
-	if !known || tenant != nil && r.tenant != nil && tenant.Name != r.tenant.Name {
-		return r.rejectRevoked(CodeUnknownKey)
-	}
-	if (tenant == nil) != (r.tenant == nil) {
-		return r.rejectRevoked(CodeNotReady)
+	route, tenant, code := r.resolve(table)
+	if code != "" {
+		return r.rejectRevoked(code)
 	}
 	r.table, r.route, r.tenant, r.service = table, route, tenant, r.serviceFor(table, route)
 	return nil
@@ -132,13 +125,25 @@
 	if table.Revision == r.table.Revision {
 		return true
 	}
-	route := table.Match(r.httpRequest.Host, r.httpRequest.URL.Path)
-	if route == nil || route.Kind != r.route.Kind || !route.Idempotent() {
-		return false
+	route, _, code := r.resolve(table)
+	return code == "" && route.Idempotent() && r.serviceFor(table, route).Name == r.service.Name
+}
+
+// resolve returns the request's route and tenant in a newer table, or the code with which that table rejects the request. It only
+// reads the request's state.
+func (r *request) resolve(table *routing.Table) (route *routing.Route, tenant *routing.Tenant, rejected Code) {
+	route = table.Match(r.httpRequest.Host, r.httpRequest.URL.Path)
+	if route == nil || route.Kind != r.route.Kind {
+		return nil, nil, CodeNoRoute
 	}
 	tenant, known := tenantFor(table, route, r.meta.Key)
-	sameTenant := (tenant == nil) == (r.tenant == nil) && (tenant == nil || tenant.Name == r.tenant.Name)
-	return known && sameTenant && r.serviceFor(table, route).Name == r.service.Name
+	if !known || tenant != nil && r.tenant != nil && tenant.Name != r.tenant.Name {
+		return nil, nil, CodeUnknownKey
+	}
+	if (tenant == nil) != (r.tenant == nil) {
+		return nil, nil, CodeNotReady
+	}
+	return route, tenant, ""
 }
 
 // serviceFor returns the request's service in a newer table. The service stays the same as long as the route leads there.
--- a/internal/dataplane/gateway/successor.go
+++ b/internal/dataplane/gateway/successor.go
@@ -16,7 +16,6 @@
 	exchange *upstream.Exchange
 	head     upstream.Head
 	events   *upstream.EventReader
-	ctx      context.Context
 	cancel   context.CancelCauseFunc
 }
 
@@ -81,7 +80,7 @@
 		endFailed(ctx, attempt, io.ErrUnexpectedEOF)
 		return nil, outcome
 	}
-	return &successor{attempt: attempt, exchange: exchange, head: head, events: events, ctx: ctx}, outcome
+	return &successor{attempt: attempt, exchange: exchange, head: head, events: events}, outcome
 }
 
 // canContinue waits for the next event and reports whether there is one, or the stream has ended after the last one.
