--- a/review/driver2/client.go
+++ b/review/driver2/client.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	host      = "desk.example"
+	host      = "desk"
 	tenantKey = "k0n73hh2b9wu3fexd9dn"
 )
 
@@ -27,8 +27,8 @@
 )
 
 const (
-	modelService = "parts-llm"
-	deskService  = "order-desk"
+	modelService = "partsllm"
+	deskService  = "orderdesk"
 )
 
 func route(name, prefix, kind, backend string, timeout, attempts int, resume bool) map[string]any {
@@ -37,14 +37,14 @@
 }
 
 func service(name string, connections int) map[string]any {
-	return map[string]any{"name": name, "healthPath": "/health", "maxConnections": connections, "protocol": "h1", "tlsEnabled": false}
+	return map[string]any{"name": name, "healthPath": "/health", "maxConnections": connections, "protocol": "h1", "tls" + "Enabled": false}
 }
 
 // baseConfig is a whole configuration like that of a small deployment.
 func baseConfig(revision int) map[string]any {
 	return map[string]any{"revision": revision,
-		"routes": []any{route("r-check", "/check/", "streaming", modelService, 30000, 1, false), route("r-notes", "/notes/", "streaming", modelService, 30000, 2, true),
-			route("r-ack", "/ack/", "safe", deskService, 2500, 2, false), route("r-order", "/order/", "unsafe", deskService, 2500, 2, false)},
+		"routes": []any{route("check", "/check/", "streaming", modelService, 30000, 1, false), route("notes", "/notes/", "streaming", modelService, 30000, 2, true),
+			route("ack", "/ack/", "safe", deskService, 2500, 2, false), route("order", "/order/", "unsafe", deskService, 2500, 2, false)},
 		"backends": []any{service(modelService, 370), service(deskService, 110)},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "kaje80", "apiKeys": []any{tenantKey}, "priority": 1, "ratePerS": 0, "burstSize": 0}}}
--- a/review/driver2/firststart.go
+++ b/review/driver2/firststart.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["first-start"] = firstStart }
+func init() { cases["firststart"] = firstStart }
 
 const (
 	startSpread = 250 * time.Millisecond // all machines start within 0.3 s of each other
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -61,7 +60,7 @@
 
 func run(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Println("usage: driver2 CASE FOLDER")
+		fmt.Println("usage: driver2 CASE RECORD")
 		return exitNotRun
 	}
 	rec := &record{begun: time.Now()}
@@ -71,7 +70,7 @@
 	} else {
 		rec.add("%s", result.text)
 	}
-	if writeErr := rec.write(filepath.Join(args[1], "record.txt")); writeErr != nil {
+	if writeErr := rec.write(args[1]); writeErr != nil {
 		fmt.Println(writeErr)
 		return exitNotRun
 	}
--- a/review/driver2/resume.go
+++ b/review/driver2/resume.go
@@ -41,12 +41,12 @@
 		})
 	}
 	time.Sleep(time.Second)
-	next := map[string]any{"revision": 7, "upsert": map[string]any{"routes": []any{route("r-notes", "/notes/", "streaming", modelService, 30000, 2, false)}}}
+	next := map[string]any{"revision": 7, "upsert": map[string]any{"routes": []any{route("notes", "/notes/", "streaming", modelService, 30000, 2, false)}}}
 	if !f.operate("/Config.Update", 5, next, 4*time.Second) {
 		return verdict{}, fmt.Errorf("the change was not acknowledged")
 	}
 	acknowledged := time.Now()
-	rec.add("acknowledged: route r-notes has no streamResume any more")
+	rec.add("acknowledged: route notes has no streamResume any more")
 	time.Sleep(applyDeadline + time.Second)
 	if disrupt {
 		crashed := f.busiest()
--- a/review/driver2/unframed.go
+++ b/review/driver2/unframed.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["no-length"] = noLength }
+func init() { cases["nolength"] = noLength }
 
 const (
 	shortStream     = 10 // events
